--- /dev/null
+++ b/cmd/spoolbank/cmd/client.go
@@ -0,0 +1,85 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/wire"
+)
+
+// retryPause is the wait before the addresses are tried again.
+const retryPause = 200 * time.Millisecond
+
+// attemptTime bounds one try at one address, beyond the wait asked for.
+const attemptTime = 3 * time.Second
+
+// operate asks the VM that leads. It follows what other VMs say of it, and
+// sends the statement again after a lost answer: a command carries its number,
+// so that it takes effect once.
+func (r *root) operate(ctx context.Context, request wire.OperateRequest) (core.Result, error) {
+	keys, err := r.keys()
+	if err != nil {
+		return core.Result{}, err
+	}
+	if len(r.peers) == 0 {
+		return core.Result{}, &exitError{exitUsage, errors.New("no address; give --peers IP:PORT, or set SPOOLBANK_PEERS")}
+	}
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	addresses := slices.Clone(r.peers)
+	var last error
+	for turn := 0; ; turn++ {
+		address := addresses[turn%len(addresses)]
+		reply, err := r.ask(ctx, keys, address, request)
+		switch {
+		case err != nil:
+			last = err
+		case reply.Result.Kind == core.ResultNotLeader:
+			last = fmt.Errorf("%s: %s", address, reply.Result.Message)
+			addresses = withHint(r.peers, reply.Leader)
+			if reply.Leader != "" && reply.Leader != address {
+				turn = len(addresses) - 1
+				continue
+			}
+		case reply.Result.Kind == core.ResultInterrupted:
+			last = errors.New(reply.Result.Message)
+		default:
+			return reply.Result, nil
+		}
+		select {
+		case <-time.After(retryPause):
+		case <-ctx.Done():
+			return core.Result{}, &exitError{exitUnknown, fmt.Errorf("no answer in %s, the last try: %w; a command sent again under the same number takes effect once", r.timeout, last)}
+		}
+	}
+}
+
+// withHint puts the leader's address first.
+func withHint(addresses []string, leader string) []string {
+	if leader == "" {
+		return slices.Clone(addresses)
+	}
+	hinted := []string{leader}
+	for _, a := range addresses {
+		if a != leader {
+			hinted = append(hinted, a)
+		}
+	}
+	return hinted
+}
+
+func (r *root) ask(ctx context.Context, keys wire.Keys, address string, request wire.OperateRequest) (wire.OperateReply, error) {
+	wait := time.Duration(request.WaitMillis) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, attemptTime+wait)
+	defer cancel()
+	conn, err := keys.Dial(ctx, address)
+	if err != nil {
+		return wire.OperateReply{}, err
+	}
+	defer conn.Close()
+	return wire.Operate(ctx, conn, request)
+}
--- /dev/null
+++ b/cmd/spoolfake/main.go
@@ -0,0 +1,148 @@
+// Command spoolfake runs the stand-ins of the systems outside spoolbank, and
+// bursts of callers, for trials and the demo.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+
+	"github.com/spoolbank/spoolbank/internal/fake"
+	"github.com/spoolbank/spoolbank/internal/load"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	flags := ff.NewFlagSet("spoolfake")
+	root := &ff.Command{
+		Name:        "spoolfake",
+		Usage:       "spoolfake engine|service|platform|load [FLAGS]",
+		Flags:       flags,
+		Subcommands: []*ff.Command{engineCommand(flags), serviceCommand(flags), platformCommand(flags), loadCommand(flags)},
+		Exec:        func(context.Context, []string) error { return errors.New("say engine, service, platform or load") },
+	}
+	err := root.ParseAndRun(ctx, os.Args[1:])
+	if errors.Is(err, ff.ErrHelp) {
+		fmt.Print(ffhelp.Command(root.GetSelected()))
+		return
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "spoolfake:", err)
+		os.Exit(1)
+	}
+}
+
+// serve serves until the process is asked to end.
+func serve(ctx context.Context, address string, handler http.Handler) error {
+	server := &http.Server{Addr: address, Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	context.AfterFunc(ctx, func() { server.Close() })
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func engineCommand(parent *ff.FlagSet) *ff.Command {
+	var o fake.EngineOptions
+	var listen string
+	flags := ff.NewFlagSet("engine").SetParent(parent)
+	flags.StringVar(&listen, 0, "listen", "127.0.0.1:9000", "address")
+	flags.StringVar(&o.Name, 0, "name", "", "name")
+	flags.Float64Var(&o.Speed, 0, "speed", 0, "layers times tokens a second; 0 takes no time")
+	flags.IntVar(&o.Slots, 0, "slots", 8, "streams at a time")
+	flags.IntVar(&o.Queue, 0, "queue", 8, "streams taken beyond that")
+	flags.BoolVar(&o.Fence, 0, "fence", "check the fence of orders")
+	flags.DurationVar(&o.LoadTime, 0, "load-time", 50*time.Millisecond, "time to load a range")
+	flags.DurationVar(&o.ReportLag, 0, "report-lag", 200*time.Millisecond, "age of load reports")
+	flags.DurationVar(&o.LinkDelay, 0, "link-delay", 0, "delay of each hop")
+	return &ff.Command{Name: "engine", ShortHelp: "a model engine", Flags: flags, Exec: func(ctx context.Context, _ []string) error {
+		return serve(ctx, listen, fake.NewEngine(o).Handler())
+	}}
+}
+
+func serviceCommand(parent *ff.FlagSet) *ff.Command {
+	var o fake.ServiceOptions
+	var listen string
+	flags := ff.NewFlagSet("service").SetParent(parent)
+	flags.StringVar(&listen, 0, "listen", "127.0.0.1:9100", "address")
+	flags.StringVar(&o.Name, 0, "name", "", "name")
+	flags.IntVar(&o.Slots, 0, "slots", 32, "calls at a time")
+	flags.DurationVar(&o.Delay, 0, "delay", 5*time.Millisecond, "time of a call")
+	return &ff.Command{Name: "service", ShortHelp: "a runner of a plain service", Flags: flags, Exec: func(ctx context.Context, _ []string) error {
+		return serve(ctx, listen, fake.NewService(o).Handler())
+	}}
+}
+
+func platformCommand(parent *ff.FlagSet) *ff.Command {
+	var listen string
+	flags := ff.NewFlagSet("platform").SetParent(parent)
+	flags.StringVar(&listen, 0, "listen", "127.0.0.1:9200", "address")
+	return &ff.Command{Name: "platform", ShortHelp: "the platform's list of VMs", Flags: flags, Exec: func(ctx context.Context, _ []string) error {
+		return serve(ctx, listen, fake.NewPlatform().Handler())
+	}}
+}
+
+// loadFlags are the flags of a burst.
+type loadFlags struct {
+	options load.Options
+	entries string
+	keys    int
+	layers  int
+}
+
+func loadCommand(parent *ff.FlagSet) *ff.Command {
+	var l loadFlags
+	flags := ff.NewFlagSet("load").SetParent(parent)
+	flags.StringVar(&l.entries, 0, "entries", "127.0.0.1:8001", "callers' addresses, with commas")
+	flags.IntVar(&l.keys, 0, "organisations", 10, "number of organisations, whose keys are key-0, key-1, ...")
+	flags.StringVar(&l.options.Pipeline, 0, "pipeline", "digest", "pipeline")
+	flags.IntVar(&l.options.Requests, 0, "requests", 500, "number of requests")
+	flags.DurationVar(&l.options.Spread, 0, "spread", time.Second, "time over which they arrive")
+	flags.IntVar(&l.options.MaxTokens, 0, "max-tokens", 32, "length of an answer")
+	flags.DurationVar(&l.options.Patience, 0, "patience", 50*time.Second, "how long a caller goes on trying")
+	flags.IntVar(&l.layers, 0, "layers", 24, "layers of the model")
+	return &ff.Command{Name: "load", ShortHelp: "a burst of callers that check their answers", Flags: flags, Exec: func(ctx context.Context, _ []string) error {
+		return runLoad(ctx, l)
+	}}
+}
+
+func runLoad(ctx context.Context, l loadFlags) error {
+	l.options.Entries = strings.Split(l.entries, ",")
+	for i := range l.keys {
+		l.options.Keys = append(l.options.Keys, fmt.Sprintf("key-%d", i))
+	}
+	l.options.Expected = func(prompt string) string {
+		text, _ := fake.Expected(prompt, l.layers, l.options.MaxTokens)
+		return text
+	}
+	return printReport(load.Run(ctx, l.options))
+}
+
+func printReport(r load.Report) error {
+	fmt.Printf("took %.2fs  tokens %d  tokens/s %.0f  resumed %d\n", r.Took.Seconds(), r.Tokens, float64(r.Tokens)/r.Took.Seconds(), r.Resumed)
+	fmt.Printf("first token   p50 %6.1f ms  p95 %6.1f ms  max %6.1f ms\n", millis(r.First.ValueAtQuantile(50)), millis(r.First.ValueAtQuantile(95)), millis(r.First.Max()))
+	fmt.Printf("between       p50 %6.1f ms  p95 %6.1f ms  max %6.1f ms\n", millis(r.Gap.ValueAtQuantile(50)), millis(r.Gap.ValueAtQuantile(95)), millis(r.Gap.Max()))
+	for kind, count := range r.Refusals {
+		fmt.Printf("refused %-24s %d\n", kind, count)
+	}
+	for _, f := range r.Faults {
+		fmt.Println("fault:", f)
+	}
+	fmt.Printf("demo: asked=%d whole=%d refused=%d lost=%d doubled=%d wrong=%d\n", r.Asked, r.Whole, r.Refused, r.Lost, r.Doubled, r.Wrong)
+	if r.Lost+r.Doubled+r.Wrong > 0 || r.Whole+r.Refused != r.Asked {
+		return errors.New("answers were lost, doubled or wrong")
+	}
+	return nil
+}
+
+func millis(micros int64) float64 { return float64(micros) / 1000 }
--- /dev/null
+++ b/internal/core/admission.go
@@ -0,0 +1,183 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// This file decides whether a request is taken, and in which order what was
+// taken is begun.
+//
+// A request that can't be served before its deadline is refused the moment it
+// comes, with the time at which to come back; one that waits and has lost its
+// chance is refused within sweepEvery. A refusal here precedes every dispatch,
+// so it says ran: no, and the request has left the queue for good.
+
+// waiting is work that waits for a route: a stream or a call.
+type waiting struct {
+	id           RequestID
+	conn         ConnID
+	organisation string
+	class        config.Class
+	cost         float64
+	deadline     time.Time
+	// avoid is a target that has just refused it.
+	avoid string
+	// gone says that it has been refused or its caller has left.
+	gone bool
+	// begin starts it on a route.
+	stream *stream
+	call   *call
+}
+
+// queueLimit bounds what waits in one pool.
+const queueLimit = 20000
+
+// checkTenure returns the refusal that a VM without a lease, or one about to
+// go, gives to any new work.
+func (n *Node) checkTenure() (Refusal, bool) {
+	if n.stopping && !n.now.Before(n.entry.leaveAt) {
+		return refusal(RefusedLeaving, RanNo, "this entry VM is being stopped", "send the request to one of the other addresses").
+			WithRetryAt(n.now).WithOthers(n.others()), false
+	}
+	if !n.hasLease() {
+		return refusal(RefusedNoLease, RanNo, "this entry VM has no lease from the control VMs", "send the request to one of the other addresses, or come back").
+			WithRetryAt(n.now.Add(n.settings.Timing.RenewEvery)).WithOthers(n.others()), false
+	}
+	return Refusal{}, true
+}
+
+// organisationOf returns the organisation of an API key.
+func (n *Node) organisationOf(key string) (config.Organisation, bool) {
+	return n.entry.config.Organisations.Get(n.entry.keys[config.HashKey(key)])
+}
+
+// admit queues work, or returns why it is refused.
+func (n *Node) admit(p *pool, w *waiting) (Refusal, bool) {
+	org, _ := n.entry.config.Organisations.Get(w.organisation)
+	if !n.now.Before(w.deadline) {
+		return refusal(RefusedDeadline, RanNo, "the deadline has passed", "send it again with a later deadline"), false
+	}
+	if org.Limit > 0 && n.entry.inProgress[w.organisation] >= org.Limit {
+		return refusal(RefusedLimit, RanNo, "the organisation has as many requests in progress as its limit allows", "wait for one of them, or ask the operators for a higher limit").
+			WithRetryAt(n.comeBack(p)), false
+	}
+	if p.queue.length >= queueLimit || n.now.Add(p.wait(n.now)).After(w.deadline) {
+		return refusal(RefusedOverload, RanNo, "it could not be served before its deadline", "come back at the given time, or give a later deadline").
+			WithRetryAt(n.comeBack(p)), false
+	}
+	p.queue.push(int(w.class), w.organisation, float64(max(org.Weight, 1)), w.cost, w)
+	p.queued += w.cost
+	n.entry.inProgress[w.organisation]++
+	n.pump(p)
+	return Refusal{}, true
+}
+
+// leave uncounts a request that has got its final answer.
+func (n *Node) leave(organisation string) {
+	n.entry.inProgress[organisation]--
+	if n.entry.inProgress[organisation] <= 0 {
+		delete(n.entry.inProgress, organisation)
+	}
+}
+
+// comeBack is when the queue will have drained, spread over as long again so
+// that those who are sent away do not return together.
+func (n *Node) comeBack(p *pool) time.Time {
+	wait := max(p.wait(n.now), time.Second)
+	return n.now.Add(wait + time.Duration(n.rand.Int64N(int64(wait))))
+}
+
+// pump begins what waits while there are routes with room.
+func (n *Node) pump(p *pool) {
+	for p.queue.length > 0 {
+		if n.choose(p, "") == nil {
+			return
+		}
+		w, _ := p.queue.pop()
+		p.queued -= w.cost
+		if w.gone {
+			continue
+		}
+		r := n.choose(p, w.avoid)
+		if r == nil {
+			r = n.choose(p, "")
+		}
+		n.begin(p, r, w)
+	}
+}
+
+func (n *Node) begin(p *pool, r *route, w *waiting) {
+	name, stages := r.name, r.stages
+	n.take(p, name, stages)
+	if w.stream != nil {
+		n.beginStream(w.stream, p.name, name, stages)
+		return
+	}
+	n.beginCall(w.call, p.name, name, stages)
+}
+
+// sweep refuses what waits in vain and forgets what is no longer of use.
+func (n *Node) sweep() {
+	for _, name := range n.poolNames() {
+		n.sweepPool(n.entry.pools[name])
+	}
+	n.sweepStreams()
+	n.sweepCalls()
+	n.sweepKept()
+	n.sweepRecords()
+}
+
+func (n *Node) poolNames() []string { return slices.Sorted(maps.Keys(n.entry.pools)) }
+
+func (n *Node) sweepPool(p *pool) {
+	for i := range p.queue.classes {
+		for _, name := range slices.Sorted(maps.Keys(p.queue.classes[i].flows)) {
+			for _, item := range p.queue.classes[i].flows[name].items {
+				n.expire(p, item.value)
+			}
+		}
+	}
+	n.pump(p)
+}
+
+func (n *Node) expire(p *pool, w *waiting) {
+	if w.gone || n.now.Before(w.deadline) {
+		return
+	}
+	n.dropWaiting(w, refusal(RefusedDeadline, RanNo, "its deadline passed while it waited", "come back at the given time").WithRetryAt(n.comeBack(p)))
+}
+
+// dropWaiting refuses work that has not begun.
+func (n *Node) dropWaiting(w *waiting, r Refusal) {
+	w.gone = true
+	if w.stream != nil {
+		n.failStream(w.stream, r)
+		return
+	}
+	n.refuseCall(w.call, r)
+}
+
+// retryBudget bounds retries to a share of all requests, so that they can't
+// feed on themselves.
+type retryBudget struct{ tokens float64 }
+
+const (
+	budgetAtMost     = 50
+	budgetPerRequest = 0.2
+)
+
+func newRetryBudget() retryBudget { return retryBudget{tokens: budgetAtMost} }
+
+func (b *retryBudget) earn() { b.tokens = min(b.tokens+budgetPerRequest, budgetAtMost) }
+
+func (b *retryBudget) spend() bool {
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/core/call.go
@@ -0,0 +1,379 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// This file routes calls to plain services.
+//
+// A call that may be repeated is dispatched to a runner and, when that breaks,
+// to another one. Any other call runs at most once: before its dispatch the
+// entry VM gets a claim that is durable on a quorum of control VMs, and only
+// its holder may dispatch it, once. A resend, to whichever entry VM, finds the
+// claim: it gets the recorded answer, or waits for the holder, or, when the
+// holder is gone, learns that the outcome is unknown. Nobody runs it again.
+//
+// Invariants: a claimed call is dispatched again only after a target has
+// provably not run it; a call that was told ran: no has no claim, or gives it
+// back before any other VM can learn of it; the digest of the content binds a
+// claim, so that an identity can't be used for two different calls.
+
+// call is one request for a plain service.
+type call struct {
+	asked        CallAsked
+	organisation string
+	service      config.Service
+	repeatable   bool
+	phase        phase
+	wait         *waiting
+	pool         string
+	route        string
+	stages       []Stage
+	holding      bool
+	// attempt numbers the claim; claimAt is when it is asked for again.
+	attempt uint64
+	claimAt time.Time
+	claimed bool
+	// left says that the caller has gone; the call is seen through.
+	left bool
+}
+
+// pendingRecord is a record that the control VMs have not confirmed.
+type pendingRecord struct {
+	request RecordRequest
+	againAt time.Time
+}
+
+// callCost is what a call counts in its service's queue.
+const callCost = 1
+
+// claimPause is the wait before a claim is asked for again.
+const claimPause = 200 * time.Millisecond
+
+// callAsked takes a request for a plain service.
+func (n *Node) callAsked(a CallAsked) {
+	org, ok := n.organisationOf(a.Key)
+	if !ok {
+		n.refuseKey(a.Conn, a.ID)
+		return
+	}
+	a.ID = requestKey(org.Name, string(a.ID))
+	if r, ok := n.checkTenure(); !ok {
+		n.emit(Refuse{Conn: a.Conn, ID: a.ID, Refusal: r})
+		return
+	}
+	service, ok := n.entry.config.Services.Get(a.Service)
+	p := n.entry.pools[a.Service]
+	if !ok || p == nil {
+		n.emit(Refuse{Conn: a.Conn, ID: a.ID, Refusal: refusal(RefusedService, RanNo, "there is no service of that name", "name one that the operators have declared")})
+		return
+	}
+	c := &call{asked: a, organisation: org.Name, service: service, repeatable: service.IsRepeatable(a.Method, a.Path), phase: phaseQueued}
+	if !c.repeatable && (n.joinCall(c) || n.answerPending(c)) {
+		return
+	}
+	n.entry.calls[a.Conn] = c
+	if !c.repeatable {
+		n.entry.callIDs[a.ID] = a.Conn
+	}
+	n.entry.budget.earn()
+	c.wait = &waiting{id: a.ID, conn: a.Conn, organisation: org.Name, class: c.class(), cost: callCost, deadline: a.Deadline, call: c}
+	if r, ok := n.admit(p, c.wait); !ok {
+		c.wait = nil
+		n.refuseCall(c, r)
+	}
+}
+
+// class puts lookups before the calls that change something, so that status
+// stays to be had when submissions pile up.
+func (c *call) class() config.Class {
+	if c.repeatable && c.service.Class > config.ClassCritical {
+		return c.service.Class - 1
+	}
+	return c.service.Class
+}
+
+// joinCall gives a call that is under way here to the caller that resends it.
+func (n *Node) joinCall(c *call) bool {
+	old, ok := n.entry.callIDs[c.asked.ID]
+	if !ok {
+		return false
+	}
+	present := n.entry.calls[old]
+	if present.asked.Digest != c.asked.Digest {
+		n.emit(Refuse{Conn: c.asked.Conn, ID: c.asked.ID, Refusal: conflictRefusal()})
+		return true
+	}
+	if !present.left {
+		n.emit(Refuse{Conn: old, ID: c.asked.ID, Refusal: movedRefusal()})
+	}
+	delete(n.entry.calls, old)
+	present.left = false
+	present.asked.Conn = c.asked.Conn
+	n.entry.calls[c.asked.Conn] = present
+	n.entry.callIDs[c.asked.ID] = c.asked.Conn
+	return true
+}
+
+func conflictRefusal() Refusal {
+	return refusal(RefusedConflict, RanNo, "the identity was used for a request with other content", "give each request an identity of its own")
+}
+
+// beginCall starts a call on a runner that has room.
+func (n *Node) beginCall(c *call, poolName, route string, stages []Stage) {
+	c.pool = poolName
+	c.route = route
+	c.stages = stages
+	c.holding = true
+	if c.repeatable || c.claimed {
+		n.dispatchCall(c)
+		return
+	}
+	c.phase = phaseClaiming
+	n.entry.attempts++
+	c.attempt = n.entry.attempts
+	n.askClaim(c)
+}
+
+func (n *Node) askClaim(c *call) {
+	c.claimAt = n.now.Add(claimPause)
+	leader := n.entry.tenure.leader
+	if leader == "" {
+		return
+	}
+	n.deliver(leader, Message{Claim: &ClaimRequest{ID: c.asked.ID, Attempt: c.attempt, Digest: c.asked.Digest}})
+}
+
+// answerPending answers a resend from a record that is not yet durable. Until
+// it is, no new attempt may begin here, unless the record says ran: no.
+func (n *Node) answerPending(c *call) bool {
+	p, ok := n.entry.records[c.asked.ID]
+	if !ok || p.request.Ran == RanNo {
+		return false
+	}
+	if p.request.Ran == RanUnknown {
+		n.emit(Refuse{Conn: c.asked.Conn, ID: c.asked.ID, Refusal: unknownRefusal()})
+		return true
+	}
+	n.emit(Finish{Conn: c.asked.Conn, ID: c.asked.ID, Answer: p.request.Answer, Recorded: true})
+	return true
+}
+
+// claimReplied goes on with a call whose claim was decided. A claim that comes
+// after its call was refused is given back. That is safe, since the record of
+// an attempt that was dispatched is pending here or durable already.
+func (n *Node) claimReplied(r ClaimReply) {
+	conn, ok := n.entry.callIDs[r.ID]
+	c := n.entry.calls[conn]
+	if !ok || c == nil {
+		if _, pending := n.entry.records[r.ID]; !pending && r.Outcome == ClaimGranted {
+			n.record(RecordRequest{ID: r.ID, Attempt: r.Attempt, Ran: RanNo})
+		}
+		return
+	}
+	if c.phase != phaseClaiming || c.attempt != r.Attempt {
+		return
+	}
+	switch r.Outcome {
+	case ClaimGranted:
+		c.claimed = true
+		n.dispatchCall(c)
+	case ClaimRecorded:
+		n.finishCall(c, *r.Answer, true)
+	case ClaimUnknown:
+		n.refuseCall(c, unknownRefusal())
+	case ClaimConflict:
+		n.refuseCall(c, conflictRefusal())
+	case ClaimBusy:
+		// Another entry VM is at it; ask again until its record is there.
+	}
+}
+
+func unknownRefusal() Refusal {
+	return refusal(RefusedUnknown, RanUnknown, "it may have run, and its answer is not known", "look it up at the service before sending it under a new identity")
+}
+
+func (n *Node) dispatchCall(c *call) {
+	c.phase = phaseDispatched
+	n.emit(Dispatch{
+		Conn:     c.asked.Conn,
+		ID:       c.asked.ID,
+		Target:   c.stages[0].Target,
+		Address:  c.stages[0].Address,
+		Deadline: c.asked.Deadline,
+		NotAfter: n.entry.tenure.until,
+	})
+}
+
+// dispatchEnded takes a runner's answer.
+func (n *Node) dispatchEnded(e DispatchEnded) {
+	c := n.callOf(e)
+	if c == nil || c.phase != phaseDispatched {
+		return
+	}
+	p := n.entry.pools[c.pool]
+	switch e.Result {
+	case ResultDone:
+		n.trust(e.Target)
+		if p != nil {
+			n.feedback(p, c.route, 0, false)
+			p.ended(callCost, n.now)
+		}
+		if !c.repeatable {
+			n.record(RecordRequest{ID: c.asked.ID, Attempt: c.attempt, Ran: RanYes, Answer: e.Answer})
+		}
+		n.finishCall(c, e.Answer, false)
+	case ResultRefused:
+		if p != nil {
+			n.feedback(p, c.route, 0, true)
+		}
+		n.retryCall(c, e.Target)
+	default:
+		n.suspect(e.Target)
+		if c.repeatable {
+			n.retryCall(c, e.Target)
+			return
+		}
+		n.record(RecordRequest{ID: c.asked.ID, Attempt: c.attempt, Ran: RanUnknown})
+		n.refuseCall(c, unknownRefusal())
+	}
+}
+
+// callOf finds the call that a dispatch was for: its caller may have come back
+// on another connection meanwhile.
+func (n *Node) callOf(e DispatchEnded) *call {
+	if c, ok := n.entry.calls[e.Conn]; ok {
+		return c
+	}
+	if conn, ok := n.entry.callIDs[e.ID]; ok {
+		return n.entry.calls[conn]
+	}
+	return nil
+}
+
+// retryCall sends a call that did not run, or that may run twice, to another
+// runner.
+func (n *Node) retryCall(c *call, avoid string) {
+	p := n.entry.pools[c.pool]
+	if p == nil || !n.entry.budget.spend() || !n.now.Before(c.asked.Deadline) {
+		n.giveUpCall(c)
+		return
+	}
+	pool, route, stages := c.pool, c.route, c.stages
+	c.holding = false
+	c.phase = phaseQueued
+	w := *c.wait
+	w.avoid = avoid
+	c.wait = &w
+	p.queue.push(int(w.class), w.organisation, requeueWeight, 0, c.wait)
+	n.give(pool, route, stages)
+}
+
+// giveUpCall refuses a call that no runner took. Of one that broke it is not
+// known whether it ran, but it may be sent again.
+func (n *Node) giveUpCall(c *call) {
+	ran := RanNo
+	if c.repeatable {
+		ran = RanUnknown
+	}
+	r := refusal(RefusedBroken, ran, "no runner of the service took it", "come back at the given time")
+	n.refuseCall(c, r.WithRetryAt(n.now.Add(time.Second)))
+}
+
+func (n *Node) finishCall(c *call, answer CallAnswer, recorded bool) {
+	if !c.left {
+		n.emit(Finish{Conn: c.asked.Conn, ID: c.asked.ID, Answer: answer, Recorded: recorded})
+	}
+	n.forgetCall(c)
+}
+
+// refuseCall gives a call its final refusal. A claim of a call that did not
+// run is given back.
+func (n *Node) refuseCall(c *call, r Refusal) {
+	if !c.left {
+		n.emit(Refuse{Conn: c.asked.Conn, ID: c.asked.ID, Refusal: r})
+	}
+	if r.Ran == RanNo && r.Kind != RefusedConflict && (c.claimed || c.phase == phaseClaiming) {
+		n.record(RecordRequest{ID: c.asked.ID, Attempt: c.attempt, Ran: RanNo})
+	}
+	n.forgetCall(c)
+}
+
+func (n *Node) forgetCall(c *call) {
+	delete(n.entry.calls, c.asked.Conn)
+	if n.entry.callIDs[c.asked.ID] == c.asked.Conn {
+		delete(n.entry.callIDs, c.asked.ID)
+	}
+	if c.wait != nil {
+		c.wait.gone = true
+		n.leave(c.organisation)
+	}
+	if c.holding {
+		c.holding = false
+		n.give(c.pool, c.route, c.stages)
+	}
+}
+
+// callLeft follows a caller that has closed its connection. What has not begun
+// is dropped; what may have begun is seen through, so that a resend gets its
+// answer.
+func (n *Node) callLeft(c *call) {
+	c.left = true
+	if c.phase == phaseQueued && !c.claimed {
+		n.forgetCall(c)
+	}
+}
+
+func (n *Node) sweepCalls() {
+	for _, conn := range slices.Sorted(maps.Keys(n.entry.calls)) {
+		c := n.entry.calls[conn]
+		if c.phase != phaseClaiming {
+			continue
+		}
+		if !n.now.Before(c.asked.Deadline) {
+			n.refuseCall(c, refusal(RefusedControl, RanNo, "the control VMs did not decide the claim before the deadline", "send it again under the same identity").WithRetryAt(n.now.Add(time.Second)))
+			continue
+		}
+		if !n.now.Before(c.claimAt) {
+			n.askClaim(c)
+		}
+	}
+}
+
+// record stores how a claimed call ended, and goes on until that is durable.
+func (n *Node) record(r RecordRequest) {
+	if len(r.Answer.Body) > recordLimit {
+		r.Answer = CallAnswer{Status: r.Answer.Status, ContentType: "text/plain", Body: []byte("the answer was given once and was too large to be kept")}
+	}
+	n.entry.records[r.ID] = &pendingRecord{request: r}
+	n.sendRecord(n.entry.records[r.ID])
+}
+
+// recordLimit bounds the answers that are kept, in bytes.
+const recordLimit = 64 << 10
+
+func (n *Node) sendRecord(p *pendingRecord) {
+	p.againAt = n.now.Add(claimPause)
+	if leader := n.entry.tenure.leader; leader != "" {
+		request := p.request
+		n.deliver(leader, Message{Record: &request})
+	}
+}
+
+func (n *Node) recordReplied(r RecordReply) {
+	if p, ok := n.entry.records[r.ID]; ok && p.request.Attempt == r.Attempt {
+		delete(n.entry.records, r.ID)
+	}
+}
+
+func (n *Node) sweepRecords() {
+	for _, id := range slices.Sorted(maps.Keys(n.entry.records)) {
+		if p := n.entry.records[id]; !n.now.Before(p.againAt) {
+			n.sendRecord(p)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/invariant.go
@@ -0,0 +1,52 @@
+package core
+
+import "fmt"
+
+// Check looks for broken invariants in the Node's own state. It is cheap
+// enough to run in production, where the count goes out as a metric, and it is
+// what the property tests run after every step.
+func (n *Node) Check() []error {
+	var broken []error
+	if n.settings.Control {
+		broken = append(broken, n.checkReplica()...)
+	}
+	if n.settings.Entry {
+		broken = append(broken, n.checkEntry()...)
+	}
+	return broken
+}
+
+func (n *Node) checkReplica() []error {
+	var broken []error
+	r := &n.replica
+	if r.applied > r.commit || r.commit > r.log.last() {
+		broken = append(broken, fmt.Errorf("log order: applied %d, committed %d, last %d; stop this process and keep its data folder", r.applied, r.commit, r.log.last()))
+	}
+	if r.synced > r.log.last() {
+		broken = append(broken, fmt.Errorf("synced %d is past the log's end %d; stop this process and keep its data folder", r.synced, r.log.last()))
+	}
+	for id, c := range n.machine.Claims {
+		if c.Ended && !c.Unknown && c.Answer == nil {
+			broken = append(broken, fmt.Errorf("claim %s ended without an answer; report it with a dump", id))
+		}
+	}
+	return broken
+}
+
+func (n *Node) checkEntry() []error {
+	var broken []error
+	for id, s := range n.entry.streams {
+		if s.shown > s.kept && s.kept > 0 && s.epoch.Owner == 0 {
+			broken = append(broken, fmt.Errorf("stream %s showed %d tokens and its keeper has %d; report it with a dump", id, s.shown, s.kept))
+		}
+		if s.inFlight && !s.registered {
+			broken = append(broken, fmt.Errorf("stream %s runs unknown to its keeper; report it with a dump", id))
+		}
+	}
+	for name, t := range n.entry.targets {
+		if t.used < 0 {
+			broken = append(broken, fmt.Errorf("target %s counts %d in use; report it with a dump", name, t.used))
+		}
+	}
+	return broken
+}
--- /dev/null
+++ b/internal/core/keeper.go
@@ -0,0 +1,373 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// This file keeps a second copy of each stream at another entry VM, its
+// keeper, so that a whole answer survives the loss of its entry VM.
+//
+// The owner of a stream sends the request to the keeper before it dispatches
+// anything, and each token before the caller sees it. One batch is in flight
+// to a keeper at a time and takes all that has gathered, so the cost is a
+// message a round trip and not a message a token.
+//
+// A caller that was cut off comes to any entry VM with the identity of its
+// request. That VM asks the first VMs in rendezvous order, among which the
+// keeper is. The keeper hands its record over under the next owner's epoch;
+// from then on it refuses the old owner's updates, and so do the engines as
+// soon as the new owner has spoken to them.
+//
+// Invariants: what a caller has seen, the keeper has; a record is handed to
+// one VM for each owner number; two keepers that were cut off from each other
+// give different holders, of which the engines obey the greater.
+//
+// Known limits: an answer is lost when owner and keeper go within the time
+// that a new keeper takes to be told, about PeerReply; the caller is then told
+// so. With a single entry VM there is no keeper.
+
+// rendezvousWidth is how many VMs are asked for a stream.
+const rendezvousWidth = 3
+
+// keptRecord is what this VM keeps for another one.
+type keptRecord struct {
+	record KeepRecord
+	dropAt time.Time
+}
+
+// keeperLink is the way to one keeper.
+type keeperLink struct {
+	number   uint64
+	inFlight bool
+	answerBy time.Time
+	sent     []KeepUpdate
+	outbox   []KeepUpdate
+}
+
+// keeperFor chooses the keeper of a stream, or none.
+func (n *Node) keeperFor(id RequestID) VMName {
+	for _, vm := range rendezvous(string(id), n.entry.view, rendezvousWidth) {
+		if vm != n.settings.Self.VM && !n.isSuspect(string(vm)) {
+			return vm
+		}
+	}
+	return ""
+}
+
+// register gives a stream to a keeper, and begins it once that has it.
+func (n *Node) register(s *stream) {
+	s.keeper = n.keeperFor(s.id)
+	s.registered = true
+	if s.keeper == "" {
+		n.caughtUp(s)
+		return
+	}
+	n.keepWhole(s)
+}
+
+func (n *Node) keepWhole(s *stream) {
+	record := KeepRecord{
+		ID:       s.id,
+		Owner:    n.settings.Self.VM,
+		Epoch:    s.epoch,
+		Request:  s.request,
+		Chain:    s.chain,
+		Position: s.position,
+		Tokens:   slices.Clone(s.tokens),
+		Finish:   s.finish,
+	}
+	n.keep(s, KeepUpdate{ID: s.id, Record: &record, Epoch: s.epoch, From: len(s.tokens), Position: s.position, Finish: s.finish})
+}
+
+// keepToken sends the newest token to the keeper.
+func (n *Node) keepToken(s *stream) {
+	if s.keeper == "" {
+		n.caughtUp(s)
+		return
+	}
+	last := len(s.tokens) - 1
+	n.keep(s, KeepUpdate{ID: s.id, Epoch: s.epoch, Position: s.position, From: last, Tokens: slices.Clone(s.tokens[last:]), Finish: s.finish})
+}
+
+// keepChain tells the keeper of a new chain and epoch.
+func (n *Node) keepChain(s *stream) {
+	if s.keeper != "" {
+		n.keep(s, KeepUpdate{ID: s.id, Epoch: s.epoch, Chain: s.chain, Position: s.position, From: len(s.tokens)})
+	}
+}
+
+func (n *Node) keepDrop(s *stream) {
+	if s.keeper != "" {
+		n.keep(s, KeepUpdate{ID: s.id, Epoch: s.epoch, Drop: true})
+	}
+}
+
+// caughtUp shows what needs no keeper.
+func (n *Node) caughtUp(s *stream) {
+	s.kept = len(s.tokens)
+	s.finishKept = s.finish != ""
+	n.keptMore(s)
+}
+
+// keptMore goes on with a stream after its keeper has more of it.
+func (n *Node) keptMore(s *stream) {
+	if s.phase == phaseRegistering {
+		n.startOrResume(s)
+	}
+	n.showTokens(s)
+}
+
+// startOrResume runs the next position; a stream that was taken over with all
+// its tokens has none.
+func (n *Node) startOrResume(s *stream) {
+	s.phase = phaseRunning
+	if s.finish == "" {
+		n.runNext(s)
+		return
+	}
+	n.endRun(s)
+}
+
+func (n *Node) keep(s *stream, u KeepUpdate) {
+	l, ok := n.entry.links[s.keeper]
+	if !ok {
+		l = &keeperLink{}
+		n.entry.links[s.keeper] = l
+	}
+	l.outbox = append(l.outbox, u)
+	n.flush(s.keeper, l)
+}
+
+func (n *Node) flush(vm VMName, l *keeperLink) {
+	if l.inFlight || len(l.outbox) == 0 {
+		return
+	}
+	l.number++
+	l.inFlight = true
+	l.answerBy = n.now.Add(n.settings.Timing.PeerReply)
+	l.sent = l.outbox
+	l.outbox = nil
+	n.send(vm, Message{Keep: &Keep{Number: l.number, Updates: l.sent}})
+}
+
+// keepReplied counts what a keeper has.
+func (n *Node) keepReplied(from ReplicaID, r KeepReply) {
+	l, ok := n.entry.links[from.VM]
+	if !ok || !l.inFlight || l.number != r.Number {
+		return
+	}
+	l.inFlight = false
+	sent := l.sent
+	l.sent = nil
+	for _, u := range sent {
+		s, ok := n.entry.streams[u.ID]
+		if !ok || s.keeper != from.VM || u.Drop {
+			continue
+		}
+		switch {
+		case slices.Contains(r.Refused, u.ID):
+			n.loseStream(s)
+		case slices.Contains(r.Missing, u.ID):
+			n.keepWhole(s)
+		default:
+			s.kept = max(s.kept, u.From+len(u.Tokens))
+			s.finishKept = s.finishKept || u.Finish != ""
+			n.keptMore(s)
+		}
+	}
+	n.flush(from.VM, l)
+}
+
+// tickLinks gives the streams of a silent keeper to others.
+func (n *Node) tickLinks() {
+	for _, vm := range slices.Sorted(maps.Keys(n.entry.links)) {
+		l := n.entry.links[vm]
+		if l.inFlight && !n.now.Before(l.answerBy) {
+			n.replaceKeeper(vm)
+		}
+	}
+}
+
+func (n *Node) replaceKeeper(vm VMName) {
+	n.suspect(string(vm))
+	delete(n.entry.links, vm)
+	for _, id := range slices.Sorted(maps.Keys(n.entry.streams)) {
+		s := n.entry.streams[id]
+		if s.keeper != vm || !s.registered || s.phase == phaseDone {
+			continue
+		}
+		n.register(s)
+	}
+}
+
+// keepAsked stores a batch of updates for another entry VM.
+func (n *Node) keepAsked(from ReplicaID, k Keep) {
+	reply := KeepReply{Number: k.Number}
+	for _, u := range k.Updates {
+		switch n.keepUpdate(from.VM, u) {
+		case keepRefused:
+			reply.Refused = append(reply.Refused, u.ID)
+		case keepMissing:
+			reply.Missing = append(reply.Missing, u.ID)
+		}
+	}
+	n.send(from.VM, Message{KeepReply: &reply})
+}
+
+// keepVerdict is what a keeper makes of an update.
+type keepVerdict int
+
+const (
+	keepTaken keepVerdict = iota
+	keepRefused
+	keepMissing
+)
+
+func (n *Node) keepUpdate(owner VMName, u KeepUpdate) keepVerdict {
+	present, ok := n.entry.kept[u.ID]
+	if ok && (u.Epoch.Compare(present.record.Epoch) < 0 || u.Epoch.Owner == present.record.Epoch.Owner && owner != present.record.Owner) {
+		return keepRefused
+	}
+	if u.Drop {
+		delete(n.entry.kept, u.ID)
+		return keepTaken
+	}
+	if u.Record != nil {
+		n.entry.kept[u.ID] = &keptRecord{record: *u.Record, dropAt: n.keepUntil(*u.Record)}
+		return keepTaken
+	}
+	if !ok || u.From > len(present.record.Tokens) {
+		return keepMissing
+	}
+	r := &present.record
+	r.Epoch = u.Epoch
+	r.Position = u.Position
+	r.Tokens = append(r.Tokens[:u.From], u.Tokens...)
+	if u.Chain != nil {
+		r.Chain = u.Chain
+	}
+	if u.Finish != "" {
+		r.Finish = u.Finish
+	}
+	return keepTaken
+}
+
+func (n *Node) keepUntil(r KeepRecord) time.Time {
+	return r.Request.Deadline.Add(n.settings.Timing.KeepAnswer)
+}
+
+func (n *Node) sweepKept() {
+	for _, id := range slices.Sorted(maps.Keys(n.entry.kept)) {
+		if !n.now.Before(n.entry.kept[id].dropAt) {
+			delete(n.entry.kept, id)
+		}
+	}
+}
+
+// find is a search for a stream that a caller has come back for.
+type find struct {
+	asked    map[VMName]bool
+	answered int
+	answerBy time.Time
+}
+
+// findFirst asks the VMs that may keep a stream before a new one is begun. It
+// reports whether there are any.
+func (n *Node) findFirst(s *stream) bool {
+	if k, ok := n.entry.kept[s.id]; ok {
+		n.adopt(s, n.handOverRecord(k, n.settings.Self))
+		return true
+	}
+	f := &find{asked: make(map[VMName]bool), answerBy: n.now.Add(n.settings.Timing.PeerReply)}
+	for _, vm := range rendezvous(string(s.id), n.entry.view, rendezvousWidth) {
+		if vm != n.settings.Self.VM && !n.isSuspect(string(vm)) {
+			f.asked[vm] = true
+		}
+	}
+	if len(f.asked) == 0 {
+		return false
+	}
+	s.phase = phaseFinding
+	n.entry.finds[s.id] = f
+	for _, vm := range slices.Sorted(maps.Keys(f.asked)) {
+		n.send(vm, Message{Find: &Find{ID: s.id}})
+	}
+	return true
+}
+
+func (n *Node) handOverRecord(k *keptRecord, to ReplicaID) KeepRecord {
+	k.record.Epoch = k.record.Epoch.WithNextOwner(holderOf(to))
+	k.record.Owner = to.VM
+	record := k.record
+	record.Tokens = slices.Clone(record.Tokens)
+	return record
+}
+
+// findAsked hands a kept record over, or says that there is none.
+func (n *Node) findAsked(from ReplicaID, f Find) {
+	reply := FindReply{ID: f.ID}
+	if k, ok := n.entry.kept[f.ID]; ok {
+		record := n.handOverRecord(k, from)
+		reply.Record = &record
+		n.note("stream handed to "+string(from.VM), string(f.ID))
+	}
+	n.send(from.VM, Message{FindReply: &reply})
+}
+
+// findReplied takes the first record that comes. When every VM has said that
+// it has none, the request is a new one.
+func (n *Node) findReplied(r FindReply) {
+	f, ok := n.entry.finds[r.ID]
+	s := n.entry.streams[r.ID]
+	if !ok || s == nil || s.phase != phaseFinding {
+		return
+	}
+	if r.Record != nil {
+		delete(n.entry.finds, r.ID)
+		n.adopt(s, *r.Record)
+		return
+	}
+	f.answered++
+	if f.answered >= len(f.asked) {
+		delete(n.entry.finds, r.ID)
+		n.queueStream(s)
+	}
+}
+
+func (n *Node) tickFinds() {
+	for _, id := range slices.Sorted(maps.Keys(n.entry.finds)) {
+		f := n.entry.finds[id]
+		s := n.entry.streams[id]
+		if s == nil || s.phase != phaseFinding {
+			delete(n.entry.finds, id)
+			continue
+		}
+		if !n.now.Before(f.answerBy) {
+			delete(n.entry.finds, id)
+			n.queueStream(s)
+		}
+	}
+}
+
+// adopt goes on with a stream that another entry VM has begun.
+func (n *Node) adopt(s *stream, r KeepRecord) {
+	n.note("stream taken over", string(s.id))
+	s.request = r.Request
+	s.epoch = r.Epoch
+	s.chain = r.Chain
+	s.position = r.Position
+	s.tokens = r.Tokens
+	s.finish = r.Finish
+	s.pool = poolOf(s.pipeline)
+	s.wait = &waiting{id: s.id, organisation: s.request.Organisation, deadline: s.request.Deadline, cost: float64(s.request.MaxTokens), class: s.pipeline.Class, stream: s}
+	n.entry.inProgress[s.request.Organisation]++
+	n.entry.streams[s.id] = s
+	s.phase = phaseRegistering
+	s.holding = true
+	for _, stage := range s.chain {
+		n.target(stage.Target).used++
+	}
+	n.register(s)
+}
--- /dev/null
+++ b/internal/core/leading.go
@@ -0,0 +1,148 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// leading is what a leader knows beside the replicated state. It is lost with
+// the lead and learned anew.
+type leading struct {
+	snapshot Snapshot
+	// operators, claims and records wait for the log entry at the index.
+	operators map[Index]*waiter
+	claims    map[Index]claimWaiter
+	records   map[Index]recordWaiter
+	leases    map[VMName]*lease
+	deltas    deltaRing
+	view      []EntryView
+	// viewVersion counts the changes of view, in the leader's term.
+	viewVersion uint64
+	// blindUntil is when the leases of former leaders have run out.
+	blindUntil time.Time
+	// reports holds what the watchers last said of each target.
+	reports map[string]map[VMName]sighting
+	// platform lists the VMs and targets that the platform says are leaving.
+	platform     map[string]bool
+	platformAt   time.Time
+	orders       map[string]*orderState
+	planned      config.Revision
+	planPending  Index
+	conditionsAt time.Time
+}
+
+type claimWaiter struct {
+	from    ReplicaID
+	request ClaimRequest
+}
+
+type recordWaiter struct {
+	from    ReplicaID
+	request RecordRequest
+}
+
+// lease is what the leader has granted to one entry VM.
+type lease struct {
+	holder ReplicaID
+	// until is when the lease has run out by the leader's clock, the bound on
+	// drift included.
+	until    time.Time
+	revision config.Revision
+	renew    Renew
+}
+
+// sighting is a report of a target with the time at which it came.
+type sighting struct {
+	report TargetReport
+	at     time.Time
+}
+
+// reset empties what is the leader's alone; the snapshot stays.
+func (l *leading) reset() {
+	snapshot := l.snapshot
+	deltas := l.deltas
+	*l = leading{
+		snapshot:  snapshot,
+		deltas:    deltas,
+		operators: make(map[Index]*waiter),
+		claims:    make(map[Index]claimWaiter),
+		records:   make(map[Index]recordWaiter),
+		leases:    make(map[VMName]*lease),
+		reports:   make(map[string]map[VMName]sighting),
+		platform:  make(map[string]bool),
+		orders:    make(map[string]*orderState),
+	}
+}
+
+func (n *Node) startLeading() {
+	n.leading.reset()
+	n.leading.blindUntil = n.now.Add(n.settings.Timing.Lengthened(n.settings.Timing.LeaseTerm))
+	n.leading.viewVersion = uint64(n.replica.hard.Term) << 32
+	n.leading.conditionsAt = n.now.Add(n.settings.Timing.LeaseTerm)
+}
+
+func (n *Node) stopLeading() {
+	n.dropOperators()
+	n.leading.reset()
+}
+
+func (n *Node) tickLeading() {
+	if !n.holdsLease() || !n.replica.committedOwnTerm() {
+		return
+	}
+	n.tickLeases()
+	n.tickConditions()
+	n.tickPlan()
+	n.tickOrders()
+	for _, index := range slices.Sorted(maps.Keys(n.leading.operators)) {
+		n.answerIfDue(index, n.leading.operators[index])
+	}
+}
+
+// deltaRing keeps the newest changes, to bring entry VMs from one revision to
+// the next without sending the whole configuration.
+type deltaRing struct{ deltas []Delta }
+
+// keptDeltas bounds the ring.
+const keptDeltas = 256
+
+func (d *deltaRing) add(delta Delta) {
+	if len(d.deltas) >= keptDeltas {
+		d.deltas = slices.Clone(d.deltas[keptDeltas/2:])
+	}
+	d.deltas = append(d.deltas, delta)
+}
+
+// since returns the changes after revision, and whether the ring has them all.
+func (d *deltaRing) since(revision, current config.Revision) ([]Delta, bool) {
+	if revision == current {
+		return nil, true
+	}
+	i := slices.IndexFunc(d.deltas, func(delta Delta) bool { return delta.Revision == revision+1 })
+	if i < 0 {
+		return nil, false
+	}
+	return slices.Clone(d.deltas[i:]), true
+}
+
+// configChanged keeps a change for the entry VMs and, on the leader, sends it
+// to them at once.
+func (n *Node) configChanged(revision config.Revision, changes []config.Change, accepted bool) {
+	last := len(n.leading.deltas.deltas) - 1
+	known := last >= 0 && n.leading.deltas.deltas[last].Revision >= revision
+	if !accepted || known {
+		return
+	}
+	n.leading.deltas.add(Delta{Revision: revision, Changes: changes})
+	if !n.holdsLease() || !n.replica.committedOwnTerm() {
+		return
+	}
+	for _, vm := range slices.Sorted(maps.Keys(n.leading.leases)) {
+		if l := n.leading.leases[vm]; n.now.Before(l.until) {
+			n.grant(l)
+		}
+	}
+}
--- /dev/null
+++ b/internal/core/message.go
@@ -0,0 +1,294 @@
+package core
+
+import (
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// Envelope is a message between two processes of one deployment.
+type Envelope struct {
+	// Cluster is the identity that bootstrap drew. It is empty until a VM has
+	// learned it; a message of another cluster is dropped.
+	Cluster string    `cbor:"cluster"`
+	From    ReplicaID `cbor:"from"`
+	To      VMName    `cbor:"to"`
+	Body    Message   `cbor:"body"`
+}
+
+// Message is the union of all messages: exactly one field is set.
+type Message struct {
+	Vote        *Vote          `cbor:"vote,omitempty"`
+	VoteReply   *VoteReply     `cbor:"vote_reply,omitempty"`
+	Append      *Append        `cbor:"append,omitempty"`
+	AppendReply *AppendReply   `cbor:"append_reply,omitempty"`
+	Install     *Install       `cbor:"install,omitempty"`
+	TimeoutNow  *TimeoutNow    `cbor:"timeout_now,omitempty"`
+	Join        *Join          `cbor:"join,omitempty"`
+	Renew       *Renew         `cbor:"renew,omitempty"`
+	Grant       *Grant         `cbor:"grant,omitempty"`
+	Redirect    *Redirect      `cbor:"redirect,omitempty"`
+	Claim       *ClaimRequest  `cbor:"claim,omitempty"`
+	ClaimReply  *ClaimReply    `cbor:"claim_reply,omitempty"`
+	Record      *RecordRequest `cbor:"record,omitempty"`
+	RecordReply *RecordReply   `cbor:"record_reply,omitempty"`
+	Keep        *Keep          `cbor:"keep,omitempty"`
+	KeepReply   *KeepReply     `cbor:"keep_reply,omitempty"`
+	Find        *Find          `cbor:"find,omitempty"`
+	FindReply   *FindReply     `cbor:"find_reply,omitempty"`
+}
+
+// Vote asks for a vote, or, with Pre, whether one would be given.
+type Vote struct {
+	Term      Term  `cbor:"term"`
+	Pre       bool  `cbor:"pre"`
+	Transfer  bool  `cbor:"transfer"`
+	LastIndex Index `cbor:"last_index"`
+	LastTerm  Term  `cbor:"last_term"`
+}
+
+// VoteReply answers a Vote.
+type VoteReply struct {
+	Term    Term `cbor:"term"`
+	Pre     bool `cbor:"pre"`
+	Granted bool `cbor:"granted"`
+}
+
+// Append replicates entries and is the leader's heartbeat.
+type Append struct {
+	Term      Term    `cbor:"term"`
+	PrevIndex Index   `cbor:"prev_index"`
+	PrevTerm  Term    `cbor:"prev_term"`
+	Entries   []Entry `cbor:"entries,omitempty"`
+	Commit    Index   `cbor:"commit"`
+	// Round numbers the leader's heartbeats; its lease counts from the sending
+	// of the newest round that a quorum has answered.
+	Round uint64 `cbor:"round"`
+}
+
+// AppendReply answers an Append or an Install, once what it speaks of is synced.
+type AppendReply struct {
+	Term     Term   `cbor:"term"`
+	Rejected bool   `cbor:"rejected"`
+	Match    Index  `cbor:"match"`
+	Round    uint64 `cbor:"round"`
+}
+
+// Install brings a follower that is behind the log's beginning a snapshot.
+type Install struct {
+	Term     Term     `cbor:"term"`
+	Snapshot Snapshot `cbor:"snapshot"`
+	Round    uint64   `cbor:"round"`
+}
+
+// TimeoutNow asks a caught-up follower to stand at once: a planned hand-over.
+type TimeoutNow struct {
+	Term Term `cbor:"term"`
+}
+
+// Join asks the leader to take a replica in as a learner.
+type Join struct{}
+
+// EntryAddress is where one entry VM is reached.
+type EntryAddress struct {
+	VM   VMName `cbor:"vm" json:"vm"`
+	Hall string `cbor:"hall" json:"hall"`
+	// Callers is the address for callers, Peers the one for the system.
+	Callers string `cbor:"callers" json:"callers"`
+	Peers   string `cbor:"peers" json:"peers"`
+}
+
+// TargetReport is what a watcher has seen of one target.
+type TargetReport struct {
+	Target  string `cbor:"target"`
+	Reached bool   `cbor:"reached"`
+	Leaving bool   `cbor:"leaving"`
+	// Holding is the sequence of the placement order that the engine carried out.
+	Holding uint64 `cbor:"holding"`
+}
+
+// Renew asks the leader for a lease and tells it what the entry VM knows.
+type Renew struct {
+	Number   uint64          `cbor:"number"`
+	Address  EntryAddress    `cbor:"address"`
+	Revision config.Revision `cbor:"revision"`
+	// ViewVersion is the version of the list of entry VMs that is held.
+	ViewVersion uint64 `cbor:"view_version"`
+	// Leaving asks to be left out of the addresses that callers get.
+	Leaving bool `cbor:"leaving"`
+	// InProgress counts requests; Load is in thousandths of capacity.
+	InProgress int            `cbor:"in_progress"`
+	Load       int            `cbor:"load"`
+	Reports    []TargetReport `cbor:"reports,omitempty"`
+}
+
+// EntryView is what callers are told of one entry VM.
+type EntryView struct {
+	Address     EntryAddress `cbor:"address"`
+	Incarnation Incarnation  `cbor:"incarnation"`
+	Leaving     bool         `cbor:"leaving"`
+	// LoadLevel is coarse, so that it seldom changes: 0 idle to 3 full.
+	LoadLevel int `cbor:"load_level"`
+}
+
+// Grant is a lease. It carries the changes that bring the holder to Revision,
+// or the whole State when it is too far behind.
+type Grant struct {
+	Term     Term            `cbor:"term"`
+	Number   uint64          `cbor:"number"`
+	Revision config.Revision `cbor:"revision"`
+	Deltas   []Delta         `cbor:"deltas,omitempty"`
+	State    *config.State   `cbor:"state,omitempty"`
+	// View is set when the holder's version differs.
+	ViewVersion uint64      `cbor:"view_version"`
+	View        []EntryView `cbor:"view,omitempty"`
+	Cluster     string      `cbor:"cluster"`
+}
+
+// Delta is one accepted change of the configuration.
+type Delta struct {
+	Revision config.Revision `cbor:"revision"`
+	Changes  []config.Change `cbor:"changes"`
+}
+
+// Redirect tells an entry VM which control VM leads, if that is known.
+type Redirect struct {
+	Leader VMName `cbor:"leader"`
+}
+
+// ClaimRequest asks for the sole right to dispatch a request that may not be
+// repeated.
+//
+// Attempt numbers the claims of one entry VM. It asks under a new number only
+// after the end of the attempt before has been recorded or was never
+// dispatched, so a later number of the same holder replaces an earlier one.
+type ClaimRequest struct {
+	ID      RequestID `cbor:"id"`
+	Attempt uint64    `cbor:"attempt"`
+	Digest  string    `cbor:"digest"`
+}
+
+// ClaimOutcome is the answer to a ClaimRequest.
+type ClaimOutcome string
+
+// The outcomes of a claim.
+const (
+	// ClaimGranted: the asker alone may dispatch.
+	ClaimGranted ClaimOutcome = "granted"
+	// ClaimBusy: another entry VM holds it and is alive; ask again.
+	ClaimBusy ClaimOutcome = "busy"
+	// ClaimUnknown: the holder is gone and may have dispatched.
+	ClaimUnknown ClaimOutcome = "unknown"
+	// ClaimRecorded: the answer is in the reply.
+	ClaimRecorded ClaimOutcome = "recorded"
+	// ClaimConflict: the same identity came with different content.
+	ClaimConflict ClaimOutcome = "conflict"
+)
+
+// ClaimReply answers a ClaimRequest, after the claim is durable on a quorum.
+type ClaimReply struct {
+	ID      RequestID    `cbor:"id"`
+	Attempt uint64       `cbor:"attempt"`
+	Outcome ClaimOutcome `cbor:"outcome"`
+	Answer  *CallAnswer  `cbor:"answer,omitempty"`
+}
+
+// RecordRequest stores how a claimed request ended.
+type RecordRequest struct {
+	ID      RequestID  `cbor:"id"`
+	Attempt uint64     `cbor:"attempt"`
+	Ran     Ran        `cbor:"ran"`
+	Answer  CallAnswer `cbor:"answer"`
+}
+
+// RecordReply says that a record is durable.
+type RecordReply struct {
+	ID      RequestID `cbor:"id"`
+	Attempt uint64    `cbor:"attempt"`
+}
+
+// CallAnswer is the answer of a plain service.
+type CallAnswer struct {
+	Status      int    `cbor:"status"`
+	ContentType string `cbor:"content_type"`
+	Body        []byte `cbor:"body"`
+}
+
+// Token is one generated token. Position counts from 0 within the answer.
+type Token struct {
+	ID   uint32 `cbor:"id" json:"id"`
+	Text string `cbor:"text" json:"text"`
+}
+
+// KeepRecord is what a keeper holds of a stream, so that another entry VM can
+// go on with it: the request, and the tokens its caller may have seen.
+type KeepRecord struct {
+	ID       RequestID     `cbor:"id"`
+	Owner    VMName        `cbor:"owner"`
+	Epoch    Epoch         `cbor:"epoch"`
+	Request  StreamRequest `cbor:"request"`
+	Chain    []Stage       `cbor:"chain"`
+	Position int           `cbor:"position"`
+	Tokens   []Token       `cbor:"tokens"`
+	Finish   string        `cbor:"finish"`
+}
+
+// KeepUpdate adds to a kept record. From is the place of the first token.
+type KeepUpdate struct {
+	ID RequestID `cbor:"id"`
+	// Record is set at the beginning and when a new keeper is told all.
+	Record   *KeepRecord `cbor:"record,omitempty"`
+	Epoch    Epoch       `cbor:"epoch"`
+	Chain    []Stage     `cbor:"chain,omitempty"`
+	Position int         `cbor:"position"`
+	From     int         `cbor:"from"`
+	Tokens   []Token     `cbor:"tokens,omitempty"`
+	Finish   string      `cbor:"finish,omitempty"`
+	// Drop says that the record is of no more use.
+	Drop bool `cbor:"drop,omitempty"`
+}
+
+// Keep is a batch of updates to one keeper.
+type Keep struct {
+	Number  uint64       `cbor:"number"`
+	Updates []KeepUpdate `cbor:"updates"`
+}
+
+// KeepReply confirms a batch. Refused names the streams of which the keeper
+// knows a later owner, Missing those that it has to be told whole.
+type KeepReply struct {
+	Number  uint64      `cbor:"number"`
+	Refused []RequestID `cbor:"refused,omitempty"`
+	Missing []RequestID `cbor:"missing,omitempty"`
+}
+
+// Find asks a keeper for a stream, in order to take it over.
+type Find struct {
+	ID RequestID `cbor:"id"`
+}
+
+// FindReply answers Find. A record in it has been handed over: its Epoch is
+// the new owner's.
+type FindReply struct {
+	ID     RequestID   `cbor:"id"`
+	Record *KeepRecord `cbor:"record,omitempty"`
+}
+
+// StreamRequest is what a caller asked of a model pipeline.
+type StreamRequest struct {
+	Organisation string    `cbor:"organisation"`
+	Pipeline     string    `cbor:"pipeline"`
+	Prompt       string    `cbor:"prompt"`
+	MaxTokens    int       `cbor:"max_tokens"`
+	Deadline     time.Time `cbor:"deadline"`
+	// Returnable says that the caller gave the identity itself and can come
+	// back with it.
+	Returnable bool `cbor:"returnable"`
+}
+
+// Stage is one range of layers of a stream on one engine.
+type Stage struct {
+	Target  string       `cbor:"target" json:"target"`
+	Address string       `cbor:"address" json:"address"`
+	Layers  config.Range `cbor:"layers" json:"layers"`
+}
--- /dev/null
+++ b/internal/core/orders.go
@@ -0,0 +1,164 @@
+package core
+
+import (
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/core/plan"
+)
+
+// This file decides what engines hold and orders them to load it.
+//
+// The plan is a pure function of the configuration. The leader writes it to
+// the log, so that it is in force for entry VMs like any other change, and
+// then sends the orders. Which of two mechanisms keeps a former leader's order
+// from undoing a later one is said by the target's declaration:
+//
+//   - fence=true: the target refuses an order whose (term, sequence) is before
+//     one it has carried out.
+//   - fence=false: each order is void OrderLife after its issue, and a new
+//     leader sends such a target nothing until the orders of the one before
+//     have all become void.
+
+// orderState is an order that is under way.
+type orderState struct {
+	fence Fence
+	// againAt is when it is sent again, if no answer came.
+	againAt time.Time
+	sentAt  time.Time
+}
+
+// tickPlan writes a new plan when the configuration has changed.
+func (n *Node) tickPlan() {
+	c := n.machine.Config
+	if n.leading.planned == c.Revision || n.leading.planPending > n.replica.commit {
+		return
+	}
+	n.leading.planned = c.Revision
+	changes := n.numbered(plan.Changes(c))
+	if len(changes) > 0 {
+		n.note("placement changed", string(n.settings.Self.VM))
+		n.leading.planPending = n.propose(Entry{Changes: changes})
+	}
+}
+
+// numbered gives each placement the next sequence.
+func (n *Node) numbered(changes []config.Change) []config.Change {
+	sequence := n.machine.Sequence
+	for i := range changes {
+		if changes[i].Place != nil {
+			sequence++
+			p := *changes[i].Place
+			p.Sequence = sequence
+			changes[i].Place = &p
+		}
+	}
+	return changes
+}
+
+// tickOrders sends what engines have not confirmed yet.
+func (n *Node) tickOrders() {
+	c := n.machine.Config
+	var confirmed []config.Change
+	for _, p := range c.Placements.Sorted() {
+		target, ok := c.Targets.Get(p.Target)
+		if !ok || target.Down {
+			continue
+		}
+		state := n.leading.orders[p.Target]
+		if n.needsOrder(p, state) {
+			n.order(p, target)
+			continue
+		}
+		if changed, ok := n.recheck(p, state); ok {
+			confirmed = append(confirmed, config.Change{Place: &changed})
+		}
+	}
+	if len(confirmed) > 0 && n.leading.planPending <= n.replica.commit {
+		n.leading.planPending = n.propose(Entry{Changes: confirmed})
+	}
+}
+
+func (n *Node) needsOrder(p config.Placement, state *orderState) bool {
+	if p.Ready {
+		return false
+	}
+	held, _ := n.holding(p.Target)
+	if held == p.Sequence {
+		return false
+	}
+	return state == nil || state.fence.Sequence != p.Sequence || !n.now.Before(state.againAt)
+}
+
+// recheck returns the placement with its ready mark mended, when a watcher has
+// seen that it is no longer true: the order was carried out, or the engine has
+// restarted and holds nothing.
+func (n *Node) recheck(p config.Placement, state *orderState) (config.Placement, bool) {
+	held, at := n.holding(p.Target)
+	if at.IsZero() {
+		return p, false
+	}
+	if !p.Ready && held == p.Sequence {
+		return p.WithReady(), true
+	}
+	settled := state == nil || at.After(state.sentAt.Add(n.settings.Timing.OrderLife))
+	if p.Ready && held != p.Sequence && settled {
+		p.Ready = false
+		delete(n.leading.orders, p.Target)
+		return p, true
+	}
+	return p, false
+}
+
+func (n *Node) order(p config.Placement, target config.Target) {
+	t := n.settings.Timing
+	voidAt := n.replica.electedAt.Add(t.Lengthened(t.OrderLife))
+	if !target.Fence && n.now.Before(voidAt) {
+		return
+	}
+	fence := Fence{Term: n.replica.hard.Term, Sequence: p.Sequence}
+	n.leading.orders[p.Target] = &orderState{fence: fence, sentAt: n.now, againAt: n.now.Add(t.OrderLife)}
+	notAfter := n.now.Add(t.Shortened(t.OrderLife))
+	if n.replica.leaseUntil.Before(notAfter) {
+		notAfter = n.replica.leaseUntil
+	}
+	model, _ := n.machine.Config.Models.Get(p.Model)
+	n.emit(Order{Fence: fence, Address: target.Address, Placement: p, Adapters: model.Adapters, NotAfter: notAfter})
+}
+
+// orderEnded marks a placement that its engine has confirmed.
+func (n *Node) orderEnded(o OrderEnded) {
+	if !n.holdsLease() {
+		return
+	}
+	p, ok := n.machine.Config.Placements.Get(o.Target)
+	if !ok || p.Sequence != o.Fence.Sequence || p.Ready {
+		return
+	}
+	if !o.Done {
+		if state := n.leading.orders[o.Target]; state != nil {
+			state.againAt = n.now.Add(n.settings.Timing.WatchEvery)
+		}
+		return
+	}
+	ready := p.WithReady()
+	n.leading.planPending = n.propose(Entry{Changes: []config.Change{{Place: &ready}}})
+}
+
+// pipelineUse is what a pipeline's chains allow.
+type pipelineUse struct {
+	chains int
+	slots  int
+	// bound is in tokens a second.
+	bound float64
+}
+
+func (n *Node) pipelineUse(p config.Pipeline) pipelineUse {
+	var use pipelineUse
+	for _, c := range plan.Chains(n.machine.Config, p.Model, p.Version) {
+		use.chains++
+		use.slots += c.Slots
+		use.bound += c.Rate
+	}
+	return use
+}
--- /dev/null
+++ b/internal/core/refusal.go
@@ -0,0 +1,64 @@
+package core
+
+import (
+	"fmt"
+	"time"
+)
+
+// RefusalKind is the type of a refusal, as callers see it.
+type RefusalKind string
+
+// The kinds of refusals.
+const (
+	RefusedKey         RefusalKind = "invalid_api_key"
+	RefusedPipeline    RefusalKind = "unknown_pipeline"
+	RefusedService     RefusalKind = "unknown_service"
+	RefusedRequest     RefusalKind = "invalid_request"
+	RefusedNoLease     RefusalKind = "entry_without_lease"
+	RefusedLeaving     RefusalKind = "entry_leaving"
+	RefusedLimit       RefusalKind = "organisation_limit"
+	RefusedOverload    RefusalKind = "overloaded"
+	RefusedDeadline    RefusalKind = "deadline_passed"
+	RefusedNoTarget    RefusalKind = "no_target"
+	RefusedBroken      RefusalKind = "target_failed"
+	RefusedMoved       RefusalKind = "taken_over"
+	RefusedLost        RefusalKind = "answer_not_kept"
+	RefusedUnknown     RefusalKind = "outcome_unknown"
+	RefusedConflict    RefusalKind = "identity_reused"
+	RefusedControl     RefusalKind = "control_unreachable"
+	RefusedUnprocessed RefusalKind = "caller_gone"
+)
+
+// Refusal is the final answer to a request that gets no other.
+type Refusal struct {
+	Kind RefusalKind
+	Ran  Ran
+	// Reason and Remedy are sentences for the caller's operator.
+	Reason string
+	Remedy string
+	// RetryAt is when coming back helps; zero where it does not.
+	RetryAt time.Time
+	// Others are entry addresses that may do better.
+	Others []string
+}
+
+// Error implements error.
+func (r Refusal) Error() string {
+	return fmt.Sprintf("%s (ran: %s): %s; %s", r.Kind, r.Ran, r.Reason, r.Remedy)
+}
+
+// WithRetryAt returns the refusal with the time at which to come back.
+func (r Refusal) WithRetryAt(at time.Time) Refusal {
+	r.RetryAt = at
+	return r
+}
+
+// WithOthers returns the refusal with other entry addresses to try.
+func (r Refusal) WithOthers(addresses []string) Refusal {
+	r.Others = addresses
+	return r
+}
+
+func refusal(kind RefusalKind, ran Ran, reason, remedy string) Refusal {
+	return Refusal{Kind: kind, Ran: ran, Reason: reason, Remedy: remedy}
+}
--- /dev/null
+++ b/internal/core/repair.go
@@ -0,0 +1,241 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// This file replaces a stage of a stream that has died, slowed to a halt or
+// forgotten its state.
+//
+// Only the lost range of layers is made anew. Any engines that hold its layers
+// can take it, also several in a row, also from other chains. Each of them
+// rebuilds its KV cache from what the stage before it has kept of its
+// activations, or, for the first layers, from the prompt and the tokens. The
+// surviving stages run no committed position again: they are asked for the
+// same position under the next epoch and repeat what they kept of it. The ways
+// that were weighed are in docs/DESIGN.md.
+//
+// The order of a repair matters: a source must have its own state before it
+// can feed the next, so rebuilds run one after another from the front.
+
+// repairPause is the wait before a repair that found no engine is tried again.
+const repairPause = 100 * time.Millisecond
+
+// repair replaces the stage that target held.
+func (n *Node) repair(s *stream, target string) {
+	n.note("stage lost, repairing its stream", target)
+	s.epoch = s.epoch.WithNextAttempt()
+	s.phase = phaseRepairing
+	s.rebuild = nil
+	n.repairNow(s)
+}
+
+// repairNow finds engines for each stage whose engine can't be used.
+func (n *Node) repairNow(s *stream) {
+	chain := make([]Stage, 0, len(s.chain)+1)
+	var rebuild []int
+	for _, stage := range s.chain {
+		if !n.isSuspect(stage.Target) && !n.isGone(stage.Target) {
+			chain = append(chain, stage)
+			continue
+		}
+		cover := n.cover(s, stage.Layers)
+		if cover == nil {
+			s.repairAt = n.now.Add(repairPause)
+			return
+		}
+		for _, c := range cover {
+			rebuild = append(rebuild, len(chain))
+			chain = append(chain, c)
+		}
+	}
+	n.swapChain(s, chain)
+	s.rebuild = rebuild
+	if s.position == 0 {
+		// Nothing is committed yet, so there is no state to rebuild.
+		s.rebuild = nil
+	}
+	n.keepChain(s)
+	n.rebuildNext(s)
+}
+
+func (n *Node) isGone(target string) bool {
+	t, ok := n.entry.config.Targets.Get(target)
+	return !ok || t.Down
+}
+
+// swapChain counts the stream against its new targets.
+func (n *Node) swapChain(s *stream, chain []Stage) {
+	var dropped []Stage
+	for _, stage := range s.chain {
+		n.target(stage.Target).used--
+		if !slices.Contains(chain, stage) {
+			dropped = append(dropped, stage)
+		}
+	}
+	for _, stage := range chain {
+		n.target(stage.Target).used++
+	}
+	if len(dropped) > 0 {
+		n.emit(Release{Stream: s.id, Epoch: s.epoch, Chain: dropped})
+	}
+	s.chain = chain
+}
+
+// cover returns engines that together hold the layers, or nil. From the front
+// it takes the one that reaches furthest, and of equals the least used.
+func (n *Node) cover(s *stream, layers config.Range) []Stage {
+	var cover []Stage
+	next := layers.First
+	for next < layers.Last {
+		stage, ok := n.reach(s, next, layers.Last, cover)
+		if !ok {
+			return nil
+		}
+		cover = append(cover, stage)
+		next = stage.Layers.Last
+	}
+	return cover
+}
+
+func (n *Node) reach(s *stream, first, last int, cover []Stage) (Stage, bool) {
+	var best Stage
+	bestUse := 0.0
+	for _, p := range n.entry.config.Placements.Sorted() {
+		t, ok := n.entry.config.Targets.Get(p.Target)
+		if !ok || !t.Available() || !p.Ready || n.isSuspect(p.Target) {
+			continue
+		}
+		if p.Model != s.pipeline.Model || p.Version != s.pipeline.Version || p.Layers.First > first || p.Layers.Last <= first {
+			continue
+		}
+		if inChain(s.chain, p.Target) || inChain(cover, p.Target) {
+			continue
+		}
+		candidate := Stage{Target: t.Name, Address: t.Address, Layers: config.Range{First: first, Last: min(last, p.Layers.Last)}}
+		use := float64(n.target(t.Name).used) / float64(t.Slots)
+		further := candidate.Layers.Last > best.Layers.Last
+		if best.Target == "" || further || candidate.Layers.Last == best.Layers.Last && use < bestUse {
+			best, bestUse = candidate, use
+		}
+	}
+	return best, best.Target != ""
+}
+
+func inChain(chain []Stage, target string) bool {
+	return slices.ContainsFunc(chain, func(s Stage) bool { return s.Target == target })
+}
+
+// rebuildNext orders the next rebuild, or goes on with the stream.
+func (n *Node) rebuildNext(s *stream) {
+	if len(s.rebuild) == 0 {
+		n.runNext(s)
+		return
+	}
+	i := s.rebuild[0]
+	r := Rebuild{
+		Stream:   s.id,
+		Epoch:    s.epoch,
+		Position: s.position,
+		Model:    s.model(),
+		Stage:    s.chain[i],
+		Silence:  n.now.Add(n.settings.Timing.StageSilence),
+	}
+	if i > 0 {
+		source := s.chain[i-1]
+		r.Source = &source
+	} else {
+		r.Prompt = s.request.Prompt
+		// The last token has not been run yet: the next position will.
+		r.Tokens = slices.Clone(s.tokens[:len(s.tokens)-1])
+	}
+	n.emit(r)
+}
+
+// rebuildEnded goes on with a repair.
+func (n *Node) rebuildEnded(e RebuildEnded) {
+	s, ok := n.entry.streams[e.Stream]
+	if !ok || s.phase != phaseRepairing || s.epoch != e.Epoch || len(s.rebuild) == 0 {
+		return
+	}
+	switch e.Result {
+	case ResultDone:
+		if e.Target == s.chain[s.rebuild[0]].Target {
+			s.rebuild = s.rebuild[1:]
+			n.rebuildNext(s)
+		}
+	case ResultGap:
+		n.refill(s, e.Target)
+	case ResultStale:
+		n.loseStream(s)
+	default:
+		n.suspect(e.Target)
+		n.repair(s, e.Target)
+	}
+}
+
+// refill has a stage that is alive but lacks the stream's state rebuild it,
+// and all that a repair had still to rebuild after it.
+func (n *Node) refill(s *stream, target string) {
+	i := slices.IndexFunc(s.chain, func(stage Stage) bool { return stage.Target == target })
+	if i < 0 || s.position == 0 {
+		n.suspect(target)
+		n.repair(s, target)
+		return
+	}
+	n.note("stage lacks state, rebuilding it", target)
+	s.epoch = s.epoch.WithNextAttempt()
+	s.phase = phaseRepairing
+	if !slices.Contains(s.rebuild, i) {
+		s.rebuild = append(s.rebuild, i)
+		slices.Sort(s.rebuild)
+	}
+	n.rebuildNext(s)
+}
+
+// stageRefused handles an engine that would not take a stream. When the first
+// stage refuses the first position, nothing has run: the stream goes back in
+// line for another route, if the budget for retries allows. Else the stages
+// before have run, and only the one that refused is replaced.
+func (n *Node) stageRefused(s *stream, target string) {
+	n.feedback(n.poolOfStream(s), s.route, 0, true)
+	if s.position > 0 || target != s.chain[0].Target {
+		n.suspect(target)
+		n.repair(s, target)
+		return
+	}
+	s.dispatched = false
+	if !n.entry.budget.spend() {
+		r := refusal(RefusedOverload, RanNo, "the engines have no room", "come back at the given time")
+		n.failStream(s, r.WithRetryAt(n.comeBack(n.poolOfStream(s))))
+		return
+	}
+	n.requeue(s, target)
+}
+
+// requeue puts a stream that has not run back in line.
+func (n *Node) requeue(s *stream, avoid string) {
+	pool, route, chain := s.pool, s.route, s.chain
+	s.epoch = s.epoch.WithNextAttempt()
+	n.emit(Release{Stream: s.id, Epoch: s.epoch, Chain: chain})
+	s.holding = false
+	s.chain = nil
+	s.phase = phaseQueued
+	p := n.entry.pools[pool]
+	if p == nil {
+		n.failStream(s, refusal(RefusedNoTarget, RanNo, "no engine holds the model any more", "come back later").WithRetryAt(n.now.Add(time.Second)))
+		return
+	}
+	w := *s.wait
+	w.avoid = avoid
+	s.wait = &w
+	p.queue.push(int(w.class), w.organisation, requeueWeight, 0, s.wait)
+	n.give(pool, route, chain)
+}
+
+// requeueWeight and a cost of 0 put a stream that had its turn at the front of
+// its flow's share without charging it again.
+const requeueWeight = 1
--- /dev/null
+++ b/internal/core/routing.go
@@ -0,0 +1,322 @@
+package core
+
+import (
+	"math"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/core/plan"
+)
+
+// pool is a set of interchangeable routes and the work that waits for them:
+// the chains of a model's version, or the runners of a plain service.
+type pool struct {
+	name   string
+	routes []route
+	queue  fairQueue[*waiting]
+	// served is the rate at which work ends, in units of cost a second, as an
+	// exponential mean; queued is the cost of what waits.
+	served   float64
+	servedAt time.Time
+	queued   float64
+}
+
+// route is one way through a pool.
+type route struct {
+	name   string
+	stages []Stage
+	slots  int
+	// window is what this entry VM may have in progress on it. It grows while
+	// the targets report room, and halves when one refuses, so that several
+	// entry VMs share targets without speaking to each other.
+	window float64
+	used   int
+}
+
+// targetState is what this entry VM knows of a target from its own work.
+type targetState struct {
+	used int
+	// suspectUntil is how long no new work goes there.
+	suspectUntil time.Time
+	failures     int
+	// lastReport is what a watch brought.
+	report  TargetReport
+	watched bool
+}
+
+// suspectFor is the first pause after a failure; it doubles up to the bound.
+const (
+	suspectFor      = 500 * time.Millisecond
+	suspectAtMost   = 8 * time.Second
+	roomBelow       = 900
+	servedHalfLife  = 2 * time.Second
+	firstWindowPart = 1
+)
+
+func (n *Node) target(name string) *targetState {
+	t, ok := n.entry.targets[name]
+	if !ok {
+		t = &targetState{}
+		n.entry.targets[name] = t
+	}
+	return t
+}
+
+func (n *Node) isSuspect(name string) bool {
+	t, ok := n.entry.targets[name]
+	return ok && n.now.Before(t.suspectUntil)
+}
+
+// suspect keeps new work from a target that has just failed this VM.
+func (n *Node) suspect(name string) {
+	t := n.target(name)
+	pause := min(suspectFor<<min(t.failures, 8), suspectAtMost)
+	t.failures++
+	t.suspectUntil = n.now.Add(pause)
+	n.note("target suspected", name)
+}
+
+func (n *Node) trust(name string) {
+	if t, ok := n.entry.targets[name]; ok {
+		t.failures = 0
+	}
+}
+
+// refreshPools derives the pools from the configuration. Routes that stay keep
+// what is known of them.
+func (n *Node) refreshPools() {
+	c := n.entry.config
+	wanted := make(map[string]bool)
+	for _, p := range c.Pipelines.Sorted() {
+		name := poolOf(p)
+		if wanted[name] {
+			continue
+		}
+		wanted[name] = true
+		n.setRoutes(name, chainRoutes(c, p))
+	}
+	for _, s := range c.Services.Sorted() {
+		wanted[s.Name] = true
+		n.setRoutes(s.Name, runnerRoutes(c, s.Name))
+	}
+	for name, p := range n.entry.pools {
+		if !wanted[name] && p.queue.length == 0 {
+			delete(n.entry.pools, name)
+		}
+	}
+	for _, name := range n.poolNames() {
+		n.pump(n.entry.pools[name])
+	}
+}
+
+func poolOf(p config.Pipeline) string { return p.Model + "@" + p.Version }
+
+func chainRoutes(c config.State, p config.Pipeline) []route {
+	var routes []route
+	for _, chain := range plan.Chains(c, p.Model, p.Version) {
+		r := route{name: chain.Name, slots: chain.Slots}
+		for _, placed := range chain.Stages {
+			t, _ := c.Targets.Get(placed.Target)
+			r.stages = append(r.stages, Stage{Target: t.Name, Address: t.Address, Layers: placed.Layers})
+		}
+		routes = append(routes, r)
+	}
+	return routes
+}
+
+func runnerRoutes(c config.State, service string) []route {
+	var routes []route
+	for _, t := range c.Targets.Sorted() {
+		if t.Service == service && t.Available() {
+			routes = append(routes, route{name: t.Name, slots: t.Slots, stages: []Stage{{Target: t.Name, Address: t.Address}}})
+		}
+	}
+	return routes
+}
+
+func (n *Node) setRoutes(name string, routes []route) {
+	p, ok := n.entry.pools[name]
+	if !ok {
+		p = &pool{name: name, queue: newFairQueue[*waiting](config.ClassCount), servedAt: n.now}
+		n.entry.pools[name] = p
+	}
+	for i := range routes {
+		routes[i].window = n.firstWindow(routes[i].slots)
+		if old := p.route(routes[i].name); old != nil {
+			routes[i].window = min(old.window, float64(routes[i].slots))
+			routes[i].used = old.used
+		}
+	}
+	p.routes = routes
+}
+
+// firstWindow is an even part of a route's slots.
+func (n *Node) firstWindow(slots int) float64 {
+	entries := max(len(n.entry.view), 1)
+	return math.Max(firstWindowPart, math.Ceil(float64(slots)/float64(entries)))
+}
+
+func (p *pool) route(name string) *route {
+	i := slices.IndexFunc(p.routes, func(r route) bool { return r.name == name })
+	if i < 0 {
+		return nil
+	}
+	return &p.routes[i]
+}
+
+// choose returns the better of two routes drawn at random among those with
+// room. Two draws keep several entry VMs from all taking the one that was idle
+// in the last report. The route through avoid is left out while there are others.
+func (n *Node) choose(p *pool, avoid string) *route {
+	var open []int
+	for i, r := range p.routes {
+		if float64(r.used) < r.window && !n.routeSuspect(r) && !r.uses(avoid) {
+			open = append(open, i)
+		}
+	}
+	if len(open) == 0 {
+		return nil
+	}
+	a := &p.routes[open[n.rand.IntN(len(open))]]
+	b := &p.routes[open[n.rand.IntN(len(open))]]
+	if n.cost(b) < n.cost(a) {
+		return b
+	}
+	return a
+}
+
+func (r route) uses(target string) bool {
+	return slices.ContainsFunc(r.stages, func(s Stage) bool { return s.Target == target })
+}
+
+func (n *Node) routeSuspect(r route) bool {
+	return slices.ContainsFunc(r.stages, func(s Stage) bool { return n.isSuspect(s.Target) })
+}
+
+// cost of a route is the part of its slots that is used, and a little for each
+// stage in another hall.
+func (n *Node) cost(r *route) float64 {
+	cost := float64(r.used+1) / float64(max(r.slots, 1))
+	for _, s := range r.stages {
+		if t, ok := n.entry.config.Targets.Get(s.Target); ok && t.Hall != n.settings.Address.Hall {
+			cost += awayCost
+		}
+	}
+	return cost
+}
+
+const awayCost = 0.01
+
+// feedback moves a route's window by what its targets said of their load.
+func (n *Node) feedback(p *pool, name string, load int, refused bool) {
+	r := p.route(name)
+	if r == nil {
+		return
+	}
+	least := n.firstWindow(r.slots)
+	switch {
+	case refused:
+		r.window = max(least/2, r.window/2, 1)
+	case load < roomBelow:
+		r.window = min(r.window+1, float64(r.slots))
+	case r.window > least:
+		r.window = max(least, r.window-1)
+	}
+}
+
+// take counts a piece of work on a route and its stages.
+func (n *Node) take(p *pool, name string, stages []Stage) {
+	if r := p.route(name); r != nil {
+		r.used++
+	}
+	for _, s := range stages {
+		n.target(s.Target).used++
+	}
+}
+
+func (n *Node) give(poolName, name string, stages []Stage) {
+	for _, s := range stages {
+		n.target(s.Target).used--
+	}
+	p, ok := n.entry.pools[poolName]
+	if !ok {
+		return
+	}
+	if r := p.route(name); r != nil {
+		r.used--
+	}
+	n.pump(p)
+}
+
+// ended counts work that has ended, for the estimate of waiting times.
+func (p *pool) ended(cost float64, now time.Time) {
+	elapsed := now.Sub(p.servedAt)
+	p.served = p.served*decay(elapsed) + cost/servedHalfLife.Seconds()*math.Ln2
+	p.servedAt = now
+}
+
+func decay(elapsed time.Duration) float64 {
+	return math.Exp2(-elapsed.Seconds() / servedHalfLife.Seconds())
+}
+
+// wait estimates how long new work would wait. It is 0 while nothing is known.
+func (p *pool) wait(now time.Time) time.Duration {
+	rate := p.served * decay(now.Sub(p.servedAt))
+	if rate <= 0 || p.queued <= 0 {
+		return 0
+	}
+	return time.Duration(p.queued / rate * float64(time.Second))
+}
+
+// load is the part of this VM's windows that is used, in thousandths.
+func (n *Node) load() int {
+	used, room := 0, 0.0
+	for _, p := range n.entry.pools {
+		for _, r := range p.routes {
+			used += r.used
+			room += r.window
+		}
+	}
+	if room == 0 {
+		return 0
+	}
+	return int(float64(used) / room * 1000)
+}
+
+// rendezvous orders VMs by their hash with a key. Each VM that knows the same
+// list gets the same order, and the loss of one moves only what was its own.
+func rendezvous(key string, views []EntryView, count int) []VMName {
+	type scored struct {
+		vm    VMName
+		score uint64
+	}
+	best := make([]scored, 0, count+1)
+	for _, v := range views {
+		s := scored{vm: v.Address.VM, score: xxhash.Sum64String(key + "\x00" + string(v.Address.VM))}
+		at := len(best)
+		for at > 0 && best[at-1].score < s.score {
+			at--
+		}
+		if at < count {
+			best = slices.Insert(best, at, s)
+			best = best[:min(len(best), count)]
+		}
+	}
+	names := make([]VMName, len(best))
+	for i, s := range best {
+		names[i] = s.vm
+	}
+	return names
+}
+
+func holderOf(id ReplicaID) uint32 {
+	return uint32(xxhash.Sum64String(id.String()))
+}
+
+func requestKey(organisation, key string) RequestID {
+	return RequestID(organisation + "/" + strconv.Quote(key))
+}
--- /dev/null
+++ b/internal/core/status.go
@@ -0,0 +1,121 @@
+package core
+
+import (
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// Status is a summary of a Node for metrics and tests.
+type Status struct {
+	Now        time.Time       `json:"now"`
+	VM         VMName          `json:"vm"`
+	Cluster    string          `json:"cluster"`
+	Role       string          `json:"role"`
+	Term       Term            `json:"term"`
+	Leader     VMName          `json:"leader"`
+	Commit     Index           `json:"commit"`
+	Applied    Index           `json:"applied"`
+	Synced     Index           `json:"synced"`
+	LogEntries int             `json:"log_entries"`
+	Members    []Member        `json:"members"`
+	LeaseUntil time.Time       `json:"leader_lease_until"`
+	HoldsLease bool            `json:"holds_leader_lease"`
+	Revision   config.Revision `json:"replicated_revision"`
+	Claims     int             `json:"claims"`
+	// The entry role.
+	EntryLease    time.Time       `json:"entry_lease_until"`
+	HasLease      bool            `json:"has_entry_lease"`
+	EntryRevision config.Revision `json:"entry_revision"`
+	EntryTerm     Term            `json:"entry_term"`
+	Streams       int             `json:"streams"`
+	Calls         int             `json:"calls"`
+	Queued        int             `json:"queued"`
+	Kept          int             `json:"kept"`
+	Records       int             `json:"records_pending"`
+	Load          int             `json:"load_thousandths"`
+	View          int             `json:"entry_vms"`
+	Stopping      bool            `json:"stopping"`
+	Violations    int             `json:"violations"`
+}
+
+// Status returns the summary of the Node.
+func (n *Node) Status() Status {
+	r := &n.replica
+	s := Status{
+		Now: n.now, VM: n.settings.Self.VM, Cluster: n.cluster, Stopping: n.stopping,
+		Role: r.role.String(), Term: r.hard.Term, Leader: n.leaderHint(),
+		Commit: r.commit, Applied: r.applied, Synced: r.synced, LogEntries: len(r.log.entries),
+		Members: r.members.Members, LeaseUntil: r.leaseUntil, HoldsLease: n.holdsLease(),
+		Revision: n.machine.Config.Revision, Claims: len(n.machine.Claims),
+		EntryLease: n.entry.tenure.until, HasLease: n.hasLease(),
+		EntryRevision: n.entry.config.Revision, EntryTerm: n.entry.tenure.term,
+		Streams: len(n.entry.streams), Calls: len(n.entry.calls),
+		Kept: len(n.entry.kept), Records: len(n.entry.records),
+		Load: n.load(), View: len(n.entry.view), Violations: len(n.Check()),
+	}
+	for _, p := range n.entry.pools {
+		s.Queued += p.queue.length
+	}
+	return s
+}
+
+// Dump is the whole state of a Node for operators: the summary, the
+// configuration that it routes by, and every list that it can show of itself.
+type Dump struct {
+	Status   Status           `json:"status"`
+	Config   config.State     `json:"config"`
+	Entry    config.State     `json:"entry_config"`
+	Requests Table            `json:"requests"`
+	Routes   Table            `json:"routes"`
+	Targets  Table            `json:"targets"`
+	Claims   map[string]Claim `json:"claims"`
+	Problems []string         `json:"problems"`
+}
+
+// Dump returns the whole state of the Node.
+func (n *Node) Dump() Dump {
+	d := Dump{
+		Status: n.Status(), Config: n.machine.Config, Entry: n.entry.config,
+		Requests: n.requestsTable(), Routes: n.routesTable(), Targets: n.knownTargets(),
+		Claims: make(map[string]Claim, len(n.machine.Claims)),
+	}
+	for id, c := range n.machine.Claims {
+		d.Claims[string(id)] = c
+	}
+	for _, err := range n.Check() {
+		d.Problems = append(d.Problems, err.Error())
+	}
+	return d
+}
+
+func (n *Node) routesTable() Table {
+	t := Table{Columns: []string{"pool", "route", "slots", "window", "used", "waiting"}}
+	for _, name := range n.poolNames() {
+		p := n.entry.pools[name]
+		for _, r := range p.routes {
+			t.add(name, r.name, r.slots, r.window, r.used, p.queue.length)
+		}
+	}
+	return t
+}
+
+func (n *Node) knownTargets() Table {
+	t := Table{Columns: []string{"target", "used", "suspect_until", "watched", "reached", "holding"}}
+	for _, target := range n.entry.config.Targets.Sorted() {
+		state, ok := n.entry.targets[target.Name]
+		if ok {
+			t.add(target.Name, state.used, state.suspectUntil, state.watched, state.report.Reached, state.report.Holding)
+		}
+	}
+	return t
+}
+
+// PipelineNames returns the pipelines that callers can name, sorted.
+func (n *Node) PipelineNames() []string {
+	var names []string
+	for _, p := range n.entry.config.Pipelines.Sorted() {
+		names = append(names, p.Name)
+	}
+	return names
+}
--- /dev/null
+++ b/internal/core/stream.go
@@ -0,0 +1,424 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// This file runs the stream of one answer of a model pipeline.
+//
+// The core drives a stream position by position: it orders the first stage to
+// run the next position and commits the token that comes back through all the
+// ranges. The stages hand their activations on among themselves, so that an
+// entry VM moves only tokens (docs/DESIGN.md weighs this against moving the
+// activations through the entry VM).
+//
+// Invariants: at most one run of a stream is in flight; only an answer with
+// the stream's present epoch and position is taken, so late, crossed and
+// doubled ones change nothing; a token is shown to the caller only after the
+// keeper has it; nothing is dispatched before the keeper has the request.
+//
+// An engine runs a position once in its life: it repeats the kept result when
+// it is asked again, and refuses epochs before the newest one it has seen.
+
+// phase is how far a request has come.
+type phase string
+
+// The phases of streams and calls.
+const (
+	phaseFinding     phase = "finding"
+	phaseQueued      phase = "queued"
+	phaseRegistering phase = "registering"
+	phaseRunning     phase = "running"
+	phaseRepairing   phase = "repairing"
+	phaseClaiming    phase = "claiming"
+	phaseDispatched  phase = "dispatched"
+	phaseDone        phase = "done"
+)
+
+// stream is one answer under way, or kept for its caller after its end.
+type stream struct {
+	id       RequestID
+	request  StreamRequest
+	pipeline config.Pipeline
+	phase    phase
+	conn     ConnID
+	// goneAt is when the caller left; zero while it is there.
+	goneAt time.Time
+	wait   *waiting
+	epoch  Epoch
+	pool   string
+	route  string
+	chain  []Stage
+	// holding says that the chain is counted against its targets.
+	holding  bool
+	position int
+	inFlight bool
+	// dispatched says that some engine may have run some of it.
+	dispatched bool
+	tokens     []Token
+	finish     string
+	// kept is how many tokens the keeper has, shown how many the caller.
+	kept  int
+	shown int
+	// finishKept says that the keeper has the end, finishShown the caller.
+	finishKept  bool
+	finishShown bool
+	keeper      VMName
+	// registered says that the keeper has the request itself.
+	registered bool
+	// rebuild lists the stages that must rebuild their KV cache, in order.
+	rebuild []int
+	// repairAt is when a repair that found no engine is tried again.
+	repairAt time.Time
+	// dropAt is when a finished stream is forgotten.
+	dropAt time.Time
+}
+
+// streamAsked takes a request for a model pipeline.
+func (n *Node) streamAsked(a StreamAsked) {
+	org, ok := n.organisationOf(a.Key)
+	if !ok {
+		n.refuseKey(a.Conn, a.ID)
+		return
+	}
+	a.Request.Organisation = org.Name
+	id := requestKey(org.Name, string(a.ID))
+	if s, ok := n.entry.streams[id]; ok {
+		n.reattach(s, a.Conn, a.After)
+		return
+	}
+	if r, ok := n.checkTenure(); !ok {
+		n.emit(Refuse{Conn: a.Conn, ID: id, Refusal: r})
+		return
+	}
+	pipeline, ok := n.entry.config.Pipelines.Get(a.Request.Pipeline)
+	if !ok {
+		n.emit(Refuse{Conn: a.Conn, ID: id, Refusal: refusal(RefusedPipeline, RanNo, "there is no pipeline of that name", "name one that the operators have declared")})
+		return
+	}
+	s := &stream{id: id, request: a.Request, pipeline: pipeline, conn: a.Conn, shown: a.After, epoch: Epoch{Holder: holderOf(n.settings.Self)}}
+	s.request.MaxTokens = min(max(a.Request.MaxTokens, 1), pipeline.MaxTokens)
+	n.entry.streams[id] = s
+	n.entry.attached[a.Conn] = id
+	n.entry.budget.earn()
+	if a.Request.Returnable && n.findFirst(s) {
+		return
+	}
+	n.queueStream(s)
+}
+
+func (n *Node) refuseKey(conn ConnID, id RequestID) {
+	if r, ok := n.checkTenure(); !ok {
+		n.emit(Refuse{Conn: conn, ID: id, Refusal: r})
+		return
+	}
+	n.emit(Refuse{Conn: conn, ID: id, Refusal: refusal(RefusedKey, RanNo, "the API key is not known", "send the organisation's key as a bearer token")})
+}
+
+// queueStream puts a new stream in line. A caller that already has tokens of
+// an answer that nobody keeps can't be given a whole one.
+func (n *Node) queueStream(s *stream) {
+	if s.shown > 0 {
+		n.failStream(s, refusal(RefusedLost, RanUnknown, "the rest of the answer is no longer kept", "ask again under a new identity, and drop the part that was received"))
+		return
+	}
+	p, ok := n.entry.pools[poolOf(s.pipeline)]
+	if !ok {
+		n.failStream(s, refusal(RefusedNoTarget, RanNo, "no engine holds the model yet", "come back later").WithRetryAt(n.now.Add(time.Second)))
+		return
+	}
+	s.phase = phaseQueued
+	s.wait = &waiting{
+		id:           s.id,
+		conn:         s.conn,
+		organisation: s.request.Organisation,
+		class:        s.pipeline.Class,
+		cost:         float64(s.request.MaxTokens),
+		deadline:     s.request.Deadline,
+		stream:       s,
+	}
+	if r, ok := n.admit(p, s.wait); !ok {
+		n.failStream(s, r)
+	}
+}
+
+// beginStream starts a stream on a route that has room. The keeper gets the
+// request first, so that no dispatch is unknown to it.
+func (n *Node) beginStream(s *stream, poolName, route string, stages []Stage) {
+	s.pool = poolName
+	s.route = route
+	s.chain = stages
+	s.holding = true
+	if s.registered {
+		n.runNext(s)
+		return
+	}
+	s.phase = phaseRegistering
+	n.register(s)
+}
+
+// runNext orders the next position, unless one is in flight.
+func (n *Node) runNext(s *stream) {
+	if s.inFlight || s.finish != "" {
+		return
+	}
+	s.phase = phaseRunning
+	s.inFlight = true
+	s.dispatched = true
+	run := Run{
+		Stream:   s.id,
+		Epoch:    s.epoch,
+		Position: s.position,
+		Model:    s.model(),
+		Chain:    s.chain,
+		Class:    s.pipeline.Class,
+		Deadline: s.request.Deadline,
+		Silence:  n.now.Add(n.settings.Timing.StageSilence),
+		NotAfter: n.now.Add(n.settings.Timing.StageSilence),
+	}
+	if s.position == 0 {
+		run.Prompt = s.request.Prompt
+	} else {
+		run.Token = s.tokens[len(s.tokens)-1]
+	}
+	n.emit(run)
+}
+
+func (s *stream) model() ModelRef {
+	return ModelRef{Model: s.pipeline.Model, Version: s.pipeline.Version, Adapter: s.pipeline.Adapter}
+}
+
+// runEnded takes the answer of a chain, if it is the one that is waited for.
+func (n *Node) runEnded(e RunEnded) {
+	s, ok := n.entry.streams[e.Stream]
+	if !ok || !s.inFlight || s.epoch != e.Epoch || s.position != e.Position {
+		return
+	}
+	s.inFlight = false
+	switch e.Result {
+	case ResultDone:
+		n.commitToken(s, e)
+	case ResultRefused:
+		n.stageRefused(s, e.Target)
+	case ResultBroken:
+		n.suspect(e.Target)
+		n.repair(s, e.Target)
+	case ResultGap:
+		n.refill(s, e.Target)
+	case ResultStale:
+		n.loseStream(s)
+	}
+}
+
+func (n *Node) commitToken(s *stream, e RunEnded) {
+	if s.position == 0 {
+		n.feedback(n.poolOfStream(s), s.route, e.Load, false)
+	}
+	s.tokens = append(s.tokens, e.Token)
+	s.position = e.Next
+	s.finish = e.Finish
+	if s.finish == "" && len(s.tokens) >= s.request.MaxTokens {
+		s.finish = FinishLength
+	}
+	n.keepToken(s)
+	if s.finish == "" {
+		n.runNext(s)
+		return
+	}
+	n.endRun(s)
+}
+
+// FinishStop and FinishLength say why an answer ended.
+const (
+	FinishStop   = "stop"
+	FinishLength = "length"
+)
+
+func (n *Node) poolOfStream(s *stream) *pool {
+	p, ok := n.entry.pools[s.pool]
+	if !ok {
+		return &pool{}
+	}
+	return p
+}
+
+// endRun lets the engines of a stream go.
+func (n *Node) endRun(s *stream) {
+	if !s.holding {
+		return
+	}
+	s.holding = false
+	n.emit(Release{Stream: s.id, Epoch: s.epoch, Chain: s.chain})
+	n.poolOfStream(s).ended(float64(len(s.tokens)), n.now)
+	for _, stage := range s.chain {
+		n.trust(stage.Target)
+	}
+	n.give(s.pool, s.route, s.chain)
+}
+
+// showTokens gives the caller what the keeper has and the caller has not.
+func (n *Node) showTokens(s *stream) {
+	finish := ""
+	if s.finishKept {
+		finish = s.finish
+	}
+	ended := finish != "" && !s.finishShown
+	if s.conn == 0 || s.kept <= s.shown && !ended {
+		return
+	}
+	from := min(s.shown, s.kept)
+	n.emit(Emit{Conn: s.conn, ID: s.id, From: from, Tokens: slices.Clone(s.tokens[from:s.kept]), Finish: finish})
+	s.shown = s.kept
+	if ended {
+		n.finishStream(s)
+	}
+}
+
+// finishStream keeps a whole answer for a caller that may come back for it.
+func (n *Node) finishStream(s *stream) {
+	s.finishShown = true
+	s.phase = phaseDone
+	s.dropAt = n.now.Add(n.settings.Timing.KeepAnswer)
+	n.detach(s)
+	n.leave(s.request.Organisation)
+}
+
+func (n *Node) detach(s *stream) {
+	delete(n.entry.attached, s.conn)
+	s.conn = 0
+}
+
+// reattach gives a stream to a caller that has come back.
+func (n *Node) reattach(s *stream, conn ConnID, after int) {
+	if s.conn != 0 {
+		n.emit(Refuse{Conn: s.conn, ID: s.id, Refusal: movedRefusal()})
+		n.detach(s)
+	}
+	s.conn = conn
+	s.goneAt = time.Time{}
+	n.entry.attached[conn] = s.id
+	s.shown = after
+	if s.phase == phaseDone {
+		n.replay(s)
+		return
+	}
+	n.showTokens(s)
+}
+
+// replay gives the rest of a finished answer.
+func (n *Node) replay(s *stream) {
+	from := min(s.shown, len(s.tokens))
+	n.emit(Emit{Conn: s.conn, ID: s.id, From: from, Tokens: slices.Clone(s.tokens[from:]), Finish: s.finish})
+	n.detach(s)
+}
+
+func movedRefusal() Refusal {
+	return refusal(RefusedMoved, RanYes, "the caller took the answer up on another connection", "read it there")
+}
+
+// failStream gives a stream's caller a final answer and forgets the stream.
+func (n *Node) failStream(s *stream, r Refusal) {
+	if s.conn != 0 {
+		n.emit(Refuse{Conn: s.conn, ID: s.id, Refusal: r})
+	}
+	n.forgetStream(s)
+}
+
+// forgetStream drops a stream and all that is held for it.
+func (n *Node) forgetStream(s *stream) {
+	n.detach(s)
+	if s.wait != nil {
+		s.wait.gone = true
+		if s.phase != phaseDone {
+			n.leave(s.request.Organisation)
+		}
+	}
+	delete(n.entry.streams, s.id)
+	n.endRun(s)
+	if s.registered {
+		n.keepDrop(s)
+	}
+}
+
+// loseStream ends a stream that another entry VM has taken over. Its engines
+// are that one's now, so no release is sent.
+func (n *Node) loseStream(s *stream) {
+	n.note("stream taken over by another entry VM", string(s.id))
+	if s.conn != 0 {
+		n.emit(Refuse{Conn: s.conn, ID: s.id, Refusal: movedRefusal()})
+	}
+	holding := s.holding
+	s.holding = false
+	s.registered = false
+	n.forgetStream(s)
+	if holding {
+		n.give(s.pool, s.route, s.chain)
+	}
+}
+
+// callerGone follows a closed connection. A stream that has begun runs on for
+// a while, since its caller may come back for the rest.
+func (n *Node) callerGone(conn ConnID) {
+	if c, ok := n.entry.calls[conn]; ok {
+		n.callLeft(c)
+		return
+	}
+	id, ok := n.entry.attached[conn]
+	if !ok {
+		return
+	}
+	s := n.entry.streams[id]
+	n.detach(s)
+	s.goneAt = n.now
+	if s.phase == phaseQueued || s.phase == phaseFinding {
+		n.forgetStream(s)
+	}
+}
+
+// reattachFor is how long a stream waits for its caller. One that never named
+// its request is unlikely to come back.
+func (n *Node) reattachFor(s *stream) time.Duration {
+	if s.request.Returnable {
+		return n.settings.Timing.Reattach
+	}
+	return n.settings.Timing.Reattach / 5
+}
+
+func (n *Node) sweepStreams() {
+	for _, id := range slices.Sorted(maps.Keys(n.entry.streams)) {
+		n.sweepStream(n.entry.streams[id])
+	}
+}
+
+func (n *Node) sweepStream(s *stream) {
+	switch {
+	case s.phase == phaseDone:
+		if !n.now.Before(s.dropAt) {
+			n.forgetStream(s)
+		}
+	case !s.goneAt.IsZero() && !n.now.Before(s.goneAt.Add(n.reattachFor(s))):
+		n.note("stream dropped: its caller has left", string(s.id))
+		n.forgetStream(s)
+	case s.phase != phaseQueued && s.phase != phaseFinding && !n.now.Before(s.request.Deadline):
+		n.failStream(s, refusal(RefusedDeadline, s.ran(), "its deadline passed", "send it again with a later deadline"))
+	case s.phase == phaseRepairing && !s.repairAt.IsZero() && !n.now.Before(s.repairAt):
+		s.repairAt = time.Time{}
+		n.repairNow(s)
+	}
+}
+
+// ran says what is known of whether a stream was run: not, as long as runNext
+// has dispatched nothing that an engine has taken.
+func (s *stream) ran() Ran {
+	switch {
+	case len(s.tokens) > 0:
+		return RanYes
+	case s.dispatched || s.epoch.Owner > 0:
+		return RanUnknown
+	}
+	return RanNo
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,250 @@
+// Package daemon runs a core.Node as a process: it turns sockets, timers and
+// the disk into events and carries the effects out.
+//
+// The files: loop steps the Node; disk keeps the control state; peers speaks
+// to other VMs and to operators; callers and openai serve callers; effects
+// hands the Node's effects to whoever carries them out; metrics counts.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gopkg.in/tomb.v2"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/target"
+	"github.com/spoolbank/spoolbank/internal/wire"
+	"github.com/spoolbank/spoolbank/settings"
+)
+
+// tickEvery is the interval between two core.Tick events.
+const tickEvery = 20 * time.Millisecond
+
+// eventQueue bounds the events that wait for the loop.
+const eventQueue = 8192
+
+// Daemon is one running process.
+type Daemon struct {
+	settings settings.Settings
+	log      logr.Logger
+	keys     wire.Keys
+	tomb     tomb.Tomb
+	node     *core.Node
+	events   chan core.Event
+	// inspect carries functions that the loop runs between events.
+	inspect chan func(*core.Node)
+	disk    chan core.Effect
+	folder  *folder
+	peers   *peers
+	client  *target.Client
+	callers *callers
+	metrics *metrics
+	// urgent wakes what must end at once when the daemon does.
+	context context.Context
+	cancel  context.CancelFunc
+	lastID  atomic.Uint64
+	answers sync.Map
+
+	callerListener net.Listener
+	peerListener   net.Listener
+	metricListener net.Listener
+}
+
+// New opens the data folder and the listeners. Run starts the work.
+func New(s settings.Settings, log logr.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: s,
+		log:      log,
+		events:   make(chan core.Event, eventQueue),
+		inspect:  make(chan func(*core.Node)),
+		disk:     make(chan core.Effect, eventQueue),
+		client:   target.NewClient(),
+	}
+	d.context, d.cancel = context.WithCancel(context.Background())
+	if err := d.loadKeys(); err != nil {
+		return nil, err
+	}
+	recovered, err := d.openState()
+	if err != nil {
+		return nil, err
+	}
+	if err := d.listen(); err != nil {
+		d.closeAll()
+		return nil, err
+	}
+	d.node = core.New(d.coreSettings(), recovered, time.Now())
+	d.peers = newPeers(d)
+	d.callers = newCallers(d)
+	d.metrics, err = newMetrics(d)
+	if err != nil {
+		d.closeAll()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) loadKeys() error {
+	t := d.settings.TLS
+	if t.PlainText {
+		return nil
+	}
+	keys, err := wire.LoadKeys(t.Certificate, t.Key, t.Authority)
+	d.keys = keys
+	return err
+}
+
+func (d *Daemon) openState() (core.Recovered, error) {
+	if !d.settings.HasRole(settings.RoleControl) {
+		d.folder = nil
+		return core.Recovered{}, nil
+	}
+	f, recovered, err := openFolder(d.settings.Data)
+	d.folder = f
+	return recovered, err
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	l := d.settings.Listen
+	if d.callerListener, err = listenOn(l.Callers); err != nil {
+		return err
+	}
+	if d.peerListener, err = listenOn(l.Peers); err != nil {
+		return err
+	}
+	d.metricListener, err = listenOn(l.Metrics)
+	return err
+}
+
+func listenOn(address string) (net.Listener, error) {
+	if address == "" {
+		return nil, nil
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w; free the address or change the setting", err)
+	}
+	return l, nil
+}
+
+func (d *Daemon) closeAll() {
+	for _, l := range []net.Listener{d.callerListener, d.peerListener, d.metricListener} {
+		if l != nil {
+			l.Close()
+		}
+	}
+	if d.folder != nil {
+		d.folder.close()
+	}
+}
+
+func (d *Daemon) coreSettings() core.Settings {
+	s := d.settings
+	self := core.ReplicaID{VM: core.VMName(s.Name), Incarnation: newIncarnation()}
+	cluster := ""
+	if d.folder != nil {
+		self.Incarnation = d.folder.identity.Incarnation
+		cluster = d.folder.identity.Cluster
+	}
+	return core.Settings{
+		Self:    self,
+		Cluster: cluster,
+		Address: core.EntryAddress{VM: self.VM, Hall: s.Hall, Callers: s.Listen.Callers, Peers: s.Listen.Peers},
+		Control: s.HasRole(settings.RoleControl),
+		Entry:   s.HasRole(settings.RoleEntry),
+		ControlVMs: slices.Sorted(func(yield func(core.VMName) bool) {
+			for name := range maps.Keys(s.Control.VMs) {
+				if !yield(core.VMName(name)) {
+					return
+				}
+			}
+		}),
+		Voters:        s.Control.Voters,
+		SnapshotEvery: s.Control.SnapshotEvery,
+		Timing:        coreTiming(s.Timing),
+		Seed:          uint64(newIncarnation()),
+	}
+}
+
+func coreTiming(s settings.Timing) core.Timing {
+	t := core.DefaultTiming()
+	t.Heartbeat = time.Duration(s.Heartbeat)
+	t.ElectionMin = time.Duration(s.ElectionMin)
+	t.ElectionMax = time.Duration(s.ElectionMax)
+	t.LeaseTerm = time.Duration(s.Lease)
+	t.RenewEvery = time.Duration(s.Renew)
+	t.ReplaceAfter = time.Duration(s.ReplaceAfter)
+	t.KeepEntries = time.Duration(s.KeepEntries)
+	t.StageSilence = time.Duration(s.StageSilence)
+	return t
+}
+
+// Run serves until a planned stop is complete or something fails for good.
+func (d *Daemon) Run() error {
+	d.tomb.Go(d.start)
+	err := d.tomb.Wait()
+	d.cancel()
+	d.closeAll()
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// errStopped ends the tomb after a planned stop.
+var errStopped = errors.New("stopped as planned")
+
+func (d *Daemon) start() error {
+	d.log.Info("daemon starts", "vm", d.settings.Name, "hall", d.settings.Hall, "roles", d.settings.Roles)
+	d.tomb.Go(d.loop)
+	d.tomb.Go(d.tickLoop)
+	if d.folder != nil {
+		d.tomb.Go(d.diskLoop)
+	}
+	d.tomb.Go(d.servePeers)
+	if d.callerListener != nil && d.settings.HasRole(settings.RoleEntry) {
+		d.tomb.Go(d.serveCallers)
+	}
+	if d.metricListener != nil {
+		d.tomb.Go(d.serveMetrics)
+	}
+	return nil
+}
+
+// Stop asks for a planned stop: what is in progress ends first.
+func (d *Daemon) Stop() { d.post(core.Stopping{}) }
+
+// Kill ends the process's work at once.
+func (d *Daemon) Kill() { d.tomb.Kill(nil) }
+
+// newConn draws an identity for a connection.
+func (d *Daemon) newConn() core.ConnID { return core.ConnID(d.lastID.Add(1)) }
+
+// shutdownTime bounds the wait for connections when the process ends.
+const shutdownTime = 2 * time.Second
+
+func (d *Daemon) serveHTTP(server *http.Server, l net.Listener) error {
+	d.tomb.Go(func() error {
+		<-d.tomb.Dying()
+		ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+		defer cancel()
+		if err := server.Shutdown(ctx); err != nil {
+			return server.Close()
+		}
+		return nil
+	})
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/disk.go
@@ -0,0 +1,399 @@
+package daemon
+
+import (
+	"bufio"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/google/renameio/v2"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/wire"
+)
+
+// This file keeps the control state on disk.
+//
+// The data folder has four files. identity: the cluster and the incarnation,
+// written once, so that a folder that was lost comes back as another replica.
+// log: records of what core.Persist orders, each with its length and checksum.
+// snapshot: one record that replaces the log's beginning. lock: held while a
+// process uses the folder.
+//
+// Invariants: nothing is reported as persisted before it is synced; a failed
+// write or sync ends the process, since what the disk then holds is not known.
+//
+// A crash can leave the last record torn: it was never acknowledged and is cut
+// off. A record that is damaged while others follow it was acknowledged, and
+// the log is refused, for without it the replica could break its word.
+
+// ErrDamaged is the kind of errors for folders that must not be used.
+var ErrDamaged = errors.New("damaged data folder")
+
+const (
+	fileIdentity = "identity"
+	fileLog      = "log"
+	fileSnapshot = "snapshot"
+	fileLock     = "lock"
+	// frameHeader is the length and the checksum before each record.
+	frameHeader = 8
+	// recordLimit bounds a record, in bytes.
+	recordLimit = 1 << 30
+	folderMode  = 0o750
+	fileMode    = 0o640
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// identity is the content of the identity file.
+type identity struct {
+	Cluster     string           `cbor:"cluster"`
+	Incarnation core.Incarnation `cbor:"incarnation"`
+}
+
+// logRecord is one record of the log.
+type logRecord struct {
+	Hard         *core.HardState `cbor:"hard,omitempty"`
+	TruncateFrom core.Index      `cbor:"truncate_from,omitempty"`
+	Entries      []core.Entry    `cbor:"entries,omitempty"`
+}
+
+// folder is an open data folder.
+type folder struct {
+	path     string
+	lock     *os.File
+	log      *os.File
+	identity identity
+}
+
+// openFolder opens a data folder, makes it where there is none, and reads it.
+func openFolder(path string) (*folder, core.Recovered, error) {
+	f, err := lockFolder(path)
+	if err != nil {
+		return nil, core.Recovered{}, err
+	}
+	recovered, err := f.read()
+	if err != nil {
+		f.close()
+		return nil, core.Recovered{}, err
+	}
+	return f, recovered, nil
+}
+
+func lockFolder(path string) (*folder, error) {
+	if err := os.MkdirAll(path, folderMode); err != nil {
+		return nil, fmt.Errorf("data folder: %w; check the setting data and the rights to it", err)
+	}
+	lock, err := os.OpenFile(filepath.Join(path, fileLock), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return nil, fmt.Errorf("data folder: %w; check the rights to it", err)
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		lock.Close()
+		return nil, fmt.Errorf("data folder %s is in use by another process; stop that one first", path)
+	}
+	return &folder{path: path, lock: lock}, nil
+}
+
+// close lets the folder go.
+func (f *folder) close() {
+	if f.log != nil {
+		f.log.Close()
+	}
+	f.lock.Close()
+}
+
+func (f *folder) file(name string) string { return filepath.Join(f.path, name) }
+
+// Bootstrap makes an empty data folder that of the first and only voter of a
+// new cluster. It is done once in the life of a deployment.
+func Bootstrap(path string, vm core.VMName) error {
+	f, err := lockFolder(path)
+	if err != nil {
+		return err
+	}
+	defer f.close()
+	if _, err := os.Stat(f.file(fileIdentity)); err == nil {
+		return fmt.Errorf("data folder %s belongs to a cluster already; bootstrap is done once, on one VM with an empty folder", path)
+	}
+	cluster := make([]byte, 8)
+	if _, err := rand.Read(cluster); err != nil {
+		return err
+	}
+	f.identity = identity{Cluster: hex.EncodeToString(cluster), Incarnation: newIncarnation()}
+	self := core.ReplicaID{VM: vm, Incarnation: f.identity.Incarnation}
+	snapshot := core.Snapshot{Index: 1, Term: 1, Members: core.NewMembership(self)}
+	if err := f.writeSnapshot(snapshot); err != nil {
+		return err
+	}
+	return f.writeIdentity()
+}
+
+func newIncarnation() core.Incarnation {
+	var b [8]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		panic(err)
+	}
+	return core.Incarnation(binary.LittleEndian.Uint64(b[:]))
+}
+
+func (f *folder) writeIdentity() error {
+	data, err := wire.Marshal(f.identity)
+	if err != nil {
+		return err
+	}
+	return f.replace(fileIdentity, frame(data))
+}
+
+// replace writes a whole file anew: it is there as a whole or not at all.
+func (f *folder) replace(name string, data []byte) error {
+	if err := renameio.WriteFile(f.file(name), data, fileMode); err != nil {
+		return fmt.Errorf("data folder: %w; free space or mend the disk, then start again", err)
+	}
+	return f.syncFolder()
+}
+
+func (f *folder) syncFolder() error {
+	dir, err := os.Open(f.path)
+	if err != nil {
+		return err
+	}
+	defer dir.Close()
+	return dir.Sync()
+}
+
+func frame(data []byte) []byte {
+	framed := make([]byte, frameHeader, frameHeader+len(data))
+	binary.LittleEndian.PutUint32(framed, uint32(len(data)))
+	binary.LittleEndian.PutUint32(framed[4:], crc32.Checksum(data, castagnoli))
+	return append(framed, data...)
+}
+
+// read takes in the whole folder and opens its log for appending.
+func (f *folder) read() (core.Recovered, error) {
+	if err := f.readIdentity(); err != nil {
+		return core.Recovered{}, err
+	}
+	var recovered core.Recovered
+	found, err := f.readWhole(fileSnapshot, &recovered.Snapshot)
+	if err != nil {
+		return core.Recovered{}, err
+	}
+	if !found && f.identity.Cluster != "" {
+		// A replica that has joined has a snapshot only once one was due.
+		recovered.Snapshot = core.Snapshot{}
+	}
+	if err := f.readLog(&recovered); err != nil {
+		return core.Recovered{}, err
+	}
+	return recovered, nil
+}
+
+func (f *folder) readIdentity() error {
+	found, err := f.readWhole(fileIdentity, &f.identity)
+	if err != nil || found {
+		return err
+	}
+	f.identity = identity{Incarnation: newIncarnation()}
+	return f.writeIdentity()
+}
+
+// readWhole reads a file of one record, and reports whether it is there.
+func (f *folder) readWhole(name string, into any) (bool, error) {
+	data, err := os.ReadFile(f.file(name))
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("data folder: %w; check the rights to it", err)
+	}
+	body, _, ok := unframe(data)
+	if !ok {
+		return false, f.damaged(name, 0)
+	}
+	if err := wire.Unmarshal(body, into); err != nil {
+		return false, f.damaged(name, 0)
+	}
+	return true, nil
+}
+
+func (f *folder) damaged(name string, offset int64) error {
+	return fmt.Errorf("%w: %s is damaged at byte %d; move the folder away and start again: this VM then joins anew, under another identity and without a vote until it has caught up", ErrDamaged, f.file(name), offset)
+}
+
+// unframe returns the first record of data and what follows it.
+func unframe(data []byte) (body, rest []byte, ok bool) {
+	if len(data) < frameHeader {
+		return nil, nil, false
+	}
+	length := binary.LittleEndian.Uint32(data)
+	if uint64(length) > uint64(len(data)-frameHeader) {
+		return nil, nil, false
+	}
+	body = data[frameHeader : frameHeader+length]
+	sum := binary.LittleEndian.Uint32(data[4:])
+	return body, data[frameHeader+length:], crc32.Checksum(body, castagnoli) == sum
+}
+
+func (f *folder) readLog(recovered *core.Recovered) error {
+	log, err := os.OpenFile(f.file(fileLog), os.O_CREATE|os.O_RDWR, fileMode)
+	if err != nil {
+		return fmt.Errorf("data folder: %w; check the rights to it", err)
+	}
+	f.log = log
+	data, err := io.ReadAll(bufio.NewReader(log))
+	if err != nil {
+		return fmt.Errorf("data folder: %w; mend the disk, then start again", err)
+	}
+	good, err := f.replay(data, recovered)
+	if err != nil {
+		return err
+	}
+	if err := log.Truncate(good); err != nil {
+		return fmt.Errorf("data folder: %w; mend the disk, then start again", err)
+	}
+	if _, err := log.Seek(good, io.SeekStart); err != nil {
+		return err
+	}
+	if err := log.Sync(); err != nil {
+		return err
+	}
+	return f.syncFolder()
+}
+
+// replay reads the records and returns the length of the good ones.
+func (f *folder) replay(data []byte, recovered *core.Recovered) (int64, error) {
+	rest := data
+	for len(rest) > 0 {
+		offset := int64(len(data) - len(rest))
+		body, next, ok := unframe(rest)
+		if !ok {
+			if isTorn(rest) {
+				return offset, nil
+			}
+			return 0, f.damaged(fileLog, offset)
+		}
+		var record logRecord
+		if err := wire.Unmarshal(body, &record); err != nil {
+			return 0, f.damaged(fileLog, offset)
+		}
+		if err := apply(record, recovered); err != nil {
+			return 0, fmt.Errorf("%w: %w", f.damaged(fileLog, offset), err)
+		}
+		rest = next
+	}
+	return int64(len(data)), nil
+}
+
+// isTorn reports whether a bad record can be one that a crash cut short: it is
+// the last one, as far as its length tells, or nothing but zeros follow.
+func isTorn(rest []byte) bool {
+	if len(rest) < frameHeader {
+		return true
+	}
+	length := uint64(binary.LittleEndian.Uint32(rest))
+	if length >= uint64(len(rest)-frameHeader) {
+		return !hasRecordAfter(rest)
+	}
+	for _, b := range rest[frameHeader:] {
+		if b != 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// hasRecordAfter looks for a whole record behind a bad one whose length points
+// past the end: then it is the length that was damaged, and not the tail.
+func hasRecordAfter(rest []byte) bool {
+	for at := frameHeader; at+frameHeader < len(rest); at++ {
+		length := binary.LittleEndian.Uint32(rest[at:])
+		if length == 0 || uint64(length) > uint64(len(rest)-at-frameHeader) {
+			continue
+		}
+		if _, _, ok := unframe(rest[at:]); ok {
+			return true
+		}
+	}
+	return false
+}
+
+func apply(record logRecord, recovered *core.Recovered) error {
+	if record.Hard != nil {
+		recovered.Hard = *record.Hard
+	}
+	base := recovered.Snapshot.Index
+	if from := record.TruncateFrom; from > base && int(from-base-1) < len(recovered.Entries) {
+		recovered.Entries = recovered.Entries[:from-base-1]
+	}
+	for _, e := range record.Entries {
+		if e.Index <= base {
+			continue
+		}
+		if e.Index != base+core.Index(len(recovered.Entries))+1 {
+			return fmt.Errorf("entry %d does not follow entry %d", e.Index, base+core.Index(len(recovered.Entries)))
+		}
+		recovered.Entries = append(recovered.Entries, e)
+	}
+	return nil
+}
+
+// append writes a record without syncing it.
+func (f *folder) append(p core.Persist) error {
+	data, err := wire.Marshal(logRecord{Hard: p.Hard, TruncateFrom: p.TruncateFrom, Entries: p.Entries})
+	if err != nil {
+		return err
+	}
+	if len(data) > recordLimit {
+		return fmt.Errorf("data folder: a record of %d bytes is over the limit of %d; report it with a dump", len(data), recordLimit)
+	}
+	if _, err := f.log.Write(frame(data)); err != nil {
+		return fmt.Errorf("data folder: %w; free space or mend the disk, then start again", err)
+	}
+	return nil
+}
+
+func (f *folder) sync() error {
+	if err := f.log.Sync(); err != nil {
+		return fmt.Errorf("data folder: %w; mend the disk, then start again", err)
+	}
+	return nil
+}
+
+func (f *folder) writeSnapshot(s core.Snapshot) error {
+	data, err := wire.Marshal(s)
+	if err != nil {
+		return err
+	}
+	return f.replace(fileSnapshot, frame(data))
+}
+
+// saveSnapshot puts a snapshot and then a new log in place. A crash between
+// the two leaves the old log, whose beginning the snapshot covers.
+func (f *folder) saveSnapshot(s core.SaveSnapshot) error {
+	if err := f.writeSnapshot(s.Snapshot); err != nil {
+		return err
+	}
+	hard := s.Hard
+	data, err := wire.Marshal(logRecord{Hard: &hard, Entries: s.Tail})
+	if err != nil {
+		return err
+	}
+	if err := f.replace(fileLog, frame(data)); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(f.file(fileLog), os.O_RDWR|os.O_APPEND, fileMode)
+	if err != nil {
+		return fmt.Errorf("data folder: %w; check the rights to it", err)
+	}
+	f.log.Close()
+	f.log = log
+	return nil
+}
--- /dev/null
+++ b/internal/daemon/loop.go
@@ -0,0 +1,119 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+)
+
+// post gives the loop an event. It waits while the queue is full, which slows
+// down whoever brings events.
+func (d *Daemon) post(event core.Event) {
+	select {
+	case d.events <- event:
+	case <-d.tomb.Dying():
+	}
+}
+
+// loop steps the Node: it alone touches it.
+func (d *Daemon) loop() error {
+	for {
+		select {
+		case event := <-d.events:
+			d.step(event)
+		case f := <-d.inspect:
+			f(d.node)
+		case <-d.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (d *Daemon) step(event core.Event) {
+	began := time.Now()
+	effects := d.node.Step(began, event)
+	d.metrics.stepped(event, time.Since(began))
+	for _, effect := range effects {
+		d.carryOut(effect)
+	}
+}
+
+func (d *Daemon) tickLoop() error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.post(core.Tick{})
+		case <-d.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// look runs f on the Node between two events and waits for it.
+func (d *Daemon) look(f func(*core.Node)) bool {
+	done := make(chan struct{})
+	run := func(n *core.Node) {
+		f(n)
+		close(done)
+	}
+	select {
+	case d.inspect <- run:
+		<-done
+		return true
+	case <-d.tomb.Dying():
+		return false
+	}
+}
+
+// diskLoop writes what the Node orders persisted. It takes all that waits
+// before it syncs, so that a burst of records costs one sync.
+func (d *Daemon) diskLoop() error {
+	for {
+		select {
+		case effect := <-d.disk:
+			if err := d.writeBatch(effect); err != nil {
+				d.log.Error(err, "control state can't be kept, the process ends")
+				return err
+			}
+		case <-d.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (d *Daemon) writeBatch(effect core.Effect) error {
+	var sequence uint64
+	for {
+		written, err := d.write(effect)
+		if err != nil {
+			return err
+		}
+		sequence = max(sequence, written)
+		select {
+		case effect = <-d.disk:
+			continue
+		default:
+		}
+		break
+	}
+	if err := d.folder.sync(); err != nil {
+		return err
+	}
+	d.post(core.Persisted{Sequence: sequence})
+	return nil
+}
+
+func (d *Daemon) write(effect core.Effect) (uint64, error) {
+	switch e := effect.(type) {
+	case core.Persist:
+		return e.Sequence, d.folder.append(e)
+	case core.SaveSnapshot:
+		return e.Sequence, d.folder.saveSnapshot(e)
+	case core.Joined:
+		d.folder.identity.Cluster = e.Cluster
+		return 0, d.folder.writeIdentity()
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,242 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"encoding/json"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/wire"
+	"github.com/spoolbank/spoolbank/query"
+)
+
+// outboxLength bounds the messages that wait for one peer. More are dropped:
+// the protocols above expect loss.
+const outboxLength = 4096
+
+// redialPause is the wait after a peer could not be reached.
+const redialPause = 100 * time.Millisecond
+
+// peers sends messages to other VMs, over one stream to each.
+type peers struct {
+	daemon *Daemon
+	mu     sync.Mutex
+	links  map[core.VMName]*peerLink
+}
+
+type peerLink struct {
+	outbox  chan core.Envelope
+	mu      sync.Mutex
+	address string
+}
+
+func newPeers(d *Daemon) *peers {
+	p := &peers{daemon: d, links: make(map[core.VMName]*peerLink)}
+	for name, address := range d.settings.Control.VMs {
+		p.learn(core.VMName(name), address)
+	}
+	return p
+}
+
+// learn takes a VM's address, and starts its link the first time.
+func (p *peers) learn(vm core.VMName, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.links[vm]; ok {
+		l.set(address)
+		return
+	}
+	l := &peerLink{outbox: make(chan core.Envelope, outboxLength), address: address}
+	p.links[vm] = l
+	p.daemon.tomb.Go(func() error {
+		p.daemon.serveLink(l)
+		return nil
+	})
+}
+
+func (l *peerLink) set(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.address = address
+}
+
+func (l *peerLink) get() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address
+}
+
+// address returns where a VM is reached, or the empty text.
+func (p *peers) address(vm core.VMName) string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l, ok := p.links[vm]; ok {
+		return l.get()
+	}
+	return ""
+}
+
+func (p *peers) send(e core.Envelope) {
+	p.mu.Lock()
+	l, ok := p.links[e.To]
+	p.mu.Unlock()
+	if !ok {
+		return
+	}
+	select {
+	case l.outbox <- e:
+	default:
+		p.daemon.metrics.dropped()
+	}
+}
+
+// serveLink keeps a stream to one peer and sends what is in its outbox. What
+// gathers while the peer can't be reached is old by then, and is dropped.
+func (d *Daemon) serveLink(l *peerLink) {
+	for {
+		if err := d.sendAll(l); err != nil {
+			d.log.V(1).Info("peer link broken", "address", l.get(), "error", err.Error())
+		}
+		select {
+		case <-time.After(redialPause):
+			l.drain()
+		case <-d.tomb.Dying():
+			return
+		}
+	}
+}
+
+func (l *peerLink) drain() {
+	for {
+		select {
+		case <-l.outbox:
+		default:
+			return
+		}
+	}
+}
+
+func (d *Daemon) sendAll(l *peerLink) error {
+	conn, err := d.keys.Dial(d.context, l.get())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	stream, err := conn.NewStream(d.context, wire.RPCLink, wire.Encoding{})
+	if err != nil {
+		return err
+	}
+	for {
+		select {
+		case e := <-l.outbox:
+			d.metrics.sent()
+			if err := stream.MsgSend(&e, wire.Encoding{}); err != nil {
+				return err
+			}
+		case <-conn.Closed():
+			return fmt.Errorf("peer %s closed the link", l.get())
+		case <-d.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+// servePeers serves other VMs and operators.
+func (d *Daemon) servePeers() error {
+	mux := drpcmux.New()
+	if err := mux.Register(&peerServer{daemon: d}, wire.Description{}); err != nil {
+		return err
+	}
+	options := drpcserver.Options{
+		Manager: wire.ManagerOptions(),
+		Log:     func(err error) { d.log.V(1).Info("peer connection", "error", err.Error()) },
+	}
+	server := drpcserver.NewWithOptions(mux, options)
+	return server.Serve(d.tomb.Context(d.context), d.keys.Listener(d.peerListener))
+}
+
+// peerServer is the wire.Server of a daemon.
+type peerServer struct{ daemon *Daemon }
+
+// Link implements wire.Server.
+func (s *peerServer) Link(stream drpc.Stream) error {
+	for {
+		var e core.Envelope
+		if err := stream.MsgRecv(&e, wire.Encoding{}); err != nil {
+			return err
+		}
+		s.daemon.metrics.received()
+		s.daemon.post(core.Received{Envelope: e})
+	}
+}
+
+// Operate implements wire.Server.
+func (s *peerServer) Operate(ctx context.Context, request *wire.OperateRequest) (*wire.OperateReply, error) {
+	statement, err := query.Parse(request.Text)
+	if err != nil {
+		return &wire.OperateReply{Result: core.Result{Kind: core.ResultInvalid, Message: err.Error()}}, nil
+	}
+	d := s.daemon
+	conn := d.newConn()
+	result := make(chan core.Result, 1)
+	d.answers.Store(conn, result)
+	defer d.answers.Delete(conn)
+	d.post(core.Operated{
+		Conn:      conn,
+		Statement: statement,
+		Operator:  request.Operator,
+		Number:    request.Number,
+		Digest:    digest(fmt.Sprintf("%d %s", request.Expect, request.Text)),
+		Expect:    request.Expect,
+		WaitUntil: waitUntil(request.WaitMillis),
+	})
+	select {
+	case r := <-result:
+		return &wire.OperateReply{Result: r, Leader: d.peers.address(r.Leader)}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func waitUntil(millis int) time.Time {
+	if millis <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(time.Duration(millis) * time.Millisecond)
+}
+
+func (d *Daemon) answer(e core.Answer) {
+	if result, ok := d.answers.Load(e.Conn); ok {
+		result.(chan core.Result) <- e.Result
+	}
+}
+
+// Dump implements wire.Server.
+func (s *peerServer) Dump(context.Context, *wire.DumpRequest) (*wire.DumpReply, error) {
+	var dump core.Dump
+	s.daemon.look(func(n *core.Node) { dump = n.Dump() })
+	hideKeys(&dump)
+	text, err := json.MarshalIndent(dump, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	return &wire.DumpReply{JSON: text}, nil
+}
+
+// hideKeys takes the hashes of API keys out of a dump.
+func hideKeys(dump *core.Dump) {
+	for _, state := range []*config.State{&dump.Config, &dump.Entry} {
+		for _, o := range state.Organisations.Sorted() {
+			o.Key = "hidden"
+			state.Organisations = state.Organisations.With(o)
+		}
+	}
+}
--- /dev/null
+++ b/internal/fake/service.go
@@ -0,0 +1,271 @@
+package fake
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/target"
+)
+
+// handle serves one JSON message.
+func handle[In, Out any](f func(context.Context, In) Out) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		var in In
+		if err := json.NewDecoder(r.Body).Decode(&in); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		writeJSON(w, f(r.Context(), in))
+	}
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// ServiceOptions describe a fake runner of a plain service.
+type ServiceOptions struct {
+	Name  string
+	Slots int
+	// Delay is how long a call takes.
+	Delay time.Duration
+}
+
+// Service is a fake runner: it counts how often each identity was run.
+type Service struct {
+	options ServiceOptions
+	mu      sync.Mutex
+	busy    int
+	runs    map[string]int
+	leaving bool
+}
+
+// NewService returns a runner.
+func NewService(options ServiceOptions) *Service {
+	return &Service{options: options, runs: make(map[string]int)}
+}
+
+// serviceAnswer is the body of an answer.
+type serviceAnswer struct {
+	Runner string `json:"runner"`
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// Run says how often this runner has run the identity.
+	Run  int    `json:"run"`
+	Echo string `json:"echo"`
+}
+
+// Handler returns the runner's HTTP interface.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+target.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		writeJSON(w, target.LoadReport{Busy: s.busy, Slots: s.options.Slots, Leaving: s.leaving})
+	})
+	mux.HandleFunc("GET /audit", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) })
+	mux.HandleFunc("/", s.call)
+	return mux
+}
+
+// Runs returns how often each identity that changes something was run.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make(map[string]int, len(s.runs))
+	for id, n := range s.runs {
+		runs[id] = n
+	}
+	return runs
+}
+
+func (s *Service) call(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	run, ok := s.begin(r)
+	if !ok {
+		w.Header().Set(target.HeaderNotRun, "no room")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer s.end()
+	pause(context.Background(), s.options.Delay)
+	writeJSON(w, serviceAnswer{Runner: s.options.Name, Method: r.Method, Path: r.URL.RequestURI(), Run: run, Echo: string(body)})
+}
+
+func (s *Service) begin(r *http.Request) (int, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.busy >= s.options.Slots {
+		return 0, false
+	}
+	s.busy++
+	if r.Method == http.MethodGet {
+		return 0, true
+	}
+	id := r.Header.Get(target.HeaderIdempotencyKey)
+	s.runs[id]++
+	return s.runs[id], true
+}
+
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.busy--
+}
+
+// Platform is a fake of the platform's list of VMs.
+type Platform struct {
+	mu      sync.Mutex
+	leaving map[string]bool
+}
+
+// NewPlatform returns a list on which no VM is leaving.
+func NewPlatform() *Platform { return &Platform{leaving: make(map[string]bool)} }
+
+// Handler returns the platform's HTTP interface; POST /leave?vm=NAME puts a VM
+// on the list.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+target.PathVMs, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.list()) })
+	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, r *http.Request) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.leaving[r.URL.Query().Get("vm")] = true
+		writeJSON(w, struct{}{})
+	})
+	return mux
+}
+
+func (p *Platform) list() target.VMList {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := target.VMList{VMs: []target.VMState{}}
+	for name := range p.leaving {
+		list.VMs = append(list.VMs, target.VMState{Name: name, State: target.VMLeaving})
+	}
+	return list
+}
+
+// Relay is a link that can be slowed and severed.
+type Relay struct {
+	listener net.Listener
+	to       string
+	mu       sync.Mutex
+	delay    time.Duration
+	severed  bool
+	open     map[net.Conn]bool
+}
+
+// NewRelay listens at an address and passes all on to another.
+func NewRelay(listen, to string) (*Relay, error) {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, fmt.Errorf("relay: %w", err)
+	}
+	r := &Relay{listener: l, to: to, open: make(map[net.Conn]bool)}
+	go r.accept()
+	return r, nil
+}
+
+// Address returns where the relay listens.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Slow sets the delay of every piece that passes.
+func (r *Relay) Slow(delay time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = delay
+}
+
+// Sever cuts all connections and lets none through, or mends the link.
+func (r *Relay) Sever(severed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.severed = severed
+	if severed {
+		for c := range r.open {
+			c.Close()
+		}
+	}
+}
+
+// Close ends the relay.
+func (r *Relay) Close() {
+	r.listener.Close()
+	r.Sever(true)
+}
+
+func (r *Relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(c)
+	}
+}
+
+func (r *Relay) pass(c net.Conn) {
+	defer c.Close()
+	if !r.add(c) {
+		return
+	}
+	defer r.remove(c)
+	out, err := net.Dial("tcp", r.to)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	if !r.add(out) {
+		return
+	}
+	defer r.remove(out)
+	go r.copy(c, out)
+	r.copy(out, c)
+}
+
+func (r *Relay) add(c net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.severed {
+		return false
+	}
+	r.open[c] = true
+	return true
+}
+
+func (r *Relay) remove(c net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.open, c)
+}
+
+func (r *Relay) copy(to, from net.Conn) {
+	defer to.Close()
+	defer from.Close()
+	buffer := make([]byte, 64<<10)
+	for {
+		count, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		delay := r.delay
+		r.mu.Unlock()
+		pause(context.Background(), delay)
+		if _, err := to.Write(buffer[:count]); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/target/client.go
@@ -0,0 +1,237 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+)
+
+// replyLimit bounds what is read of a reply, in bytes.
+const replyLimit = 64 << 20
+
+// watchTime bounds a look at a target.
+const watchTime = time.Second
+
+// Client speaks to back ends and to the platform.
+type Client struct{ http *http.Client }
+
+// NewClient returns a Client with connections of its own.
+func NewClient() *Client {
+	return &Client{http: &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost: 512,
+		IdleConnTimeout:     time.Minute,
+	}}}
+}
+
+// Post sends a message to a path at an address and reads the reply into it.
+func Post[Reply any](ctx context.Context, c *Client, address, path string, message any) (Reply, error) {
+	var reply Reply
+	body, err := json.Marshal(message)
+	if err != nil {
+		return reply, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return reply, err
+	}
+	request.Header.Set("Content-Type", "application/json")
+	return roundTrip[Reply](c, request)
+}
+
+func roundTrip[Reply any](c *Client, request *http.Request) (Reply, error) {
+	var reply Reply
+	response, err := c.http.Do(request)
+	if err != nil {
+		return reply, err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(response.Body, replyLimit))
+	if err != nil {
+		return reply, err
+	}
+	if response.StatusCode != http.StatusOK {
+		return reply, fmt.Errorf("target: %s answered %s; check that it speaks the protocol of docs/TARGETS.md", request.URL, response.Status)
+	}
+	return reply, json.Unmarshal(text, &reply)
+}
+
+// NotSent reports whether err shows that a request never reached its server.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Run orders a run and waits for its end.
+func (c *Client) Run(ctx context.Context, r core.Run) core.RunEnded {
+	ended := core.RunEnded{Stream: r.Stream, Epoch: r.Epoch, Position: r.Position}
+	if time.Now().After(r.NotAfter) {
+		ended.Result, ended.Target = core.ResultRefused, r.Chain[0].Target
+		return ended
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Silence)
+	defer cancel()
+	order := RunOrder{
+		Stream: r.Stream, Epoch: r.Epoch, Position: r.Position, Model: r.Model,
+		Prompt: r.Prompt, Chain: r.Chain, Priority: int(r.Class),
+		SilenceMillis: time.Until(r.Silence).Milliseconds(),
+	}
+	if r.Position > 0 {
+		order.Token = &r.Token
+	}
+	reply, err := Post[RunReply](ctx, c, r.Chain[0].Address, PathRun, order)
+	if err != nil {
+		ended.Result, ended.Target = core.ResultBroken, r.Chain[0].Target
+		return ended
+	}
+	ended.Result, ended.Target = reply.Result, reply.Target
+	ended.Next, ended.Token, ended.Finish, ended.Load = reply.Next, reply.Token, reply.Finish, reply.Load
+	return ended
+}
+
+// Rebuild orders a rebuild and waits for its end.
+func (c *Client) Rebuild(ctx context.Context, r core.Rebuild) core.RebuildEnded {
+	ctx, cancel := context.WithDeadline(ctx, r.Silence)
+	defer cancel()
+	reply, err := Post[RebuildReply](ctx, c, r.Stage.Address, PathRebuild, RebuildOrder{
+		Stream: r.Stream, Epoch: r.Epoch, Position: r.Position, Model: r.Model, Stage: r.Stage,
+		Source: r.Source, Prompt: r.Prompt, Tokens: r.Tokens,
+		SilenceMillis: time.Until(r.Silence).Milliseconds(),
+	})
+	if err != nil {
+		reply = RebuildReply{Result: core.ResultBroken, Target: r.Stage.Target}
+	}
+	return core.RebuildEnded{Stream: r.Stream, Epoch: r.Epoch, Target: reply.Target, Result: reply.Result}
+}
+
+// Release tells the engines of a chain that a stream has ended. It is a
+// courtesy: an engine drops streams that are idle for long by itself.
+func (c *Client) Release(ctx context.Context, r core.Release) {
+	ctx, cancel := context.WithTimeout(ctx, watchTime)
+	defer cancel()
+	for _, s := range r.Chain {
+		_, _ = Post[struct{}](ctx, c, s.Address, PathRelease, ReleaseOrder{Stream: r.Stream, Epoch: r.Epoch})
+	}
+}
+
+// Order sends a placement order, unless it is void already.
+func (c *Client) Order(ctx context.Context, o core.Order) core.OrderEnded {
+	ended := core.OrderEnded{Target: o.Placement.Target, Fence: o.Fence}
+	life := time.Until(o.NotAfter)
+	if life <= 0 {
+		return ended
+	}
+	ctx, cancel := context.WithTimeout(ctx, life)
+	defer cancel()
+	reply, err := Post[PlaceReply](ctx, c, o.Address, PathOrder, PlaceOrder{
+		Fence: o.Fence, Model: o.Placement.Model, Version: o.Placement.Version,
+		Adapters: o.Adapters, Layers: o.Placement.Layers, LifeMillis: life.Milliseconds(),
+	})
+	ended.Done = err == nil && reply.Result == OrderDone
+	return ended
+}
+
+// Watch looks at a target.
+func (c *Client) Watch(ctx context.Context, w core.Watch) core.Watched {
+	ctx, cancel := context.WithTimeout(ctx, watchTime)
+	defer cancel()
+	watched := core.Watched{Report: core.TargetReport{Target: w.Target}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Address+PathLoad, nil)
+	if err != nil {
+		return watched
+	}
+	report, err := roundTrip[LoadReport](c, request)
+	if err != nil {
+		return watched
+	}
+	watched.Busy = report.Busy
+	watched.Report.Reached = true
+	watched.Report.Leaving = report.Leaving
+	watched.Report.Holding = report.Holding
+	return watched
+}
+
+// Platform asks for the platform's list.
+func (c *Client) Platform(ctx context.Context, url string) (core.PlatformListed, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTime)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url+PathVMs, nil)
+	if err != nil {
+		return core.PlatformListed{}, err
+	}
+	list, err := roundTrip[VMList](c, request)
+	if err != nil {
+		return core.PlatformListed{}, err
+	}
+	var listed core.PlatformListed
+	for _, vm := range list.VMs {
+		if vm.State == VMLeaving {
+			listed.Leaving = append(listed.Leaving, vm.Name)
+		}
+	}
+	return listed, nil
+}
+
+// Call is the body and form of a call to a plain service.
+type Call struct {
+	Method      string
+	Path        string
+	ContentType string
+	Body        []byte
+}
+
+// HeaderIdempotencyKey carries a request's identity, from callers and to
+// plain services.
+const HeaderIdempotencyKey = "Idempotency-Key"
+
+// Dispatch sends a call to a runner, unless the right to has ended.
+func (c *Client) Dispatch(ctx context.Context, d core.Dispatch, call Call) core.DispatchEnded {
+	ended := core.DispatchEnded{Conn: d.Conn, ID: d.ID, Target: d.Target, Result: core.ResultRefused}
+	if time.Now().After(d.NotAfter) {
+		return ended
+	}
+	ctx, cancel := context.WithDeadline(ctx, d.Deadline)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+d.Address+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return ended
+	}
+	// Without a body to rewind, the transport never sends a request twice.
+	request.GetBody = nil
+	request.Header.Set(HeaderIdempotencyKey, string(d.ID))
+	if call.ContentType != "" {
+		request.Header.Set("Content-Type", call.ContentType)
+	}
+	response, err := c.http.Do(request)
+	if NotSent(err) {
+		return ended
+	}
+	ended.Result = core.ResultBroken
+	if err != nil {
+		return ended
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(response.Body, replyLimit))
+	if err != nil {
+		return ended
+	}
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) != "" {
+		ended.Result = core.ResultRefused
+		return ended
+	}
+	ended.Result = core.ResultDone
+	ended.Answer = core.CallAnswer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}
+	return ended
+}
+
+// HeaderNotRun is how a plain service says, with status 503, that it did not
+// run a call.
+const HeaderNotRun = "Spoolbank-Not-Run"
--- /dev/null
+++ b/internal/wire/dial.go
@@ -0,0 +1,84 @@
+package wire
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcwire"
+)
+
+// dialTime bounds the wait for a connection.
+const dialTime = 2 * time.Second
+
+// Keys are the certificate and authority of mutual TLS. The zero value is
+// plain text.
+type Keys struct{ config *tls.Config }
+
+// LoadKeys reads PEM files.
+func LoadKeys(certificate, key, authority string) (Keys, error) {
+	pair, err := tls.LoadX509KeyPair(certificate, key)
+	if err != nil {
+		return Keys{}, fmt.Errorf("keys: %w; check tls.certificate and tls.key", err)
+	}
+	pem, err := os.ReadFile(authority)
+	if err != nil {
+		return Keys{}, fmt.Errorf("keys: %w; check tls.authority", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return Keys{}, fmt.Errorf("keys: no certificate in %s; name the authority's PEM file", authority)
+	}
+	return Keys{config: &tls.Config{
+		MinVersion:   tls.VersionTLS13,
+		Certificates: []tls.Certificate{pair},
+		RootCAs:      pool,
+		ClientCAs:    pool,
+		ClientAuth:   tls.RequireAndVerifyClientCert,
+	}}, nil
+}
+
+// Listener wraps l so that only holders of a certificate get through.
+func (k Keys) Listener(l net.Listener) net.Listener {
+	if k.config == nil {
+		return l
+	}
+	return tls.NewListener(l, k.config)
+}
+
+// ManagerOptions returns the limits of both ends of a connection.
+func ManagerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MessageLimit}}
+}
+
+// Dial connects to a daemon's address for peers.
+func (k Keys) Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTime)
+	defer cancel()
+	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	options := drpcconn.Options{Manager: ManagerOptions()}
+	if k.config == nil {
+		return drpcconn.NewWithOptions(raw, options), nil
+	}
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, err
+	}
+	config := k.config.Clone()
+	config.ServerName = host
+	secure := tls.Client(raw, config)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		return nil, fmt.Errorf("keys: %s refused the handshake: %w; check the authority on both sides", address, err)
+	}
+	return drpcconn.NewWithOptions(secure, options), nil
+}
--- /dev/null
+++ b/query/query.go
@@ -0,0 +1,369 @@
+// Package query is the language in which operators drive spoolbank. It is the
+// same for all objects:
+//
+//	show targets where hall = nabua and state != up
+//	declare pipeline digest model=fiji version=v3 class=1 max_tokens=64
+//	set organisation bula weight=4
+//	remove event open
+//	drain vm walu-bay-1
+//	admit target r07
+//
+// Parse turns a text into a typed Statement; it reads nothing else.
+package query
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// What is a list that can be shown.
+type What string
+
+// The lists that can be shown.
+const (
+	Config        What = "config"
+	Events        What = "events"
+	Leases        What = "leases"
+	Models        What = "models"
+	Organisations What = "organisations"
+	Pipelines     What = "pipelines"
+	Replicas      What = "replicas"
+	Requests      What = "requests"
+	Services      What = "services"
+	Targets       What = "targets"
+	VMs           What = "vms"
+)
+
+// Lists returns all lists that can be shown, sorted.
+func Lists() []What {
+	return []What{Config, Events, Leases, Models, Organisations, Pipelines, Replicas, Requests, Services, Targets, VMs}
+}
+
+// Statement is a parsed statement: exactly one field is set.
+type Statement struct {
+	Show    *Show
+	Declare *Declare
+	Set     *Declare
+	Remove  *config.Ref
+	Drain   *config.Ref
+	Admit   *config.Ref
+}
+
+// IsCommand reports whether the statement changes the configuration.
+func (s Statement) IsCommand() bool { return s.Show == nil }
+
+// Show asks for a list.
+type Show struct {
+	What  What
+	Where []Condition
+}
+
+// Local reports whether each VM knows the list of itself only, so that the
+// client has to ask them all.
+func (s Show) Local() bool { return s.What == Requests }
+
+// Condition is a test on a field of a row.
+type Condition struct {
+	Field string
+	// Column is where the field stands in the text, from 1.
+	Column int
+	Op     Op
+	Value  string
+}
+
+// Op is a comparison.
+type Op string
+
+// The comparisons. The ordered ones compare numbers as numbers.
+const (
+	Equal   Op = "="
+	Differs Op = "!="
+	Less    Op = "<"
+	More    Op = ">"
+	AtMost  Op = "<="
+	AtLeast Op = ">="
+)
+
+// Meets reports whether value stands in the condition's relation.
+func (c Condition) Meets(value string) bool {
+	order := compare(value, c.Value)
+	switch c.Op {
+	case Equal:
+		return order == 0
+	case Differs:
+		return order != 0
+	case Less:
+		return order < 0
+	case More:
+		return order > 0
+	case AtMost:
+		return order <= 0
+	case AtLeast:
+		return order >= 0
+	}
+	return false
+}
+
+func compare(a, b string) int {
+	x, errX := strconv.ParseFloat(a, 64)
+	y, errY := strconv.ParseFloat(b, 64)
+	if errX == nil && errY == nil {
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	}
+	return strings.Compare(a, b)
+}
+
+// Declare gives an object its fields.
+type Declare struct {
+	Ref    config.Ref
+	Fields []Field
+}
+
+// Field is one assignment. JSON is its value in JSON.
+type Field struct {
+	Name   string
+	Column int
+	JSON   json.RawMessage
+}
+
+// SyntaxError says where a text can't be understood, and what would be valid.
+type SyntaxError struct {
+	// Column counts characters from 1.
+	Column  int
+	Message string
+}
+
+// Error implements error.
+func (e *SyntaxError) Error() string { return fmt.Sprintf("column %d: %s", e.Column, e.Message) }
+
+// Decode sets the fields of target, a pointer to an object of the
+// configuration, and leaves the others as they are.
+func (d Declare) Decode(target any) error {
+	valid := fieldNames(target)
+	for _, f := range d.Fields {
+		if f.Name == "name" || !slices.Contains(valid, f.Name) {
+			return &SyntaxError{f.Column, fmt.Sprintf("a %s has no field %q; use one of %s", d.Ref.Kind, f.Name, strings.Join(valid, ", "))}
+		}
+		if err := d.decodeField(f, target); err != nil {
+			return &SyntaxError{f.Column, fmt.Sprintf("field %q does not take %s; %v", f.Name, f.JSON, err)}
+		}
+	}
+	name, err := json.Marshal(d.Ref.Name)
+	if err != nil {
+		return fmt.Errorf("name of %s: %w", d.Ref, err)
+	}
+	return d.decodeField(Field{Name: "name", JSON: name}, target)
+}
+
+func (d Declare) decodeField(f Field, target any) error {
+	object, err := json.Marshal(map[string]json.RawMessage{f.Name: f.JSON})
+	if err != nil {
+		return err
+	}
+	err = json.NewDecoder(bytes.NewReader(object)).Decode(target)
+	var wrong *json.UnmarshalTypeError
+	if errors.As(err, &wrong) {
+		return fmt.Errorf("give a %s", wrong.Type)
+	}
+	return err
+}
+
+// fieldNames returns the fields that operators may set, sorted.
+func fieldNames(target any) []string {
+	hidden := []string{"name", "leaving", "down"}
+	var names []string
+	for _, f := range reflect.VisibleFields(reflect.TypeOf(target).Elem()) {
+		name, _, _ := strings.Cut(f.Tag.Get("json"), ",")
+		if !slices.Contains(hidden, name) {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// The grammar, as the parser library reads it.
+type (
+	statementNode struct {
+		Pos     lexer.Position
+		Show    *showNode   `parser:"'show' @@"`
+		Declare *objectNode `parser:"| 'declare' @@"`
+		Set     *objectNode `parser:"| 'set' @@"`
+		Remove  *refNode    `parser:"| 'remove' @@"`
+		Drain   *refNode    `parser:"| 'drain' @@"`
+		Admit   *refNode    `parser:"| 'admit' @@"`
+	}
+	showNode struct {
+		Pos   lexer.Position
+		What  string          `parser:"@Word"`
+		Where []conditionNode `parser:"('where' @@ ('and' @@)*)?"`
+	}
+	conditionNode struct {
+		Pos   lexer.Position
+		Field string `parser:"@Word"`
+		Op    string `parser:"@('=' | '!=' | '<=' | '>=' | '<' | '>')"`
+		Value string `parser:"@(Word | Text)"`
+	}
+	refNode struct {
+		Pos  lexer.Position
+		Kind string `parser:"@Word"`
+		Name string `parser:"@(Word | Text)"`
+	}
+	objectNode struct {
+		Ref    refNode     `parser:"@@"`
+		Fields []fieldNode `parser:"@@*"`
+	}
+	fieldNode struct {
+		Pos   lexer.Position
+		Name  string    `parser:"@Word '='"`
+		Value valueNode `parser:"@@"`
+	}
+	valueNode struct {
+		Pos    lexer.Position
+		Word   *string     `parser:"@Word"`
+		Text   *string     `parser:"| @Text"`
+		List   bool        `parser:"| @'['"`
+		Values []valueNode `parser:"(@@ (',' @@)*)? ']'"`
+	}
+)
+
+var (
+	tokens = lexer.MustSimple([]lexer.SimpleRule{
+		{Name: "Text", Pattern: `"(\\.|[^"\\])*"`},
+		{Name: "Word", Pattern: `[A-Za-z0-9_][A-Za-z0-9_.:/+-]*`},
+		{Name: "Mark", Pattern: `!=|<=|>=|[=<>\[\],]`},
+		{Name: "space", Pattern: `\s+`},
+	})
+	parser = participle.MustBuild[statementNode](participle.Lexer(tokens), participle.Unquote("Text"))
+)
+
+// maxLength bounds a statement, in bytes.
+const maxLength = 64 << 10
+
+// Parse reads one statement. Its errors are of type *SyntaxError.
+func Parse(text string) (Statement, error) {
+	if len(text) > maxLength {
+		return Statement{}, &SyntaxError{maxLength, fmt.Sprintf("the statement is longer than %d bytes; split it", maxLength)}
+	}
+	node, err := parser.ParseString("", text)
+	if err != nil {
+		return Statement{}, syntaxError(err)
+	}
+	return node.statement()
+}
+
+func syntaxError(err error) error {
+	var parse participle.Error
+	if !errors.As(err, &parse) {
+		return &SyntaxError{1, err.Error()}
+	}
+	hint := "a statement begins with show, declare, set, remove, drain or admit"
+	if parse.Position().Column > 1 {
+		hint = "`spoolbank help` shows examples"
+	}
+	return &SyntaxError{max(parse.Position().Column, 1), fmt.Sprintf("%s; %s", parse.Message(), hint)}
+}
+
+func (s statementNode) statement() (Statement, error) {
+	switch {
+	case s.Show != nil:
+		show, err := s.Show.show()
+		return Statement{Show: show}, err
+	case s.Declare != nil:
+		d, err := s.Declare.declare()
+		return Statement{Declare: d}, err
+	case s.Set != nil:
+		d, err := s.Set.declare()
+		return Statement{Set: d}, err
+	case s.Remove != nil:
+		ref, err := s.Remove.ref(config.Kinds())
+		return Statement{Remove: ref}, err
+	case s.Drain != nil:
+		ref, err := s.Drain.ref(drainable)
+		return Statement{Drain: ref}, err
+	default:
+		ref, err := s.Admit.ref(drainable)
+		return Statement{Admit: ref}, err
+	}
+}
+
+var drainable = []config.Kind{config.KindTarget, config.KindVM}
+
+func (s showNode) show() (*Show, error) {
+	what := What(s.What)
+	if !slices.Contains(Lists(), what) {
+		return nil, &SyntaxError{s.Pos.Column, fmt.Sprintf("there is no list %q; use one of %v", s.What, Lists())}
+	}
+	show := &Show{What: what}
+	for _, c := range s.Where {
+		show.Where = append(show.Where, Condition{Field: c.Field, Column: c.Pos.Column, Op: Op(c.Op), Value: c.Value})
+	}
+	return show, nil
+}
+
+func (r refNode) ref(kinds []config.Kind) (*config.Ref, error) {
+	kind := config.Kind(r.Kind)
+	if !slices.Contains(kinds, kind) {
+		return nil, &SyntaxError{r.Pos.Column, fmt.Sprintf("%q can't stand here; use one of %v", r.Kind, kinds)}
+	}
+	return &config.Ref{Kind: kind, Name: r.Name}, nil
+}
+
+func (o objectNode) declare() (*Declare, error) {
+	ref, err := o.Ref.ref(config.Kinds())
+	if err != nil {
+		return nil, err
+	}
+	d := &Declare{Ref: *ref}
+	for _, f := range o.Fields {
+		value, err := json.Marshal(f.Value.value())
+		if err != nil {
+			return nil, &SyntaxError{f.Pos.Column, err.Error()}
+		}
+		d.Fields = append(d.Fields, Field{Name: f.Name, Column: f.Pos.Column, JSON: value})
+	}
+	return d, nil
+}
+
+// value returns the value as JSON knows it: a word that reads as a number or
+// truth value is one, a quoted text never is.
+func (v valueNode) value() any {
+	switch {
+	case v.Text != nil:
+		return *v.Text
+	case v.Word != nil:
+		return wordValue(*v.Word)
+	}
+	values := make([]any, 0, len(v.Values))
+	for _, item := range v.Values {
+		values = append(values, item.value())
+	}
+	return values
+}
+
+func wordValue(word string) any {
+	if word == "true" || word == "false" {
+		return word == "true"
+	}
+	if json.Valid([]byte(word)) {
+		return json.RawMessage(word)
+	}
+	return word
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,247 @@
+// Package settings reads the settings of a daemon: JSON with comments, checked
+// as a whole. Load returns every fault at once, each with its line and column.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/tailscale/hujson"
+)
+
+// Role is a part that a daemon plays.
+type Role string
+
+// The roles. One VM may have both.
+const (
+	RoleControl Role = "control"
+	RoleEntry   Role = "entry"
+)
+
+// Settings are the settings of one daemon.
+type Settings struct {
+	// Name is the VM's name, unique in the deployment; Hall its data hall.
+	Name  string `json:"name"`
+	Hall  string `json:"hall"`
+	Roles []Role `json:"roles"`
+	// Data is the data folder of a control VM.
+	Data   string `json:"data"`
+	Listen Listen `json:"listen"`
+	// Control says who the control VMs are.
+	Control Control `json:"control"`
+	// Platform is the URL of the platform's list of VMs; empty for none.
+	Platform string   `json:"platform"`
+	TLS      TLS      `json:"tls"`
+	Limits   Limits   `json:"limits"`
+	Timing   Timing   `json:"timing"`
+	LogLevel LogLevel `json:"log_level"`
+}
+
+// Listen holds the addresses of a daemon, as IP:PORT.
+type Listen struct {
+	// Callers is for callers, Peers for VMs and operators, Metrics for scrapes.
+	Callers string `json:"callers"`
+	Peers   string `json:"peers"`
+	Metrics string `json:"metrics"`
+}
+
+// Control says who the control VMs are.
+type Control struct {
+	// VMs maps names to the addresses for peers.
+	VMs           map[string]string `json:"vms"`
+	Voters        int               `json:"voters"`
+	SnapshotEvery int               `json:"snapshot_every"`
+}
+
+// TLS names the files of the mutual TLS between VMs and with operators.
+type TLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+	// PlainText must be set to go without.
+	PlainText bool `json:"plain_text"`
+}
+
+// Limits bound what callers may ask of a daemon.
+type Limits struct {
+	HeaderBytes int      `json:"header_bytes"`
+	BodyBytes   int64    `json:"body_bytes"`
+	Requests    int      `json:"requests"`
+	RequestTime Duration `json:"request_time"`
+}
+
+// Timing holds the intervals that operators may set; see core.Timing.
+type Timing struct {
+	Heartbeat    Duration `json:"heartbeat"`
+	ElectionMin  Duration `json:"election_min"`
+	ElectionMax  Duration `json:"election_max"`
+	Lease        Duration `json:"lease"`
+	Renew        Duration `json:"renew"`
+	ReplaceAfter Duration `json:"replace_after"`
+	KeepEntries  Duration `json:"keep_entries"`
+	StageSilence Duration `json:"stage_silence"`
+}
+
+// LogLevel is the least level that is logged.
+type LogLevel string
+
+// The log levels.
+const (
+	LogDebug LogLevel = "debug"
+	LogInfo  LogLevel = "info"
+	LogError LogLevel = "error"
+)
+
+// Duration is a time.Duration that is written as in "1.5s".
+type Duration time.Duration
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (d *Duration) UnmarshalJSON(text []byte) error {
+	var s string
+	if err := json.Unmarshal(text, &s); err != nil {
+		return fmt.Errorf("give a duration in quotes, as in \"1.5s\"")
+	}
+	value, err := time.ParseDuration(s)
+	if err != nil {
+		return fmt.Errorf("give a duration as in \"1.5s\" or \"200ms\"")
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// MarshalJSON implements json.Marshaler.
+func (d Duration) MarshalJSON() ([]byte, error) { return json.Marshal(time.Duration(d).String()) }
+
+// Default returns what holds where a file is silent.
+func Default() Settings {
+	return Settings{
+		Control: Control{Voters: 3, SnapshotEvery: 1000},
+		Limits: Limits{
+			HeaderBytes: 16 << 10,
+			BodyBytes:   1 << 20,
+			Requests:    20000,
+			RequestTime: Duration(60 * time.Second),
+		},
+		Timing: Timing{
+			Heartbeat:    Duration(100 * time.Millisecond),
+			ElectionMin:  Duration(500 * time.Millisecond),
+			ElectionMax:  Duration(1000 * time.Millisecond),
+			Lease:        Duration(3 * time.Second),
+			Renew:        Duration(500 * time.Millisecond),
+			ReplaceAfter: Duration(10 * time.Second),
+			KeepEntries:  Duration(5 * time.Second),
+			StageSilence: Duration(2 * time.Second),
+		},
+		LogLevel: LogInfo,
+	}
+}
+
+// HasRole reports whether the daemon plays the role.
+func (s Settings) HasRole(r Role) bool { return slices.Contains(s.Roles, r) }
+
+// Load reads and checks a file. Its error is of type Faults when the file can
+// be read and is wrong.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("settings: %w; name a readable file with --settings", err)
+	}
+	return Parse(text)
+}
+
+// Parse reads and checks settings. Its error is of type Faults.
+func Parse(text []byte) (Settings, error) {
+	tree, err := hujson.Parse(text)
+	if err != nil {
+		return Settings{}, syntaxFaults(err)
+	}
+	c := newChecker(text, tree)
+	s := Default()
+	c.checkFields("", &tree, s)
+	if len(c.faults) > 0 {
+		return Settings{}, c.sorted()
+	}
+	standard, err := hujson.Standardize(bytes.Clone(text))
+	if err != nil {
+		return Settings{}, syntaxFaults(err)
+	}
+	if err := json.Unmarshal(standard, &s); err != nil {
+		return Settings{}, syntaxFaults(err)
+	}
+	c.checkValues(s)
+	if len(c.faults) > 0 {
+		return Settings{}, c.sorted()
+	}
+	return s, nil
+}
+
+// checkValues checks what is right in form.
+func (c *checker) checkValues(s Settings) {
+	c.require(s.Name != "", "/name", "name is required; give the VM a name of its own")
+	c.require(s.Hall != "", "/hall", "hall is required; name the VM's data hall")
+	c.require(len(s.Roles) > 0, "/roles", "roles is required; give \"control\", \"entry\" or both")
+	for _, r := range s.Roles {
+		c.require(r == RoleControl || r == RoleEntry, "/roles", fmt.Sprintf("there is no role %q; use \"control\" or \"entry\"", r))
+	}
+	c.checkAddress(s.Listen.Peers, "/listen/peers", true)
+	c.checkAddress(s.Listen.Callers, "/listen/callers", s.HasRole(RoleEntry))
+	c.checkAddress(s.Listen.Metrics, "/listen/metrics", false)
+	c.require(s.Data != "" || !s.HasRole(RoleControl), "/data", "a control VM needs a data folder; name one on its disk")
+	c.checkControl(s)
+	c.checkTLS(s.TLS)
+	c.checkLimits(s.Limits)
+	c.checkTiming(s.Timing)
+	levels := []LogLevel{LogDebug, LogInfo, LogError}
+	c.require(slices.Contains(levels, s.LogLevel), "/log_level", "log_level is debug, info or error")
+}
+
+func (c *checker) checkAddress(address, path string, required bool) {
+	if address == "" {
+		c.require(!required, path, path[1:]+" is required; give an address as IP:PORT")
+		return
+	}
+	_, err := netip.ParseAddrPort(address)
+	c.require(err == nil, path, fmt.Sprintf("%q is no address; give IP:PORT with an IP number", address))
+}
+
+func (c *checker) checkControl(s Settings) {
+	c.require(len(s.Control.VMs) > 0, "/control/vms", "control.vms is required; list each control VM with its address for peers")
+	for name, address := range s.Control.VMs {
+		c.checkAddress(address, "/control/vms/"+name, true)
+	}
+	if s.HasRole(RoleControl) {
+		_, listed := s.Control.VMs[s.Name]
+		c.require(listed, "/control/vms", fmt.Sprintf("a control VM lists itself; add %q", s.Name))
+	}
+	c.require(s.Control.Voters%2 == 1 && s.Control.Voters > 0, "/control/voters", "voters is an odd number; an even one survives no more losses")
+	c.require(s.Control.SnapshotEvery >= 10, "/control/snapshot_every", "snapshot_every is at least 10 log entries")
+}
+
+func (c *checker) checkTLS(t TLS) {
+	named := t.Certificate != "" && t.Key != "" && t.Authority != ""
+	c.require(named || t.PlainText, "/tls", "tls needs certificate, key and authority; or set plain_text to true to go without")
+	c.require(!t.PlainText || t.Certificate == "", "/tls/plain_text", "plain_text goes without a certificate; drop one of them")
+}
+
+func (c *checker) checkLimits(l Limits) {
+	c.require(l.HeaderBytes >= 1<<10, "/limits/header_bytes", "header_bytes is at least 1024")
+	c.require(l.BodyBytes >= 1<<10, "/limits/body_bytes", "body_bytes is at least 1024")
+	c.require(l.Requests > 0, "/limits/requests", "requests is at least 1")
+	c.require(l.RequestTime > 0, "/limits/request_time", "request_time is more than 0s")
+}
+
+func (c *checker) checkTiming(t Timing) {
+	c.require(t.Heartbeat > 0, "/timing/heartbeat", "heartbeat is more than 0s")
+	c.require(t.ElectionMin >= 3*t.Heartbeat, "/timing/election_min", "election_min is at least three heartbeats, or a lost message costs an election")
+	c.require(t.ElectionMax >= t.ElectionMin+t.ElectionMin/4, "/timing/election_max", "election_max is at least a quarter more than election_min, or replicas stand together")
+	c.require(t.Renew > 0 && t.Lease >= 3*t.Renew, "/timing/lease", "lease is at least three times renew, or a lost message costs it")
+	c.require(t.Lease >= 2*t.ElectionMax, "/timing/lease", "lease is at least twice election_max, or each election stops the entry VMs")
+	c.require(t.KeepEntries > 0, "/timing/keep_entries", "keep_entries is more than 0s")
+	c.require(t.StageSilence > 0, "/timing/stage_silence", "stage_silence is more than 0s")
+	c.require(t.ReplaceAfter >= 2*t.ElectionMax, "/timing/replace_after", "replace_after is at least twice election_max")
+}
