core: count work by the route's name, not by the route

Cause: a drained VM's load showed -112: a mended chain came back under its name with a count of 0 while streams of its former life still ended on it. Ruled out: double release (endRun is guarded by holding). Change: the pool keeps the counts by name; Check covers them. fake: a batch that runs apart from the streams that memory holds, so that stages of a chain work at the same time.

--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -79,9 +79,8 @@
 	// termStart is the index of the entry that the leader began its term with.
 	termStart Index
 	// synced is the last index of the own log that the disk has.
-	synced       Index
-	syncMarks    []syncMark
-	snapshotting bool
+	synced    Index
+	syncMarks []syncMark
 }
 
 // syncMark says which index a sequence of Persist covers.
--- a/internal/core/invariant.go
+++ b/internal/core/invariant.go
@@ -43,6 +43,13 @@
 			broken = append(broken, fmt.Errorf("stream %s runs unknown to its keeper; report it with a dump", id))
 		}
 	}
+	for _, p := range n.entry.pools {
+		for name, used := range p.used {
+			if used < 0 {
+				broken = append(broken, fmt.Errorf("route %s counts %d in use; report it with a dump", name, used))
+			}
+		}
+	}
 	for name, t := range n.entry.targets {
 		if t.used < 0 {
 			broken = append(broken, fmt.Errorf("target %s counts %d in use; report it with a dump", name, t.used))
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -49,8 +49,6 @@
 	entry    entry
 	stopping bool
 	stopped  bool
-	// Violations counts broken invariants; see Check.
-	violations int
 }
 
 // New returns a Node that starts at now.
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -17,7 +17,11 @@
 type pool struct {
 	name   string
 	routes []route
-	queue  fairQueue[*waiting]
+	// used counts what is in progress by the name of its route. It outlives
+	// the route: a chain that is mended comes back under its name while old
+	// work still runs on it.
+	used  map[string]int
+	queue fairQueue[*waiting]
 	// served is the rate at which work ends, in units of cost a second, as an
 	// exponential mean; queued is the cost of what waits.
 	served   float64
@@ -34,7 +38,6 @@
 	// the targets report room, and halves when one refuses, so that several
 	// entry VMs share targets without speaking to each other.
 	window float64
-	used   int
 }
 
 // targetState is what this entry VM knows of a target from its own work.
@@ -141,14 +144,13 @@
 func (n *Node) setRoutes(name string, routes []route) {
 	p, ok := n.entry.pools[name]
 	if !ok {
-		p = &pool{name: name, queue: newFairQueue[*waiting](config.ClassCount), servedAt: n.now}
+		p = &pool{name: name, used: make(map[string]int), queue: newFairQueue[*waiting](config.ClassCount), servedAt: n.now}
 		n.entry.pools[name] = p
 	}
 	for i := range routes {
 		routes[i].window = n.firstWindow(routes[i].slots)
 		if old := p.route(routes[i].name); old != nil {
 			routes[i].window = min(old.window, float64(routes[i].slots))
-			routes[i].used = old.used
 		}
 	}
 	p.routes = routes
@@ -174,7 +176,7 @@
 func (n *Node) choose(p *pool, avoid string) *route {
 	var open []int
 	for i, r := range p.routes {
-		if float64(r.used) < r.window && !n.routeSuspect(r) && !r.uses(avoid) {
+		if float64(p.used[r.name]) < r.window && !n.routeSuspect(r) && !r.uses(avoid) {
 			open = append(open, i)
 		}
 	}
@@ -183,7 +185,7 @@
 	}
 	a := &p.routes[open[n.rand.IntN(len(open))]]
 	b := &p.routes[open[n.rand.IntN(len(open))]]
-	if n.cost(b) < n.cost(a) {
+	if n.cost(p, b) < n.cost(p, a) {
 		return b
 	}
 	return a
@@ -199,8 +201,8 @@
 
 // cost of a route is the part of its slots that is used, and a little for each
 // stage in another hall.
-func (n *Node) cost(r *route) float64 {
-	cost := float64(r.used+1) / float64(max(r.slots, 1))
+func (n *Node) cost(p *pool, r *route) float64 {
+	cost := float64(p.used[r.name]+1) / float64(max(r.slots, 1))
 	for _, s := range r.stages {
 		if t, ok := n.entry.config.Targets.Get(s.Target); ok && t.Hall != n.settings.Address.Hall {
 			cost += awayCost
@@ -230,9 +232,7 @@
 
 // take counts a piece of work on a route and its stages.
 func (n *Node) take(p *pool, name string, stages []Stage) {
-	if r := p.route(name); r != nil {
-		r.used++
-	}
+	p.used[name]++
 	for _, s := range stages {
 		n.target(s.Target).used++
 	}
@@ -246,8 +246,9 @@
 	if !ok {
 		return
 	}
-	if r := p.route(name); r != nil {
-		r.used--
+	p.used[name]--
+	if p.used[name] == 0 {
+		delete(p.used, name)
 	}
 	n.pump(p)
 }
@@ -277,7 +278,7 @@
 	used, room := 0, 0.0
 	for _, p := range n.entry.pools {
 		for _, r := range p.routes {
-			used += r.used
+			used += p.used[r.name]
 			room += r.window
 		}
 	}
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -94,7 +94,7 @@
 	for _, name := range n.poolNames() {
 		p := n.entry.pools[name]
 		for _, r := range p.routes {
-			t.add(name, r.name, r.slots, r.window, r.used, p.queue.length)
+			t.add(name, r.name, r.slots, r.window, p.used[r.name], p.queue.length)
 		}
 	}
 	return t
--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -14,12 +14,13 @@
 // EngineOptions describe a fake engine.
 type EngineOptions struct {
 	Name string
-	// Speed is in layers times tokens a second, all slots together; 0 takes
-	// no time.
+	// Speed is in layers times tokens a second, the whole batch together; 0
+	// takes no time.
 	Speed float64
+	// Batch is how many positions it runs at a time.
+	Batch int
+	// Slots is how many streams its memory holds.
 	Slots int
-	// Queue is how many streams it takes beyond its slots.
-	Queue int
 	// Fence says that it checks the order's fence.
 	Fence bool
 	// LoadTime is how long it takes to load a range.
@@ -28,6 +29,28 @@
 	ReportLag time.Duration
 	// LinkDelay is added before each hop to the next engine.
 	LinkDelay time.Duration
+	// Hops carries what an engine says to another one; nil is HTTP.
+	Hops Hops
+}
+
+// Hops is the way from one engine to the next.
+type Hops interface {
+	// Run hands activations on; Boundary asks for kept ones.
+	Run(ctx context.Context, to core.Stage, o target.RunOrder) (target.RunReply, error)
+	Boundary(ctx context.Context, to core.Stage, o target.BoundaryOrder) (target.BoundaryReply, error)
+}
+
+// httpHops is the way between engines that are processes.
+type httpHops struct{ client *target.Client }
+
+// Run implements Hops.
+func (h httpHops) Run(ctx context.Context, to core.Stage, o target.RunOrder) (target.RunReply, error) {
+	return target.Post[target.RunReply](ctx, h.client, to.Address, target.PathRun, o)
+}
+
+// Boundary implements Hops.
+func (h httpHops) Boundary(ctx context.Context, to core.Stage, o target.BoundaryOrder) (target.BoundaryReply, error) {
+	return target.Post[target.BoundaryReply](ctx, h.client, to.Address, target.PathBoundary, o)
 }
 
 // prefillSpeedup is how much faster a position of a prompt is run.
@@ -37,7 +60,8 @@
 // streams in order, once each, and hands its activations on.
 type Engine struct {
 	options EngineOptions
-	client  *target.Client
+	// batch holds a token for each position that is being run.
+	batch chan struct{}
 
 	mu      sync.Mutex
 	fence   core.Fence
@@ -77,18 +101,26 @@
 
 // NewEngine returns an engine that holds nothing.
 func NewEngine(options EngineOptions) *Engine {
-	return &Engine{options: options, client: target.NewClient(), streams: make(map[core.RequestID]*engineStream)}
+	options.Batch = max(options.Batch, 1)
+	if options.Hops == nil {
+		options.Hops = httpHops{client: target.NewClient()}
+	}
+	return &Engine{
+		options: options,
+		batch:   make(chan struct{}, options.Batch),
+		streams: make(map[core.RequestID]*engineStream),
+	}
 }
 
 // Handler returns the engine's HTTP interface.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+target.PathRun, handle(e.run))
-	mux.HandleFunc("POST "+target.PathRebuild, handle(e.rebuild))
-	mux.HandleFunc("POST "+target.PathBoundary, handle(e.boundary))
-	mux.HandleFunc("POST "+target.PathRelease, handle(e.release))
-	mux.HandleFunc("POST "+target.PathOrder, handle(e.order))
-	mux.HandleFunc("GET "+target.PathLoad, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.load()) })
+	mux.HandleFunc("POST "+target.PathRun, handle(e.Run))
+	mux.HandleFunc("POST "+target.PathRebuild, handle(e.Rebuild))
+	mux.HandleFunc("POST "+target.PathBoundary, handle(e.Boundary))
+	mux.HandleFunc("POST "+target.PathRelease, handle(e.Release))
+	mux.HandleFunc("POST "+target.PathOrder, handle(e.Order))
+	mux.HandleFunc("GET "+target.PathLoad, func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Load()) })
 	mux.HandleFunc("GET /audit", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Audit()) })
 	mux.HandleFunc("POST /leave", func(w http.ResponseWriter, _ *http.Request) {
 		e.mu.Lock()
@@ -121,8 +153,8 @@
 	return busy
 }
 
-// run runs positions of a stream on this engine and the ones after it.
-func (e *Engine) run(ctx context.Context, o target.RunOrder) target.RunReply {
+// Run runs positions of a stream on this engine and the ones after it.
+func (e *Engine) Run(ctx context.Context, o target.RunOrder) target.RunReply {
 	began := time.Now()
 	stage := o.Chain[0]
 	s, result := e.streamFor(o, stage)
@@ -133,7 +165,7 @@
 	if result != core.ResultDone {
 		return target.RunReply{Result: result, Target: stage.Target}
 	}
-	load := e.load()
+	load := e.Load()
 	part := load.Busy * 1000 / max(load.Slots, 1)
 	if len(o.Chain) == 1 {
 		token, finish := tokenOf(outputs[len(outputs)-1])
@@ -160,7 +192,7 @@
 	if o.Position > 0 {
 		return nil, core.ResultGap
 	}
-	full := e.busy() >= e.options.Slots+e.options.Queue
+	full := e.busy() >= e.options.Slots
 	if !e.holds(o.Model, stage.Layers) || full {
 		return nil, core.ResultRefused
 	}
@@ -215,10 +247,16 @@
 	if e.options.Speed == 0 {
 		return true
 	}
-	cost := float64(work) * float64(e.options.Slots) / e.options.Speed
+	cost := float64(work) * float64(e.options.Batch) / e.options.Speed
 	if prefill {
 		cost /= prefillSpeedup
 	}
+	select {
+	case e.batch <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	defer func() { <-e.batch }()
 	return pause(ctx, time.Duration(cost*float64(time.Second)))
 }
 
@@ -246,7 +284,7 @@
 	ctx, cancel := context.WithTimeout(ctx, silence)
 	defer cancel()
 	pause(ctx, e.options.LinkDelay)
-	reply, err := target.Post[target.RunReply](ctx, e.client, next.Address, target.PathRun, target.RunOrder{
+	reply, err := e.options.Hops.Run(ctx, next, target.RunOrder{
 		Stream: o.Stream, Epoch: o.Epoch, Position: o.Position, Model: o.Model,
 		Activations: outputs, Chain: o.Chain[1:], Priority: o.Priority, SilenceMillis: silence.Milliseconds(),
 	})
@@ -256,8 +294,8 @@
 	return reply
 }
 
-// rebuild makes the state of a range anew.
-func (e *Engine) rebuild(ctx context.Context, o target.RebuildOrder) target.RebuildReply {
+// Rebuild makes the state of a range anew.
+func (e *Engine) Rebuild(ctx context.Context, o target.RebuildOrder) target.RebuildReply {
 	in, result, failed := e.rebuildInputs(ctx, o)
 	if result != core.ResultDone {
 		return target.RebuildReply{Result: result, Target: failed}
@@ -290,7 +328,7 @@
 		}
 		return e.spendRebuild(ctx, o, in)
 	}
-	reply, err := target.Post[target.BoundaryReply](ctx, e.client, o.Source.Address, target.PathBoundary,
+	reply, err := e.options.Hops.Boundary(ctx, *o.Source,
 		target.BoundaryOrder{Stream: o.Stream, Epoch: o.Epoch, Layers: o.Source.Layers, To: o.Position})
 	if err != nil {
 		return nil, core.ResultBroken, o.Source.Target
@@ -308,8 +346,8 @@
 	return in, core.ResultDone, o.Stage.Target
 }
 
-// boundary gives the activations that were kept after a range.
-func (e *Engine) boundary(_ context.Context, o target.BoundaryOrder) target.BoundaryReply {
+// Boundary gives the activations that were kept after a range.
+func (e *Engine) Boundary(_ context.Context, o target.BoundaryOrder) target.BoundaryReply {
 	e.mu.Lock()
 	s, ok := e.streams[o.Stream]
 	if ok && o.Epoch.Compare(s.epoch) < 0 {
@@ -331,9 +369,9 @@
 	return target.BoundaryReply{Result: core.ResultDone, Activations: s.outputs[:o.To]}
 }
 
-// release drops a stream. Its epoch stays known, so that a run that is late
+// Release drops a stream. Its epoch stays known, so that a run that is late
 // does not begin it anew.
-func (e *Engine) release(_ context.Context, o target.ReleaseOrder) struct{} {
+func (e *Engine) Release(_ context.Context, o target.ReleaseOrder) struct{} {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	s, ok := e.streams[o.Stream]
@@ -344,8 +382,8 @@
 	return struct{}{}
 }
 
-// order takes a placement order.
-func (e *Engine) order(ctx context.Context, o target.PlaceOrder) target.PlaceReply {
+// Order takes a placement order.
+func (e *Engine) Order(ctx context.Context, o target.PlaceOrder) target.PlaceReply {
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(o.LifeMillis)*time.Millisecond)
 	defer cancel()
 	if r := e.mayPlace(o); r != target.OrderDone {
@@ -378,8 +416,8 @@
 	return target.OrderDone
 }
 
-// load returns the report, as old as ReportLag says.
-func (e *Engine) load() target.LoadReport {
+// Load returns the report, as old as ReportLag says.
+func (e *Engine) Load() target.LoadReport {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if now := time.Now(); !now.Before(e.nextLag) {
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,7 +58,7 @@
 
 start platform bin/spoolfake platform --listen "127.0.0.1:$((base+400))"
 for n in $(seq 1 13); do
-  start "engine-$n" bin/spoolfake engine --name "e$n" --listen "127.0.0.1:$((base+300+n))" --speed 4800 --slots 8 --fence
+  start "engine-$n" bin/spoolfake engine --name "e$n" --listen "127.0.0.1:$((base+300+n))" --speed 4800 --batch 8 --slots 32 --fence
 done
 for n in 1 2; do
   start "runner-$n" bin/spoolfake service --name "s$n" --listen "127.0.0.1:$((base+350+n))"
@@ -70,7 +70,7 @@
 {
   echo 'declare service sign-portal class=0 repeatable=["GET /"]'
   for n in $(seq 1 13); do
-    echo "declare target e$n address=\"127.0.0.1:$((base+300+n))\" hall=${halls[$(( (n-1) % 3 ))]} accelerator=demo speed=4800 memory=8 slots=8 fence=true"
+    echo "declare target e$n address=\"127.0.0.1:$((base+300+n))\" hall=${halls[$(( (n-1) % 3 ))]} accelerator=demo speed=4800 memory=8 slots=32 fence=true"
   done
   for n in 1 2; do
     echo "declare target s$n address=\"127.0.0.1:$((base+350+n))\" hall=${halls[$((n-1))]} service=sign-portal slots=32"
