core: property tests of the reducer under faults

Cause: nothing showed that the promises hold when VMs crash, freeze, lose their disk or are parted. Change: a virtual world of a few hundred lines (clock with drift, lossy network, disks that keep what was synced, engines in process) and tests over it. Found: a membership that is only appended was shown as if it were in force (test wanted three voters and lost the second too early); the tables now say settled. Found before: counts of an adopted stream's route. Conclusion: mutants must show next that the tests can fail.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -112,7 +112,7 @@
 
 func (n *Node) begin(p *pool, r *route, w *waiting) {
 	name, stages := r.name, r.stages
-	n.take(p, name, stages)
+	n.take(p.name, name, stages)
 	if w.stream != nil {
 		n.beginStream(w.stream, p.name, name, stages)
 		return
--- /dev/null
+++ b/internal/core/control_test.go
@@ -0,0 +1,202 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+)
+
+// leader returns the VM that holds the leader's lease, or the empty name.
+func (w *world) leader() core.VMName {
+	for _, name := range w.names {
+		if v := w.vms[name]; v.node != nil && !v.frozen && w.holdsLease(v) {
+			return name
+		}
+	}
+	return ""
+}
+
+func (w *world) voters(name core.VMName) int {
+	count := 0
+	s := w.vms[name].node.Status()
+	if !s.MembersSettled {
+		return 0
+	}
+	for _, m := range s.Members {
+		if m.Voter {
+			count++
+		}
+	}
+	return count
+}
+
+// settled waits for three voters under one leader.
+func (w *world) settled() core.VMName {
+	w.until("three voters", 60*time.Second, func() bool {
+		l := w.leader()
+		return l != "" && w.voters(l) == 3
+	})
+	return w.leader()
+}
+
+func TestLeaderKilledAnotherAcceptsCommands(t *testing.T) {
+	w := newWorld(t, 1, 3, 1)
+	w.setUp()
+	old := w.settled()
+	w.crash(old)
+	took := w.until("another leader", 10*time.Second, func() bool { return w.leader() != "" })
+	require.Equal(t, core.ResultAccepted, w.must("set organisation o weight=2", 100).Kind)
+	t.Logf("leader killed to next leader: %v of virtual time", took)
+}
+
+func TestFrozenLeaderServesNothingWhenItWakes(t *testing.T) {
+	w := newWorld(t, 2, 3, 1)
+	w.setUp()
+	old := w.settled()
+	w.freeze(old)
+	w.until("another leader", 10*time.Second, func() bool { return w.leader() != "" })
+	r := w.must("set organisation o weight=2", 100)
+	require.Equal(t, core.ResultAccepted, r.Kind)
+	conn := w.command(old, "show config", "", 0, 0)
+	w.thaw(old)
+	require.Equal(t, core.ResultNotLeader, w.results[conn].Kind)
+	conn = w.command(old, "set organisation o weight=3", "other", 1, 0)
+	w.advance(5 * time.Second)
+	require.NotEqual(t, core.ResultAccepted, w.results[conn].Kind)
+}
+
+func TestLostDiskHasNoVoteAndASecondLossIsSurvived(t *testing.T) {
+	w := newWorld(t, 3, 3, 1)
+	w.setUp()
+	leader := w.settled()
+	lost := core.VMName("vm1")
+	if leader == lost {
+		lost = "vm2"
+	}
+	w.crash(lost)
+	w.loseDisk(lost)
+	w.start(lost)
+	before := w.vms[lost].disk.incarnation
+	w.until("the new identity votes", 30*time.Second, func() bool {
+		l := w.leader()
+		if l == "" {
+			return false
+		}
+		for _, m := range w.vms[l].node.Status().Members {
+			if m.ID == (core.ReplicaID{VM: lost, Incarnation: before}) && m.Voter {
+				return w.voters(l) == 3
+			}
+		}
+		return false
+	})
+	w.crash(w.leader())
+	require.Equal(t, core.ResultAccepted, w.must("set organisation o weight=2", 100).Kind)
+}
+
+func TestSpareReplacesALostVoter(t *testing.T) {
+	w := newWorld(t, 4, 4, 0)
+	w.setUp()
+	leader := w.settled()
+	lost := core.VMName("")
+	for _, m := range w.vms[leader].node.Status().Members {
+		if m.Voter && m.ID.VM != leader {
+			lost = m.ID.VM
+		}
+	}
+	w.crash(lost)
+	w.until("the spare votes", 60*time.Second, func() bool {
+		l := w.leader()
+		if l == "" || w.voters(l) != 3 {
+			return false
+		}
+		for _, m := range w.vms[l].node.Status().Members {
+			if m.Voter && m.ID.VM == lost {
+				return false
+			}
+		}
+		return true
+	})
+	w.crash(w.leader())
+	require.Equal(t, core.ResultAccepted, w.must("set organisation o weight=2", 100).Kind, "a second loss after the repair")
+}
+
+func TestRacingOperatorsUnderOneNumber(t *testing.T) {
+	w := newWorld(t, 5, 3, 1)
+	w.setUp()
+	leader := w.settled()
+	a := w.command(leader, "set organisation o weight=2", "op", 7, 0)
+	b := w.command(leader, "set organisation o weight=3", "op", 7, 0)
+	again := w.command(leader, "set organisation o weight=2", "op", 7, 0)
+	w.advance(time.Second)
+	require.Equal(t, core.ResultAccepted, w.results[a].Kind)
+	require.Equal(t, core.ResultConflict, w.results[b].Kind)
+	require.Equal(t, w.results[a].Revision, w.results[again].Revision, "a resend gets the first result")
+	w.crash(leader)
+	w.until("another leader", 10*time.Second, func() bool { return w.leader() != "" })
+	w.advance(time.Second)
+	later := w.command(w.leader(), "set organisation o weight=2", "op", 7, 0)
+	w.advance(time.Second)
+	require.Equal(t, w.results[a].Revision, w.results[later].Revision, "also after a change of leader")
+	stale := w.command(w.leader(), "set organisation o weight=9", "op", 8, w.results[a].Revision-1)
+	w.advance(time.Second)
+	require.Equal(t, core.ResultConflict, w.results[stale].Kind)
+}
+
+func TestAllRestartAfterHundredsOfChanges(t *testing.T) {
+	w := newWorld(t, 6, 3, 1)
+	w.setUp()
+	w.settled()
+	for i := range 300 {
+		w.command(w.leader(), "set organisation o weight=4", "op", uint64(i+1), 0)
+		if i%50 == 0 {
+			w.advance(100 * time.Millisecond)
+		}
+	}
+	w.advance(2 * time.Second)
+	want := w.accepted
+	for _, name := range w.names {
+		w.crash(name)
+	}
+	for _, name := range w.names {
+		w.start(name)
+	}
+	w.until("all entry VMs back at the revision", 20*time.Second, func() bool {
+		for _, v := range w.vms {
+			if s := v.node.Status(); !s.HasLease || s.EntryRevision < want {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestPlannedStopHandsOverAndEnds(t *testing.T) {
+	w := newWorld(t, 7, 3, 1)
+	w.setUp()
+	old := w.settled()
+	asks := []*ask{w.stream(old, "a", "one two three", 0), w.stream(old, "b", "four", 0)}
+	w.step(old, core.Stopping{})
+	took := w.until("another leader", 5*time.Second, func() bool { l := w.leader(); return l != "" && l != old })
+	require.Less(t, took, testTiming().ElectionMin, "a hand-over needs no election timeout")
+	w.until("the answers are whole", 5*time.Second, func() bool { return asks[0].finished && asks[1].finished })
+	for _, a := range w.vms[w.leader()].node.Dump().Routes.Rows {
+		require.NotEmpty(t, a)
+	}
+}
+
+func TestPartedEntryRefusesAndOthersServe(t *testing.T) {
+	w := newWorld(t, 8, 3, 1)
+	w.setUp()
+	w.settled()
+	w.isolate("vm4", true)
+	w.advance(4 * time.Second)
+	a := w.stream("vm4", "x", "hello", 0)
+	require.NotNil(t, a.refusal)
+	require.Equal(t, core.RefusedNoLease, a.refusal.Kind)
+	require.Equal(t, core.RanNo, a.refusal.Ran)
+	require.NotEmpty(t, a.refusal.Others)
+	require.Equal(t, core.ResultAccepted, w.must("set organisation o weight=2", 100).Kind)
+}
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -366,8 +366,6 @@
 	n.entry.streams[s.id] = s
 	s.phase = phaseRegistering
 	s.holding = true
-	for _, stage := range s.chain {
-		n.target(stage.Target).used++
-	}
+	n.take(s.pool, s.route, s.chain)
 	n.register(s)
 }
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -107,7 +107,7 @@
 		n.setRoutes(s.Name, runnerRoutes(c, s.Name))
 	}
 	for name, p := range n.entry.pools {
-		if !wanted[name] && p.queue.length == 0 {
+		if !wanted[name] && p.queue.length == 0 && len(p.used) == 0 {
 			delete(n.entry.pools, name)
 		}
 	}
@@ -231,8 +231,10 @@
 }
 
 // take counts a piece of work on a route and its stages.
-func (n *Node) take(p *pool, name string, stages []Stage) {
-	p.used[name]++
+func (n *Node) take(poolName, name string, stages []Stage) {
+	if p, ok := n.entry.pools[poolName]; ok {
+		p.used[name]++
+	}
 	for _, s := range stages {
 		n.target(s.Target).used++
 	}
--- a/internal/core/show.go
+++ b/internal/core/show.go
@@ -126,18 +126,19 @@
 }
 
 func (n *Node) replicasTable() Table {
-	t := Table{Columns: []string{"name", "role", "vote", "term", "match", "commit"}}
+	t := Table{Columns: []string{"name", "role", "vote", "settled", "term", "match", "commit"}}
 	r := &n.replica
+	settled := r.membersIndex <= r.commit
 	for _, m := range r.members.Members {
 		if m.ID == r.id {
-			t.add(m.ID.String(), r.role, m.Voter, r.hard.Term, r.synced, r.commit)
+			t.add(m.ID.String(), r.role, m.Voter, settled, r.hard.Term, r.synced, r.commit)
 			continue
 		}
 		match := Index(0)
 		if p := r.progress[m.ID]; p != nil {
 			match = p.match
 		}
-		t.add(m.ID.String(), Follower, m.Voter, r.hard.Term, match, r.commit)
+		t.add(m.ID.String(), Follower, m.Voter, settled, r.hard.Term, match, r.commit)
 	}
 	return t
 }
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -8,21 +8,24 @@
 
 // Status is a summary of a Node for metrics and tests.
 type Status struct {
-	Now        time.Time       `json:"now"`
-	VM         VMName          `json:"vm"`
-	Cluster    string          `json:"cluster"`
-	Role       string          `json:"role"`
-	Term       Term            `json:"term"`
-	Leader     VMName          `json:"leader"`
-	Commit     Index           `json:"commit"`
-	Applied    Index           `json:"applied"`
-	Synced     Index           `json:"synced"`
-	LogEntries int             `json:"log_entries"`
-	Members    []Member        `json:"members"`
-	LeaseUntil time.Time       `json:"leader_lease_until"`
-	HoldsLease bool            `json:"holds_leader_lease"`
-	Revision   config.Revision `json:"replicated_revision"`
-	Claims     int             `json:"claims"`
+	Now        time.Time `json:"now"`
+	VM         VMName    `json:"vm"`
+	Cluster    string    `json:"cluster"`
+	Role       string    `json:"role"`
+	Term       Term      `json:"term"`
+	Leader     VMName    `json:"leader"`
+	Commit     Index     `json:"commit"`
+	Applied    Index     `json:"applied"`
+	Synced     Index     `json:"synced"`
+	LogEntries int       `json:"log_entries"`
+	Members    []Member  `json:"members"`
+	// MembersSettled says that the membership is committed: only then does
+	// the loss of another voter find it in force.
+	MembersSettled bool            `json:"members_settled"`
+	LeaseUntil     time.Time       `json:"leader_lease_until"`
+	HoldsLease     bool            `json:"holds_leader_lease"`
+	Revision       config.Revision `json:"replicated_revision"`
+	Claims         int             `json:"claims"`
 	// The entry role.
 	EntryLease    time.Time       `json:"entry_lease_until"`
 	HasLease      bool            `json:"has_entry_lease"`
@@ -46,7 +49,7 @@
 		Now: n.now, VM: n.settings.Self.VM, Cluster: n.cluster, Stopping: n.stopping,
 		Role: r.role.String(), Term: r.hard.Term, Leader: n.leaderHint(),
 		Commit: r.commit, Applied: r.applied, Synced: r.synced, LogEntries: len(r.log.entries),
-		Members: r.members.Members, LeaseUntil: r.leaseUntil, HoldsLease: n.holdsLease(),
+		Members: r.members.Members, MembersSettled: r.membersIndex <= r.commit, LeaseUntil: r.leaseUntil, HoldsLease: n.holdsLease(),
 		Revision: n.machine.Config.Revision, Claims: len(n.machine.Claims),
 		EntryLease: n.entry.tenure.until, HasLease: n.hasLease(),
 		EntryRevision: n.entry.config.Revision, EntryTerm: n.entry.tenure.term,
--- /dev/null
+++ b/internal/core/world_test.go
@@ -0,0 +1,685 @@
+package core_test
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/fake"
+	"github.com/spoolbank/spoolbank/internal/target"
+	"github.com/spoolbank/spoolbank/query"
+)
+
+// world drives several Nodes with a virtual clock, a lossy network, disks that
+// forget what was not synced, and fake engines and runners in process. It is
+// deterministic: all chance comes from one seed.
+type world struct {
+	t       require.TestingT
+	rand    *rand.Rand
+	now     time.Time
+	queue   []delivery
+	serial  int
+	vms     map[core.VMName]*vm
+	names   []core.VMName
+	engines map[string]*engine
+	runners map[string]*runner
+	cut     map[[2]core.VMName]bool
+	// loss is the chance in a thousand that a message is lost, doubled or late.
+	loss    int
+	lastCon core.ConnID
+	asks    map[core.ConnID]*ask
+	results map[core.ConnID]core.Result
+	// prints holds the state at each applied index, which is one for all.
+	prints map[core.Index]string
+	// accepted is the newest revision that an operator was told of, and when.
+	accepted   config.Revision
+	acceptedAt time.Time
+	dead       map[string]bool
+}
+
+// vm is one VM: its process, its disk and its clock.
+type vm struct {
+	name    core.VMName
+	node    *core.Node
+	control bool
+	entry   bool
+	// rate is the speed of its clock in thousandths of true time.
+	rate   int
+	began  time.Time
+	disk   disk
+	frozen bool
+	held   []core.Event
+	// life counts restarts, so that old deliveries are dropped.
+	life     int
+	revision config.Revision
+	cluster  string
+	notes    []string
+}
+
+// disk is what a control VM has synced.
+type disk struct {
+	incarnation core.Incarnation
+	recovered   core.Recovered
+}
+
+// delivery is an event at a time.
+type delivery struct {
+	at     time.Time
+	serial int
+	to     core.VMName
+	life   int
+	event  core.Event
+	run    func()
+}
+
+// ask is what one caller has asked and got.
+type ask struct {
+	vm       core.VMName
+	call     bool
+	id       core.RequestID
+	prompt   string
+	after    int
+	text     strings.Builder
+	count    int
+	finished bool
+	refusal  *core.Refusal
+	answer   *core.CallAnswer
+	cut      bool
+}
+
+type engine struct {
+	*fake.Engine
+	name string
+}
+
+type runner struct{ runs map[core.RequestID]int }
+
+var epochStart = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+const (
+	worldLayers = 6
+	worldTokens = 5
+	worldKey    = "key"
+)
+
+// newWorld makes three control and entry VMs, entry VMs beside them, engines
+// for two chains and a spare, and two runners.
+func newWorld(t require.TestingT, seed uint64, controls, entries int) *world {
+	w := &world{
+		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: epochStart,
+		vms: make(map[core.VMName]*vm), engines: make(map[string]*engine), runners: make(map[string]*runner),
+		cut: make(map[[2]core.VMName]bool), asks: make(map[core.ConnID]*ask), results: make(map[core.ConnID]core.Result),
+		prints: make(map[core.Index]string), dead: make(map[string]bool),
+	}
+	for i := range controls + entries {
+		name := core.VMName(fmt.Sprintf("vm%d", i+1))
+		v := &vm{name: name, control: i < controls, entry: true, rate: 995 + w.rand.IntN(11)}
+		w.vms[name] = v
+		w.names = append(w.names, name)
+	}
+	first := w.vms["vm1"]
+	first.disk.incarnation = w.incarnation()
+	first.cluster = "c1"
+	first.disk.recovered.Snapshot = core.Snapshot{Index: 1, Term: 1,
+		Members: core.NewMembership(core.ReplicaID{VM: "vm1", Incarnation: first.disk.incarnation})}
+	for _, name := range w.names {
+		w.start(name)
+	}
+	for i := range 5 {
+		name := fmt.Sprintf("e%d", i+1)
+		w.engines[name] = &engine{name: name, Engine: fake.NewEngine(fake.EngineOptions{Name: name, Slots: 64, Fence: i%2 == 0, Hops: hops{w}})}
+	}
+	for i := range 2 {
+		w.runners[fmt.Sprintf("s%d", i+1)] = &runner{runs: make(map[core.RequestID]int)}
+	}
+	return w
+}
+
+func (w *world) incarnation() core.Incarnation { return core.Incarnation(w.rand.Uint64()) }
+
+func testTiming() core.Timing {
+	t := core.DefaultTiming()
+	t.ReplaceAfter = 6 * time.Second
+	return t
+}
+
+// start begins a process on a VM's disk.
+func (w *world) start(name core.VMName) {
+	v := w.vms[name]
+	v.life++
+	v.frozen, v.held = false, nil
+	v.began = w.now
+	v.revision = 0
+	self := core.ReplicaID{VM: name, Incarnation: w.incarnation()}
+	if v.control {
+		if v.disk.incarnation == 0 {
+			v.disk.incarnation = w.incarnation()
+		}
+		self.Incarnation = v.disk.incarnation
+	}
+	v.node = core.New(core.Settings{
+		Self: self, Cluster: v.cluster, Control: v.control, Entry: v.entry,
+		Address:    core.EntryAddress{VM: name, Hall: "hall", Callers: string(name), Peers: string(name)},
+		ControlVMs: w.controlVMs(), Voters: 3, SnapshotEvery: 40, Timing: testTiming(), Seed: w.rand.Uint64(),
+	}, copyRecovered(v.disk.recovered), w.clock(v))
+	w.tick(name)
+}
+
+// copyRecovered stands for reading the disk: nothing is shared with a Node.
+func copyRecovered(r core.Recovered) core.Recovered {
+	r.Entries = slices.Clone(r.Entries)
+	return r
+}
+
+func (w *world) controlVMs() []core.VMName {
+	var names []core.VMName
+	for _, name := range w.names {
+		if w.vms[name].control {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// clock returns a VM's own time.
+func (w *world) clock(v *vm) time.Time {
+	return epochStart.Add(w.now.Sub(epochStart) * time.Duration(v.rate) / 1000)
+}
+
+// trueDuration is the true time until a VM's clock shows at.
+func (w *world) trueDuration(v *vm, at time.Time) time.Duration {
+	return at.Sub(w.clock(v)) * 1000 / time.Duration(v.rate)
+}
+
+func (w *world) push(d delivery) {
+	w.serial++
+	d.serial = w.serial
+	at, _ := slices.BinarySearchFunc(w.queue, d, func(a, b delivery) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.serial, b.serial))
+	})
+	w.queue = slices.Insert(w.queue, at, d)
+}
+
+func (w *world) after(delay time.Duration, to core.VMName, event core.Event) {
+	w.push(delivery{at: w.now.Add(delay), to: to, life: w.vms[to].life, event: event})
+}
+
+const tickEvery = 20 * time.Millisecond
+
+func (w *world) tick(name core.VMName) {
+	life := w.vms[name].life
+	w.push(delivery{at: w.now.Add(tickEvery), run: func() {
+		if v := w.vms[name]; v.life == life && v.node != nil {
+			w.step(name, core.Tick{})
+			w.tick(name)
+		}
+	}})
+}
+
+// advance runs the world for d.
+func (w *world) advance(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) {
+		next := w.queue[0]
+		w.queue = w.queue[1:]
+		w.now = next.at
+		if next.run != nil {
+			next.run()
+			continue
+		}
+		if v := w.vms[next.to]; v.life == next.life && v.node != nil {
+			w.step(next.to, next.event)
+		}
+	}
+	w.now = end
+}
+
+// until runs the world until done holds, and fails after limit.
+func (w *world) until(what string, limit time.Duration, done func() bool) time.Duration {
+	began := w.now
+	for !done() {
+		if w.now.Sub(began) > limit {
+			require.FailNow(w.t, "not in time: "+what, w.describe())
+		}
+		w.advance(tickEvery)
+	}
+	return w.now.Sub(began)
+}
+
+func (w *world) describe() string {
+	var b strings.Builder
+	for _, name := range w.names {
+		v := w.vms[name]
+		if v.node == nil {
+			fmt.Fprintf(&b, "%s: dead\n", name)
+			continue
+		}
+		s := v.node.Status()
+		fmt.Fprintf(&b, "%s: frozen %v %s term %d commit %d/%d synced %d members %v lease %v entry lease %v rev %d/%d streams %d calls %d queued %d\n  %s\n",
+			name, v.frozen, s.Role, s.Term, s.Applied, s.Commit, s.Synced, s.Members, s.HoldsLease, s.HasLease, s.Revision, s.EntryRevision, s.Streams, s.Calls, s.Queued,
+			strings.Join(v.notes[max(0, len(v.notes)-6):], "; "))
+	}
+	return b.String()
+}
+
+func (w *world) step(name core.VMName, event core.Event) {
+	v := w.vms[name]
+	if v.frozen {
+		if _, tick := event.(core.Tick); !tick {
+			v.held = append(v.held, event)
+		}
+		return
+	}
+	for _, effect := range slices.Clone(v.node.Step(w.clock(v), event)) {
+		w.carryOut(v, effect)
+	}
+	w.check(v)
+}
+
+// check looks at what must hold after every step of any Node.
+func (w *world) check(v *vm) {
+	require.Empty(w.t, v.node.Check(), "invariants of %s", v.name)
+	s := v.node.Status()
+	require.GreaterOrEqual(w.t, s.EntryRevision, v.revision, "the configuration of %s reverted", v.name)
+	v.revision = s.EntryRevision
+	leaders := 0
+	for _, other := range w.vms {
+		if other.node != nil && !other.frozen && w.holdsLease(other) {
+			leaders++
+		}
+	}
+	require.LessOrEqual(w.t, leaders, 1, "two leaders hold a lease\n%s", w.describe())
+	late := w.now.Sub(w.acceptedAt) > 4*time.Second
+	if late && s.HasLease && w.clock(v).Before(s.EntryLease) {
+		require.GreaterOrEqual(w.t, s.EntryRevision, w.accepted, "%s takes work at an old revision", v.name)
+	}
+	if v.control {
+		w.checkPrint(v, s)
+	}
+}
+
+func (w *world) holdsLease(v *vm) bool {
+	s := v.node.Status()
+	return s.Role == "leader" && w.clock(v).Before(s.LeaseUntil)
+}
+
+// checkPrint compares the replicated state at the same index on all replicas.
+func (w *world) checkPrint(v *vm, s core.Status) {
+	if known, ok := w.prints[s.Applied]; ok && len(known) == 0 {
+		return
+	}
+	d := v.node.Dump()
+	text, err := json.Marshal(struct {
+		C config.State
+		M map[string]core.Claim
+	}{d.Config, d.Claims})
+	require.NoError(w.t, err)
+	known, ok := w.prints[s.Applied]
+	if !ok {
+		w.prints[s.Applied] = string(text)
+		return
+	}
+	require.Equal(w.t, known, string(text), "replicas differ at index %d", s.Applied)
+}
+
+func (w *world) carryOut(v *vm, effect core.Effect) {
+	switch e := effect.(type) {
+	case core.Send:
+		w.send(v, e.Envelope)
+	case core.Persist:
+		w.persist(v, e.Sequence, func(d *disk) { applyPersist(&d.recovered, e) })
+	case core.SaveSnapshot:
+		w.persist(v, e.Sequence, func(d *disk) {
+			d.recovered = core.Recovered{Hard: e.Hard, Snapshot: e.Snapshot, Entries: slices.Clone(e.Tail)}
+		})
+	case core.Joined:
+		v.cluster = e.Cluster
+	case core.Answer:
+		w.answered(e)
+	case core.Emit, core.Refuse, core.Finish:
+		w.give(effect)
+	case core.Run:
+		w.run(v, e)
+	case core.Rebuild:
+		w.rebuild(v, e)
+	case core.Release:
+		for _, s := range e.Chain {
+			if w.reachable(s.Target) {
+				w.engines[s.Target].Release(context.Background(), target.ReleaseOrder{Stream: e.Stream, Epoch: e.Epoch})
+			}
+		}
+	case core.Dispatch:
+		w.dispatch(v, e)
+	case core.Watch:
+		w.watch(v, e)
+	case core.Order:
+		w.order(v, e)
+	case core.Note:
+		v.notes = append(v.notes, e.Text+" "+e.Subject)
+	}
+}
+
+func (w *world) latency() time.Duration {
+	return time.Millisecond/2 + time.Duration(w.rand.IntN(1000))*time.Microsecond
+}
+
+func (w *world) chance() bool { return w.rand.IntN(1000) < w.loss }
+
+func (w *world) send(v *vm, e core.Envelope) {
+	to, ok := w.vms[e.To]
+	if !ok || w.cut[[2]core.VMName{v.name, e.To}] || w.chance() {
+		return
+	}
+	delay := w.latency()
+	if w.chance() {
+		delay += time.Duration(w.rand.IntN(2000)) * time.Millisecond
+	}
+	w.push(delivery{at: w.now.Add(delay), to: e.To, life: to.life, event: core.Received{Envelope: e}})
+	if w.chance() {
+		w.push(delivery{at: w.now.Add(2 * delay), to: e.To, life: to.life, event: core.Received{Envelope: e}})
+	}
+}
+
+// persist syncs after a while; a crash before that loses the record.
+func (w *world) persist(v *vm, sequence uint64, write func(*disk)) {
+	life := v.life
+	w.push(delivery{at: w.now.Add(2 * time.Millisecond), run: func() {
+		if v.life == life && v.node != nil {
+			write(&v.disk)
+			w.step(v.name, core.Persisted{Sequence: sequence})
+		}
+	}})
+}
+
+func applyPersist(r *core.Recovered, p core.Persist) {
+	if p.Hard != nil {
+		r.Hard = *p.Hard
+	}
+	base := r.Snapshot.Index
+	if from := p.TruncateFrom; from > base && int(from-base-1) < len(r.Entries) {
+		r.Entries = slices.Clone(r.Entries[:from-base-1])
+	}
+	for _, e := range p.Entries {
+		if e.Index > base {
+			r.Entries = append(r.Entries, e)
+		}
+	}
+}
+
+// reachable reports whether an engine or runner is alive.
+func (w *world) reachable(name string) bool { return !w.dead[name] }
+
+// hops connects the fake engines in process.
+type hops struct{ w *world }
+
+var errDead = errors.New("no such engine")
+
+func (h hops) Run(ctx context.Context, to core.Stage, o target.RunOrder) (target.RunReply, error) {
+	if !h.w.reachable(to.Target) || h.w.chance() {
+		return target.RunReply{}, errDead
+	}
+	reply := h.w.engines[to.Target].Run(ctx, o)
+	if h.w.chance() {
+		return target.RunReply{}, errDead
+	}
+	return reply, nil
+}
+
+func (h hops) Boundary(ctx context.Context, to core.Stage, o target.BoundaryOrder) (target.BoundaryReply, error) {
+	if !h.w.reachable(to.Target) {
+		return target.BoundaryReply{}, errDead
+	}
+	return h.w.engines[to.Target].Boundary(ctx, o), nil
+}
+
+func (w *world) run(v *vm, r core.Run) {
+	life := v.life
+	w.push(delivery{at: w.now.Add(w.latency()), run: func() {
+		order := target.RunOrder{Stream: r.Stream, Epoch: r.Epoch, Position: r.Position, Model: r.Model, Prompt: r.Prompt, Chain: r.Chain, SilenceMillis: 1000}
+		if r.Position > 0 {
+			order.Token = &r.Token
+		}
+		reply, err := hops{w}.Run(context.Background(), r.Chain[0], order)
+		if err != nil {
+			reply = target.RunReply{Result: core.ResultBroken, Target: r.Chain[0].Target}
+		}
+		w.push(delivery{at: w.now.Add(w.latency()), to: v.name, life: life, event: core.RunEnded{
+			Stream: r.Stream, Epoch: r.Epoch, Position: r.Position, Result: reply.Result, Target: reply.Target,
+			Next: reply.Next, Token: reply.Token, Finish: reply.Finish, Load: reply.Load,
+		}})
+	}})
+}
+
+func (w *world) rebuild(v *vm, r core.Rebuild) {
+	life := v.life
+	w.push(delivery{at: w.now.Add(w.latency()), run: func() {
+		reply := target.RebuildReply{Result: core.ResultBroken, Target: r.Stage.Target}
+		if w.reachable(r.Stage.Target) {
+			reply = w.engines[r.Stage.Target].Rebuild(context.Background(), target.RebuildOrder{
+				Stream: r.Stream, Epoch: r.Epoch, Position: r.Position, Model: r.Model, Stage: r.Stage, Source: r.Source, Prompt: r.Prompt, Tokens: r.Tokens,
+			})
+		}
+		w.push(delivery{at: w.now.Add(w.latency()), to: v.name, life: life, event: core.RebuildEnded{Stream: r.Stream, Epoch: r.Epoch, Target: reply.Target, Result: reply.Result}})
+	}})
+}
+
+func (w *world) dispatch(v *vm, d core.Dispatch) {
+	life := v.life
+	w.push(delivery{at: w.now.Add(w.latency()), run: func() {
+		ended := core.DispatchEnded{Conn: d.Conn, ID: d.ID, Target: d.Target, Result: core.ResultRefused}
+		r := w.runners[d.Target]
+		if w.reachable(d.Target) && w.clock(v).Before(d.NotAfter) {
+			r.runs[d.ID]++
+			ended.Result = core.ResultDone
+			ended.Answer = core.CallAnswer{Status: 200, Body: []byte(d.ID)}
+			if w.chance() {
+				ended.Result = core.ResultBroken
+			}
+		}
+		w.push(delivery{at: w.now.Add(w.latency() + time.Duration(w.rand.IntN(50))*time.Millisecond), to: v.name, life: life, event: ended})
+	}})
+}
+
+func (w *world) watch(v *vm, e core.Watch) {
+	watched := core.Watched{Report: core.TargetReport{Target: e.Target, Reached: w.reachable(e.Target)}}
+	if engine, ok := w.engines[e.Target]; ok && watched.Report.Reached {
+		watched.Report.Holding = engine.Load().Holding
+	}
+	w.after(w.latency(), v.name, watched)
+}
+
+func (w *world) order(v *vm, o core.Order) {
+	life := v.life
+	w.push(delivery{at: w.now.Add(w.latency()), run: func() {
+		ended := core.OrderEnded{Target: o.Placement.Target, Fence: o.Fence}
+		if w.reachable(o.Placement.Target) && w.clock(v).Before(o.NotAfter) {
+			reply := w.engines[o.Placement.Target].Order(context.Background(), target.PlaceOrder{
+				Fence: o.Fence, Model: o.Placement.Model, Version: o.Placement.Version, Layers: o.Placement.Layers, LifeMillis: 1000,
+			})
+			ended.Done = reply.Result == target.OrderDone
+		}
+		w.push(delivery{at: w.now.Add(w.latency()), to: v.name, life: life, event: ended})
+	}})
+}
+
+// restartEngine loses all that an engine held.
+func (w *world) restartEngine(name string) {
+	w.dead[name] = false
+	w.engines[name].Engine = fake.NewEngine(fake.EngineOptions{Name: name, Slots: 64, Hops: hops{w}})
+}
+
+// crash ends a process; its disk keeps what was synced.
+func (w *world) crash(name core.VMName) {
+	v := w.vms[name]
+	v.node = nil
+	v.life++
+	for conn, a := range w.asks {
+		if a.vm == name && !a.finished && a.refusal == nil && a.answer == nil {
+			w.asks[conn].cut = true
+		}
+	}
+}
+
+// loseDisk makes a crashed VM's folder empty.
+func (w *world) loseDisk(name core.VMName) {
+	w.vms[name].disk = disk{}
+	w.vms[name].cluster = ""
+}
+
+func (w *world) freeze(name core.VMName) { w.vms[name].frozen = true }
+
+// thaw lets a stopped process go on with all that came meanwhile.
+func (w *world) thaw(name core.VMName) {
+	v := w.vms[name]
+	held := v.held
+	v.frozen, v.held = false, nil
+	for _, event := range held {
+		w.step(name, event)
+	}
+}
+
+// isolate cuts a VM off from all others, or mends its links.
+func (w *world) isolate(name core.VMName, cut bool) {
+	for _, other := range w.names {
+		w.cut[[2]core.VMName{name, other}] = cut
+		w.cut[[2]core.VMName{other, name}] = cut
+	}
+}
+
+func (w *world) conn() core.ConnID {
+	w.lastCon++
+	return w.lastCon
+}
+
+// command sends an operator's statement to a VM.
+func (w *world) command(name core.VMName, text, operator string, number uint64, expect config.Revision) core.ConnID {
+	statement, err := query.Parse(text)
+	require.NoError(w.t, err)
+	conn := w.conn()
+	if v := w.vms[name]; v.node != nil {
+		w.step(name, core.Operated{Conn: conn, Statement: statement, Operator: operator, Number: number, Digest: text, Expect: expect})
+	}
+	return conn
+}
+
+func (w *world) answered(a core.Answer) {
+	w.results[a.Conn] = a.Result
+	if a.Result.Kind == core.ResultAccepted && a.Result.Revision > w.accepted {
+		w.accepted = a.Result.Revision
+		w.acceptedAt = w.now
+	}
+}
+
+// must runs a command at the leader, whoever that is, until it is decided.
+func (w *world) must(text string, number uint64) core.Result {
+	var result core.Result
+	w.until("command "+text, 30*time.Second, func() bool {
+		for _, name := range w.names {
+			if v := w.vms[name]; v.node == nil || v.frozen || !w.holdsLease(v) {
+				continue
+			}
+			conn := w.command(name, text, "setup", number, 0)
+			w.advance(200 * time.Millisecond)
+			if r, ok := w.results[conn]; ok && r.Kind != core.ResultNotLeader && r.Kind != core.ResultInterrupted {
+				result = r
+				return true
+			}
+		}
+		return false
+	})
+	return result
+}
+
+// setUp declares what the tests use, and waits until chains are ready.
+func (w *world) setUp() {
+	statements := []string{
+		"declare service sign class=0 repeatable=[\"GET /\"]",
+		"declare target s1 address=s1 hall=hall service=sign slots=16",
+		"declare target s2 address=s2 hall=hall service=sign slots=16",
+		fmt.Sprintf("declare model m layers=%d versions=[v1]", worldLayers),
+		fmt.Sprintf("declare pipeline p model=m version=v1 class=1 max_tokens=%d", worldTokens),
+		fmt.Sprintf("declare organisation o key=%q weight=1", config.HashKey(worldKey)),
+	}
+	for _, name := range slices.Sorted(maps.Keys(w.engines)) {
+		statements = append(statements, fmt.Sprintf("declare target %s address=%s hall=hall speed=100 memory=3 slots=64 fence=%v", name, name, name != "e2" && name != "e4"))
+	}
+	for i, s := range statements {
+		r := w.must(s, uint64(i+1))
+		require.Equal(w.t, core.ResultAccepted, r.Kind, "%s: %s", s, r.Message)
+	}
+	w.until("chains ready on all entry VMs", 60*time.Second, func() bool {
+		for _, v := range w.vms {
+			if len(v.node.Dump().Routes.Rows) < 4 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// stream asks for an answer, or for the rest of it.
+func (w *world) stream(name core.VMName, id, prompt string, after int) *ask {
+	a := &ask{vm: name, id: core.RequestID(id), prompt: prompt, after: after, count: after}
+	conn := w.conn()
+	w.asks[conn] = a
+	v := w.vms[name]
+	if v.node == nil {
+		a.cut = true
+		return a
+	}
+	w.step(name, core.StreamAsked{Conn: conn, ID: a.id, Key: worldKey, After: after, Request: core.StreamRequest{
+		Pipeline: "p", Prompt: prompt, MaxTokens: worldTokens, Deadline: w.clock(v).Add(60 * time.Second), Returnable: true,
+	}})
+	return a
+}
+
+// call asks for a call that may not be repeated.
+func (w *world) call(name core.VMName, id string) *ask {
+	a := &ask{vm: name, call: true, id: core.RequestID(id)}
+	conn := w.conn()
+	w.asks[conn] = a
+	v := w.vms[name]
+	if v.node == nil {
+		a.cut = true
+		return a
+	}
+	w.step(name, core.CallAsked{Conn: conn, ID: a.id, Key: worldKey, Service: "sign", Method: "POST", Path: "/sign", Digest: id, Deadline: w.clock(v).Add(8 * time.Second)})
+	return a
+}
+
+func (w *world) give(effect core.Effect) {
+	switch e := effect.(type) {
+	case core.Emit:
+		a := w.asks[e.Conn]
+		require.LessOrEqual(w.t, e.From, a.count, "a gap in the answer")
+		for i, token := range e.Tokens {
+			if e.From+i < a.count {
+				continue
+			}
+			a.text.WriteString(token.Text)
+			a.count++
+		}
+		a.finished = e.Finish != ""
+	case core.Refuse:
+		refusal := e.Refusal
+		w.asks[e.Conn].refusal = &refusal
+	case core.Finish:
+		answer := e.Answer
+		w.asks[e.Conn].answer = &answer
+	}
+}
+
+func (a *ask) ended() bool {
+	return a.finished || a.refusal != nil || a.answer != nil || a.cut
+}
