--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -38,6 +38,10 @@
 	attempt uint64
 	claimAt time.Time
 	claimed bool
+	// busy says that another VM was seen to hold the claim.
+	busy bool
+	// refusal is what the caller gets once a peek has shown that it is true.
+	refusal *Refusal
 	// left says that the caller has gone; the call is seen through.
 	left bool
 }
@@ -62,13 +66,16 @@
 		return
 	}
 	a.ID = requestKey(org.Name, string(a.ID))
-	if r, ok := n.checkTenure(); !ok {
-		n.emit(Refuse{Conn: a.Conn, ID: a.ID, Refusal: r})
-		return
-	}
 	service, ok := n.entry.config.Services.Get(a.Service)
 	p := n.entry.pools[a.Service]
 	if !ok || p == nil {
+		if r, ok := n.checkTenure(); !ok {
+			if a.Returnable {
+				r = r.WithDoubt()
+			}
+			n.emit(Refuse{Conn: a.Conn, ID: a.ID, Refusal: r})
+			return
+		}
 		n.emit(Refuse{Conn: a.Conn, ID: a.ID, Refusal: refusal(RefusedService, RanNo, "there is no service of that name", "name one that the operators have declared")})
 		return
 	}
@@ -80,6 +87,10 @@
 	if !c.repeatable {
 		n.entry.callIDs[a.ID] = a.Conn
 	}
+	if r, ok := n.checkTenure(); !ok {
+		n.refuseCall(c, r)
+		return
+	}
 	n.entry.budget.earn()
 	c.wait = &waiting{id: a.ID, conn: a.Conn, organisation: org.Name, class: c.class(), cost: callCost, deadline: a.Deadline, call: c}
 	if r, ok := n.admit(p, c.wait); !ok {
@@ -175,6 +186,10 @@
 		}
 		return
 	}
+	if c.phase == phasePeeking {
+		n.peeked(c, r)
+		return
+	}
 	if c.phase != phaseClaiming || c.attempt != r.Attempt {
 		return
 	}
@@ -190,6 +205,7 @@
 		n.refuseCall(c, conflictRefusal())
 	case ClaimBusy:
 		// Another entry VM is at it; ask again until its record is there.
+		c.busy = true
 	}
 }
 
@@ -293,11 +309,54 @@
 
 // refuseCall gives a call its final refusal. A claim of a call that did not
 // run is given back.
+//
+// An identity that the caller gave may have been sent to another entry VM
+// before. To be told ran: no under it means that no attempt has run, so the
+// control VMs are asked how its claim stands first; without their word the
+// caller is told that it is not known.
 func (n *Node) refuseCall(c *call, r Refusal) {
+	unsettled := !c.repeatable && c.asked.Returnable && !c.claimed && !c.left
+	if unsettled && r.Ran == RanNo && r.Kind != RefusedConflict {
+		n.peek(c, r)
+		return
+	}
+	n.endCall(c, r)
+}
+
+// peek asks how a claim stands before a refusal is given.
+func (n *Node) peek(c *call, r Refusal) {
+	leader := n.entry.tenure.leader
+	if leader == "" || c.busy || c.phase == phaseClaiming {
+		n.endCall(c, r.WithDoubt())
+		return
+	}
+	c.phase = phasePeeking
+	c.refusal = &r
+	c.claimAt = n.now.Add(n.settings.Timing.PeerReply)
+	n.deliver(leader, Message{Claim: &ClaimRequest{ID: c.asked.ID, Digest: c.asked.Digest, Peek: true}})
+}
+
+// peeked gives the refusal, or what an earlier attempt has brought.
+func (n *Node) peeked(c *call, r ClaimReply) {
+	switch r.Outcome {
+	case ClaimNone:
+		n.endCall(c, *c.refusal)
+	case ClaimRecorded:
+		n.finishCall(c, *r.Answer, true)
+	case ClaimConflict:
+		n.endCall(c, conflictRefusal())
+	case ClaimUnknown:
+		n.endCall(c, unknownRefusal())
+	default:
+		n.endCall(c, c.refusal.WithDoubt())
+	}
+}
+
+func (n *Node) endCall(c *call, r Refusal) {
 	if !c.left {
 		n.emit(Refuse{Conn: c.asked.Conn, ID: c.asked.ID, Refusal: r})
 	}
-	if r.Ran == RanNo && r.Kind != RefusedConflict && (c.claimed || c.phase == phaseClaiming) {
+	if c.phase == phaseClaiming || c.claimed && r.Ran == RanNo {
 		n.record(RecordRequest{ID: c.asked.ID, Attempt: c.attempt, Ran: RanNo})
 	}
 	n.forgetCall(c)
@@ -312,6 +371,7 @@
 		c.wait.gone = true
 		n.leave(c.organisation)
 	}
+	c.phase = phaseDone
 	if c.holding {
 		c.holding = false
 		n.give(c.pool, c.route, c.stages)
@@ -331,6 +391,10 @@
 func (n *Node) sweepCalls() {
 	for _, conn := range slices.Sorted(maps.Keys(n.entry.calls)) {
 		c := n.entry.calls[conn]
+		if c.phase == phasePeeking && !n.now.Before(c.claimAt) {
+			n.endCall(c, c.refusal.WithDoubt())
+			continue
+		}
 		if c.phase != phaseClaiming {
 			continue
 		}
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -48,14 +48,17 @@
 
 // CallAsked is a request for a plain service. Its body stays in the runtime.
 type CallAsked struct {
-	Conn     ConnID
-	ID       RequestID
-	Key      string
-	Service  string
-	Method   string
-	Path     string
-	Digest   string
-	Deadline time.Time
+	Conn ConnID
+	ID   RequestID
+	// Returnable says that the caller gave the identity itself, so that it may
+	// have sent it elsewhere before.
+	Returnable bool
+	Key        string
+	Service    string
+	Method     string
+	Path       string
+	Digest     string
+	Deadline   time.Time
 }
 
 // CallerGone says that a caller has closed its connection.
--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -132,7 +132,11 @@
 		return
 	}
 	present, ok := n.machine.Claims[c.ID]
-	if ok && !(present.Holder == from && c.Attempt > present.Attempt && !present.Ended) {
+	if c.Peek && !ok {
+		n.replyClaim(from, c, ClaimNone)
+		return
+	}
+	if ok && !(present.Holder == from && c.Attempt > present.Attempt && !present.Ended && !c.Peek) {
 		n.replyClaim(from, c, n.standing(present, from, c.Digest))
 		return
 	}
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -346,6 +346,7 @@
 		}
 		if !n.now.Before(f.answerBy) {
 			delete(n.entry.finds, id)
+			s.doubted = true
 			n.queueStream(s)
 		}
 	}
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -166,6 +166,8 @@
 	ID      RequestID `cbor:"id"`
 	Attempt uint64    `cbor:"attempt"`
 	Digest  string    `cbor:"digest"`
+	// Peek asks how a claim stands without making one.
+	Peek bool `cbor:"peek,omitempty"`
 }
 
 // ClaimOutcome is the answer to a ClaimRequest.
@@ -175,6 +177,8 @@
 const (
 	// ClaimGranted: the asker alone may dispatch.
 	ClaimGranted ClaimOutcome = "granted"
+	// ClaimNone: there is no claim; the answer to a Peek only.
+	ClaimNone ClaimOutcome = "none"
 	// ClaimBusy: another entry VM holds it and is alive; ask again.
 	ClaimBusy ClaimOutcome = "busy"
 	// ClaimUnknown: the holder is gone and may have dispatched.
--- a/internal/core/refusal.go
+++ b/internal/core/refusal.go
@@ -47,6 +47,18 @@
 	return fmt.Sprintf("%s (ran: %s): %s; %s", r.Kind, r.Ran, r.Reason, r.Remedy)
 }
 
+// WithDoubt returns the refusal as it stands for an identity that may have been
+// sent elsewhere before: this VM has run nothing, and knows no more than that.
+func (r Refusal) WithDoubt() Refusal {
+	if r.Ran != RanNo {
+		return r
+	}
+	r.Ran = RanUnknown
+	r.Reason += "; nothing was run here, but an earlier attempt under this identity could not be ruled out"
+	r.Remedy = "send it again under the same identity"
+	return r
+}
+
 // WithRetryAt returns the refusal with the time at which to come back.
 func (r Refusal) WithRetryAt(at time.Time) Refusal {
 	r.RetryAt = at
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -35,6 +35,7 @@
 	phaseRunning     phase = "running"
 	phaseRepairing   phase = "repairing"
 	phaseClaiming    phase = "claiming"
+	phasePeeking     phase = "peeking"
 	phaseDispatched  phase = "dispatched"
 	phaseDone        phase = "done"
 )
@@ -67,7 +68,9 @@
 	// finishKept says that the keeper has the end, finishShown the caller.
 	finishKept  bool
 	finishShown bool
-	keeper      VMName
+	// doubted says that an earlier attempt could not be ruled out.
+	doubted bool
+	keeper  VMName
 	// registered says that the keeper has the request itself.
 	registered bool
 	// rebuild lists the stages that must rebuild their KV cache, in order.
@@ -92,6 +95,9 @@
 		return
 	}
 	if r, ok := n.checkTenure(); !ok {
+		if a.Request.Returnable {
+			r = r.WithDoubt()
+		}
 		n.emit(Refuse{Conn: a.Conn, ID: id, Refusal: r})
 		return
 	}
@@ -322,6 +328,9 @@
 
 // failStream gives a stream's caller a final answer and forgets the stream.
 func (n *Node) failStream(s *stream, r Refusal) {
+	if s.doubted {
+		r = r.WithDoubt()
+	}
 	if s.conn != 0 {
 		n.emit(Refuse{Conn: s.conn, ID: s.id, Refusal: r})
 	}
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -256,11 +256,11 @@
 	}
 	path := strings.TrimPrefix(r.URL.RequestURI(), "/services/"+name)
 	call := target.Call{Method: r.Method, Path: path, ContentType: r.Header.Get("Content-Type"), Body: body}
-	id, _ := identityOf(r)
+	id, returnable := identityOf(r)
 	conn, box := c.attach(call)
 	defer c.detach(conn)
 	c.daemon.post(core.CallAsked{
-		Conn: conn, ID: id, Key: keyOf(r), Service: name, Method: r.Method, Path: path,
+		Conn: conn, ID: id, Returnable: returnable, Key: keyOf(r), Service: name, Method: r.Method, Path: path,
 		Digest: digest(call.Method + " " + name + call.Path + "\n" + string(body)), Deadline: deadline,
 	})
 	w.Header().Set(target.HeaderIdempotencyKey, string(id))
--- /dev/null
+++ b/internal/daemon/deployment_test.go
@@ -0,0 +1,314 @@
+package daemon_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/fake"
+	"github.com/spoolbank/spoolbank/internal/wire"
+)
+
+// binary is the daemon, built once for all tests.
+var binary = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "spoolbankd")
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(dir, "spoolbankd")
+	out, err := exec.Command("go", "build", "-o", path, "github.com/spoolbank/spoolbank/cmd/spoolbankd").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return path, nil
+})
+
+// patience bounds every wait of a test; it is no measure of speed.
+const patience = 60 * time.Second
+
+// deployment is a set of daemons as processes, with fakes in this process.
+type deployment struct {
+	t       *testing.T
+	dir     string
+	vms     []*process
+	engines []*httptest.Server
+	runners []*fake.Service
+	number  uint64
+}
+
+// process is one daemon.
+type process struct {
+	name     string
+	settings string
+	data     string
+	callers  string
+	peers    string
+	control  bool
+	command  *exec.Cmd
+	ended    chan error
+	log      string
+}
+
+const (
+	testLayers = 6
+	testTokens = 40
+	testKey    = "key"
+)
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// deploy starts control VMs that are entry VMs too, and entry VMs beside them.
+func deploy(t *testing.T, controls, entries int, speed float64) *deployment {
+	d := &deployment{t: t, dir: t.TempDir()}
+	for i := range controls + entries {
+		name := fmt.Sprintf("vm-%d", i+1)
+		d.vms = append(d.vms, &process{
+			name: name, control: i < controls, callers: freeAddress(t), peers: freeAddress(t),
+			settings: filepath.Join(d.dir, name+".jsonc"), data: filepath.Join(d.dir, name), log: filepath.Join(d.dir, name+".log"),
+		})
+	}
+	for _, p := range d.vms {
+		d.writeSettings(p)
+	}
+	d.bootstrap(d.vms[0])
+	for _, p := range d.vms {
+		d.start(p)
+	}
+	t.Cleanup(d.close)
+	d.declare(speed)
+	return d
+}
+
+func (d *deployment) writeSettings(p *process) {
+	var control []string
+	for _, vm := range d.vms {
+		if vm.control {
+			control = append(control, fmt.Sprintf("%q: %q", vm.name, vm.peers))
+		}
+	}
+	roles := `"entry"`
+	if p.control {
+		roles = `"control", "entry"`
+	}
+	text := fmt.Sprintf(`{
+  "name": %q, "hall": "hall", "roles": [%s], "data": %q,
+  "listen": {"callers": %q, "peers": %q},
+  "control": {"vms": {%s}, "snapshot_every": 100},
+  "tls": {"plain_text": true},
+  "timing": {"keep_entries": "500ms", "replace_after": "4s"},
+}`, p.name, roles, p.data, p.callers, p.peers, strings.Join(control, ", "))
+	require.NoError(d.t, os.WriteFile(p.settings, []byte(text), 0o600))
+}
+
+func (d *deployment) bootstrap(p *process) {
+	path, err := binary()
+	require.NoError(d.t, err)
+	out, err := exec.Command(path, "--settings", p.settings, "--bootstrap").CombinedOutput()
+	require.NoError(d.t, err, string(out))
+}
+
+func (d *deployment) start(p *process) {
+	path, err := binary()
+	require.NoError(d.t, err)
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	require.NoError(d.t, err)
+	p.command = exec.Command(path, "--settings", p.settings)
+	p.command.Stdout, p.command.Stderr = log, log
+	require.NoError(d.t, p.command.Start())
+	p.ended = make(chan error, 1)
+	go func() {
+		p.ended <- p.command.Wait()
+		log.Close()
+	}()
+}
+
+func (d *deployment) signal(p *process, s syscall.Signal) {
+	require.NoError(d.t, p.command.Process.Signal(s))
+}
+
+// kill ends a process at once and waits until it is gone.
+func (d *deployment) kill(p *process) {
+	d.signal(p, syscall.SIGKILL)
+	<-p.ended
+	p.command = nil
+}
+
+func (d *deployment) close() {
+	for _, p := range d.vms {
+		if p.command != nil {
+			_ = p.command.Process.Kill()
+			_ = p.command.Process.Signal(syscall.SIGCONT)
+			<-p.ended
+		}
+	}
+	for _, s := range d.engines {
+		s.CloseClientConnections()
+		s.Close()
+	}
+	if d.t.Failed() {
+		for _, p := range d.vms {
+			text, _ := os.ReadFile(p.log)
+			d.t.Logf("%s:\n%s", p.name, text[max(0, len(text)-2000):])
+		}
+	}
+}
+
+// ask sends a statement to one VM.
+func (d *deployment) ask(p *process, text, operator string, number uint64) (core.Result, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	conn, err := wire.Keys{}.Dial(ctx, p.peers)
+	if err != nil {
+		return core.Result{}, err
+	}
+	defer conn.Close()
+	reply, err := wire.Operate(ctx, conn, wire.OperateRequest{Text: text, Operator: operator, Number: number})
+	return reply.Result, err
+}
+
+// until repeats a look until it holds.
+func (d *deployment) until(what string, done func() bool) time.Duration {
+	began := time.Now()
+	for !done() {
+		require.Less(d.t, time.Since(began), patience, what)
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-d.t.Context().Done():
+		}
+	}
+	return time.Since(began)
+}
+
+// must has a statement decided by whoever leads.
+func (d *deployment) must(text, operator string, number uint64) core.Result {
+	var result core.Result
+	d.until(text, func() bool {
+		for _, p := range d.vms {
+			if !p.control || p.command == nil {
+				continue
+			}
+			r, err := d.ask(p, text, operator, number)
+			if err == nil && r.Kind != core.ResultNotLeader && r.Kind != core.ResultInterrupted {
+				result = r
+				return true
+			}
+		}
+		return false
+	})
+	return result
+}
+
+func (d *deployment) next() uint64 {
+	d.number++
+	return d.number
+}
+
+// leader returns the control VM that answers as the leader.
+func (d *deployment) leader() *process {
+	var leader *process
+	d.until("a leader", func() bool {
+		for _, p := range d.vms {
+			if !p.control || p.command == nil {
+				continue
+			}
+			if r, err := d.ask(p, "show config", "", 0); err == nil && r.Kind == core.ResultTable {
+				leader = p
+				return true
+			}
+		}
+		return false
+	})
+	return leader
+}
+
+func (d *deployment) others(than *process) *process {
+	for _, p := range d.vms {
+		if p != than && p.command != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+// declare starts fakes and declares them, and waits until they serve.
+func (d *deployment) declare(speed float64) {
+	statements := []string{
+		`declare service sign class=0 repeatable=["GET /"]`,
+		fmt.Sprintf("declare model m layers=%d versions=[v1]", testLayers),
+		fmt.Sprintf("declare pipeline p model=m version=v1 class=1 max_tokens=%d", testTokens),
+		fmt.Sprintf("declare organisation o key=%q weight=1", config.HashKey(testKey)),
+	}
+	for i := range 5 {
+		name := fmt.Sprintf("e%d", i+1)
+		server := httptest.NewServer(fake.NewEngine(fake.EngineOptions{Name: name, Slots: 64, Batch: 8, Fence: true, Speed: speed}).Handler())
+		d.engines = append(d.engines, server)
+		statements = append(statements, fmt.Sprintf("declare target %s address=%q hall=hall speed=100 memory=3 slots=64 fence=true", name, server.Listener.Addr()))
+	}
+	for i := range 2 {
+		runner := fake.NewService(fake.ServiceOptions{Name: fmt.Sprintf("s%d", i+1), Slots: 64, Delay: 20 * time.Millisecond})
+		d.runners = append(d.runners, runner)
+		server := httptest.NewServer(runner.Handler())
+		d.t.Cleanup(server.Close)
+		statements = append(statements, fmt.Sprintf("declare target s%d address=%q hall=hall service=sign slots=64", i+1, server.Listener.Addr()))
+	}
+	for _, s := range statements {
+		r := d.must(s, "setup", d.next())
+		require.Equal(d.t, core.ResultAccepted, r.Kind, "%s: %s", s, r.Message)
+	}
+	d.until("chains and leases", func() bool { return d.rows("show pipelines where chains >= 2") == 1 && d.rows("show vms where state = up") == len(d.vms) })
+	d.until("three voters", func() bool { return d.rows("show replicas where vote = true and settled = true") == min(3, d.controls()) })
+}
+
+func (d *deployment) controls() int {
+	count := 0
+	for _, p := range d.vms {
+		if p.control {
+			count++
+		}
+	}
+	return count
+}
+
+func (d *deployment) rows(text string) int {
+	r := d.must(text, "", 0)
+	require.NotNil(d.t, r.Table, r.Message)
+	return len(r.Table.Rows)
+}
+
+// runs returns how often an identity was run by any runner.
+func (d *deployment) runs(id string) int {
+	total := 0
+	for _, r := range d.runners {
+		total += r.Runs()[fmt.Sprintf("o/%q", id)]
+	}
+	return total
+}
+
+// post sends a call that may not be repeated.
+func (d *deployment) post(p *process, id, body string) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(d.t.Context(), http.MethodPost, "http://"+p.callers+"/services/sign/submit", strings.NewReader(body))
+	require.NoError(d.t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set("Idempotency-Key", id)
+	return http.DefaultClient.Do(request)
+}
