core: a keeper for every stream, and a patient search for a kept one

Cause: under load a process test got answer_not_kept after its entry VM was killed. When all of the first three VMs were suspected of being slow a stream had no keeper; a search skipped suspects and gave up after one reply time; and a link made anew counted its batches from 1 again, so that a late reply could stand for another batch. Change: a slow keeper is taken when there is no better; a caller that has a part of its answer has all entry VMs asked, until they have answered or their lease has run out; batch numbers are never used again. Also: the list of entry VMs goes out as deltas; the watch list is computed once a change; routes with room are kept in a list and each VM uses at most 16 routes of a pool; a bed of engines that take time, with baselines.

--- /dev/null
+++ b/internal/core/burst_test.go
@@ -0,0 +1,549 @@
+package core_test
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/core/plan"
+)
+
+// bed runs entry Nodes against engines that take time, on a virtual clock. An
+// engine runs batch positions at a time, each in layers*batch/speed seconds,
+// first come first served. What is measured are counts and virtual times, so
+// that a figure is the same on every machine.
+type bed struct {
+	t       require.TestingT
+	now     time.Time
+	events  bedEvents
+	serial  int
+	rand    *rand.Rand
+	state   config.State
+	nodes   []*core.Node
+	names   map[core.VMName]int
+	engines map[string]*bedEngine
+	asks    map[core.ConnID]*bedAsk
+	// layersRun counts layers times positions, to hold against the bound.
+	tokens int
+}
+
+type bedEngine struct {
+	speed   float64
+	batch   int
+	slots   int
+	running int
+	waiting []func()
+	streams map[core.RequestID]bool
+	dead    bool
+	delay   time.Duration
+}
+
+// bedAsk is one request and what came of it.
+type bedAsk struct {
+	class        config.Class
+	organisation int
+	asked        time.Time
+	first        time.Time
+	last         time.Time
+	maxGap       time.Duration
+	tokens       int
+	done         time.Time
+	refused      *core.Refusal
+	refusedAt    time.Time
+}
+
+type bedEvent struct {
+	at     time.Time
+	serial int
+	run    func()
+}
+
+type bedEvents []bedEvent
+
+func (h bedEvents) Len() int { return len(h) }
+func (h bedEvents) Less(i, j int) bool {
+	return cmp.Or(h[i].at.Compare(h[j].at), cmp.Compare(h[i].serial, h[j].serial)) < 0
+}
+func (h bedEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *bedEvents) Push(x any)   { *h = append(*h, x.(bedEvent)) }
+func (h *bedEvents) Pop() any {
+	old := *h
+	last := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return last
+}
+
+const (
+	bedBatch = 8
+	bedSlots = 48
+	bedLink  = 500 * time.Microsecond
+	bedOrgs  = 10
+)
+
+// newBed makes so many entry Nodes before forty unequal engines in three halls.
+func newBed(t require.TestingT, entries int, seed uint64) *bed {
+	b := &bed{t: t, now: epochStart, rand: rand.New(rand.NewPCG(seed, 2)), engines: make(map[string]*bedEngine), names: make(map[core.VMName]int), asks: make(map[core.ConnID]*bedAsk)}
+	changes := []config.Change{
+		{Model: &config.Model{Name: "m", Layers: benchLayers, Versions: []string{"v1"}}},
+		{Pipeline: &config.Pipeline{Name: "p0", Model: "m", Version: "v1", Class: 0, MaxTokens: 1000}},
+		{Pipeline: &config.Pipeline{Name: "p2", Model: "m", Version: "v1", Class: 2, MaxTokens: 1000}},
+	}
+	for i := range bedOrgs {
+		changes = append(changes, config.Change{Organisation: &config.Organisation{Name: fmt.Sprintf("o%d", i), Key: config.HashKey(fmt.Sprintf("key%d", i)), Weight: 1}})
+	}
+	kinds := []struct {
+		speed  float64
+		memory int
+	}{{3200, 12}, {2400, 10}, {9600, 24}}
+	for i := range 40 {
+		k := kinds[i%3]
+		name := fmt.Sprintf("t%02d", i)
+		b.engines[name] = &bedEngine{speed: k.speed, batch: bedBatch, slots: bedSlots, streams: make(map[core.RequestID]bool)}
+		changes = append(changes, config.Change{Target: &config.Target{Name: name, Address: name, Hall: fmt.Sprintf("hall%d", i/3%3), Speed: k.speed, Memory: k.memory, Slots: bedSlots, Fence: true}})
+	}
+	state, err := config.State{}.Apply(1, changes)
+	require.NoError(t, err)
+	b.state = b.planned(state)
+	for i := range entries {
+		b.nodes = append(b.nodes, core.New(core.Settings{
+			Self: core.ReplicaID{VM: benchView(entries)[i].Address.VM, Incarnation: 1}, Entry: true, Address: benchView(entries)[i].Address,
+			ControlVMs: []core.VMName{"c1"}, Timing: core.DefaultTiming(), Seed: seed + uint64(i),
+		}, core.Recovered{}, b.now))
+		b.names[benchView(entries)[i].Address.VM] = i
+		b.tick(i)
+	}
+	b.advance(2 * time.Second)
+	return b
+}
+
+// planned applies what the planner wants, as if the engines loaded at once.
+func (b *bed) planned(s config.State) config.State {
+	changes := plan.Changes(s)
+	for i := range changes {
+		if changes[i].Place != nil {
+			ready := changes[i].Place.WithReady()
+			changes[i].Place = &ready
+		}
+	}
+	next, err := s.Apply(s.Revision+1, changes)
+	require.NoError(b.t, err)
+	return next
+}
+
+// bound is what no placement can exceed, in tokens a second.
+func (b *bed) bound() float64 {
+	var stages []plan.Stage
+	for name, e := range b.engines {
+		if !e.dead {
+			stages = append(stages, plan.Stage{Target: name, Speed: e.speed})
+		}
+	}
+	return plan.Bound(benchLayers, stages)
+}
+
+func (b *bed) at(delay time.Duration, run func()) {
+	b.serial++
+	heap.Push(&b.events, bedEvent{at: b.now.Add(delay), serial: b.serial, run: run})
+}
+
+func (b *bed) advance(d time.Duration) {
+	end := b.now.Add(d)
+	for len(b.events) > 0 && !b.events[0].at.After(end) {
+		e := heap.Pop(&b.events).(bedEvent)
+		b.now = e.at
+		e.run()
+	}
+	b.now = end
+}
+
+func (b *bed) tick(i int) {
+	b.at(tickEvery, func() {
+		b.step(i, core.Tick{})
+		b.tick(i)
+	})
+}
+
+func (b *bed) step(i int, event core.Event) {
+	for _, effect := range slices.Clone(b.nodes[i].Step(b.now, event)) {
+		b.carryOut(i, effect)
+	}
+}
+
+func (b *bed) carryOut(i int, effect core.Effect) {
+	switch e := effect.(type) {
+	case core.Send:
+		b.send(i, e.Envelope)
+	case core.Run:
+		b.run(e, func(ended core.RunEnded) { b.step(i, ended) })
+	case core.Rebuild:
+		b.rebuild(i, e)
+	case core.Release:
+		for _, s := range e.Chain {
+			delete(b.engines[s.Target].streams, e.Stream)
+		}
+	case core.Emit:
+		b.emit(e)
+	case core.Refuse:
+		refusal := e.Refusal
+		b.asks[e.Conn].refused = &refusal
+		b.asks[e.Conn].refusedAt = b.now
+	}
+}
+
+func (b *bed) send(i int, e core.Envelope) {
+	if r := e.Body.Renew; r != nil {
+		b.at(bedLink, func() { b.grant(i, r.Number) })
+		return
+	}
+	if j, ok := b.names[e.To]; ok {
+		b.at(bedLink, func() { b.step(j, core.Received{Envelope: e}) })
+	}
+}
+
+func (b *bed) grant(i int, number uint64) {
+	state := b.state
+	b.step(i, core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: "c1"}, Body: core.Message{Grant: &core.Grant{
+		Term: 1, Number: number, Revision: state.Revision, State: &state, ViewVersion: 1, View: benchView(len(b.nodes)), ViewWhole: true,
+	}}}})
+}
+
+// run passes a position through the stages of a chain.
+func (b *bed) run(r core.Run, done func(core.RunEnded)) {
+	ended := core.RunEnded{Stream: r.Stream, Epoch: r.Epoch, Position: r.Position, Result: core.ResultDone, Next: r.Position + 1, Token: core.Token{Text: "x"}}
+	b.at(bedLink, func() { b.stage(r, 0, ended, done) })
+}
+
+func (b *bed) stage(r core.Run, k int, ended core.RunEnded, done func(core.RunEnded)) {
+	if k == len(r.Chain) {
+		b.tokens++
+		b.at(time.Duration(k)*bedLink, func() { done(ended) })
+		return
+	}
+	s := r.Chain[k]
+	e := b.engines[s.Target]
+	fail := func(result core.RunResult, after time.Duration) {
+		ended.Result, ended.Target = result, s.Target
+		b.at(after, func() { done(ended) })
+	}
+	switch {
+	case e.dead:
+		fail(core.ResultBroken, bedLink)
+		return
+	case !e.streams[r.Stream] && r.Position > 0:
+		fail(core.ResultGap, bedLink)
+		return
+	case !e.streams[r.Stream] && len(e.streams) >= e.slots:
+		fail(core.ResultRefused, bedLink)
+		return
+	}
+	e.streams[r.Stream] = true
+	ended.Load = max(ended.Load, len(e.streams)*1000/e.slots)
+	b.serve(e, s.Layers.Len(), func() { b.at(bedLink+e.delay, func() { b.stage(r, k+1, ended, done) }) })
+}
+
+// serve runs work in the engine's batch when it has room.
+func (b *bed) serve(e *bedEngine, layers int, done func()) {
+	work := func() {
+		e.running++
+		b.at(time.Duration(float64(layers)*float64(e.batch)/e.speed*float64(time.Second)), func() {
+			e.running--
+			if len(e.waiting) > 0 {
+				next := e.waiting[0]
+				e.waiting = e.waiting[1:]
+				next()
+			}
+			done()
+		})
+	}
+	if e.running < e.batch {
+		work()
+		return
+	}
+	e.waiting = append(e.waiting, work)
+}
+
+// rebuild takes a twentieth of the time that the positions took at first.
+func (b *bed) rebuild(i int, r core.Rebuild) {
+	e := b.engines[r.Stage.Target]
+	ended := core.RebuildEnded{Stream: r.Stream, Epoch: r.Epoch, Target: r.Stage.Target, Result: core.ResultDone}
+	if e.dead {
+		ended.Result = core.ResultBroken
+		b.at(bedLink, func() { b.step(i, ended) })
+		return
+	}
+	e.streams[r.Stream] = true
+	b.serve(e, max(r.Stage.Layers.Len()*r.Position/20, 1), func() { b.step(i, ended) })
+}
+
+func (b *bed) emit(e core.Emit) {
+	a := b.asks[e.Conn]
+	if len(e.Tokens) > 0 {
+		if a.tokens == 0 {
+			a.first = b.now
+		} else {
+			a.maxGap = max(a.maxGap, b.now.Sub(a.last))
+		}
+		a.tokens += len(e.Tokens)
+		a.last = b.now
+	}
+	if e.Finish != "" {
+		a.done = b.now
+	}
+}
+
+// ask sends a request to a Node.
+func (b *bed) ask(node, organisation int, class config.Class, tokens int, patience time.Duration) *bedAsk {
+	a := &bedAsk{class: class, organisation: organisation, asked: b.now}
+	conn := core.ConnID(len(b.asks) + 1)
+	b.asks[conn] = a
+	b.step(node, core.StreamAsked{Conn: conn, ID: core.RequestID(fmt.Sprint(conn)), Key: fmt.Sprintf("key%d", organisation), Request: core.StreamRequest{
+		Pipeline: fmt.Sprintf("p%d", class), Prompt: "prompt", MaxTokens: tokens, Deadline: b.now.Add(patience),
+	}})
+	return a
+}
+
+// baseline is a router without any of the core: it sends each request at once
+// to the chain that choose names, and each position after the one before.
+type baseline struct {
+	name   string
+	choose func(b *bed, chains []plan.Chain, open []int) int
+}
+
+var baselines = []baseline{
+	{"random", func(b *bed, chains []plan.Chain, _ []int) int { return b.rand.IntN(len(chains)) }},
+	{"round robin", func(b *bed, chains []plan.Chain, _ []int) int { return len(b.asks) % len(chains) }},
+	{"least outstanding", func(_ *bed, _ []plan.Chain, open []int) int { return slices.Index(open, slices.Min(open)) }},
+}
+
+func (b *bed) askBaseline(l baseline, chains []plan.Chain, open []int, tokens int) {
+	i := l.choose(b, chains, open)
+	b.asks[core.ConnID(len(b.asks)+1)] = &bedAsk{asked: b.now}
+	var stages []core.Stage
+	for _, p := range chains[i].Stages {
+		stages = append(stages, core.Stage{Target: p.Target, Layers: p.Layers})
+	}
+	open[i]++
+	run := core.Run{Stream: core.RequestID(fmt.Sprint(len(b.asks))), Chain: stages}
+	var next func(core.RunEnded)
+	next = func(e core.RunEnded) {
+		run.Position++
+		if run.Position == tokens {
+			open[i]--
+			return
+		}
+		b.run(run, next)
+	}
+	b.run(run, next)
+}
+
+const (
+	burstTokens  = 64
+	burstSeconds = 60
+)
+
+// throughput measures the share of the bound over the last forty seconds of
+// a minute in which callers ask for load times the bound.
+func throughput(t require.TestingT, load float64, l *baseline) float64 {
+	b := newBed(t, 4, 7)
+	if l != nil {
+		for _, e := range b.engines {
+			e.slots = 1 << 20
+		}
+	}
+	chains := plan.Chains(b.state, "m", "v1")
+	open := make([]int, len(chains))
+	requests := int(load * b.bound() * burstSeconds / burstTokens)
+	for i := range requests {
+		b.at(time.Duration(i)*burstSeconds*time.Second/time.Duration(requests), func() {
+			if l != nil {
+				b.askBaseline(*l, chains, open, burstTokens)
+				return
+			}
+			b.ask(i%len(b.nodes), i%bedOrgs, 2, burstTokens, 30*time.Second)
+		})
+	}
+	b.advance(20 * time.Second)
+	before := b.tokens
+	b.advance(40 * time.Second)
+	return float64(b.tokens-before) / 40 / b.bound()
+}
+
+// BenchmarkOpenBurst is the throughput at an open, as a share of the bound.
+func BenchmarkOpenBurst(b *testing.B) {
+	for _, load := range []float64{1, 2} {
+		b.Run(fmt.Sprintf("load=%v/core", load), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(throughput(b, load, nil), "share-of-bound")
+			}
+		})
+		for _, l := range baselines {
+			b.Run(fmt.Sprintf("load=%v/%s", load, l.name), func(b *testing.B) {
+				for b.Loop() {
+					b.ReportMetric(throughput(b, load, &l), "share-of-bound")
+				}
+			})
+		}
+	}
+}
+
+// overloadResult is what a threefold overload does to classes and shares.
+type overloadResult struct {
+	// firstRatio is the critical class's time to the whole answer at p95, over
+	// that without load.
+	firstRatio float64
+	served     float64
+	shareError float64
+	// slowestRefusal is the longest wait for a refusal that came at arrival or
+	// at its deadline, beyond that deadline.
+	slowestRefusal time.Duration
+}
+
+func p95(times []time.Duration) time.Duration {
+	slices.Sort(times)
+	return times[len(times)*95/100]
+}
+
+// critical asks for the critical class once every tenth of a second.
+func (b *bed) critical(seconds int) []*bedAsk {
+	var asks []*bedAsk
+	for i := range seconds * 10 {
+		b.at(time.Duration(i)*100*time.Millisecond, func() { asks = append(asks, b.ask(i%len(b.nodes), 0, 0, 16, 30*time.Second)) })
+	}
+	b.advance(time.Duration(seconds) * time.Second)
+	b.advance(30 * time.Second)
+	return asks
+}
+
+func times(asks []*bedAsk) (whole []time.Duration) {
+	for _, a := range asks {
+		if !a.done.IsZero() {
+			whole = append(whole, a.done.Sub(a.asked))
+		}
+	}
+	return whole
+}
+
+// overload has organisation 9 ask for ten times what each other one does, all
+// together three times the bound, in the normal class.
+func overload(t require.TestingT) overloadResult {
+	quiet := p95(times(newBed(t, 4, 7).critical(30)))
+	b := newBed(t, 4, 7)
+	requests := int(3 * b.bound() * 30 / burstTokens)
+	var normal []*bedAsk
+	for i := range requests {
+		organisation := i % 19
+		if organisation > 9 {
+			organisation = 9
+		}
+		b.at(time.Duration(i)*30*time.Second/time.Duration(requests), func() {
+			normal = append(normal, b.ask(i/19%len(b.nodes), organisation, 2, burstTokens, 10*time.Second))
+		})
+	}
+	critical := b.critical(30)
+	whole := times(critical)
+	var r overloadResult
+	r.served = float64(len(whole)) / float64(len(critical))
+	r.firstRatio = float64(p95(whole)) / float64(quiet)
+	r.shareError = shareError(normal)
+	for _, a := range normal {
+		if a.refused != nil {
+			late := min(a.refusedAt.Sub(a.asked), a.refusedAt.Sub(a.asked.Add(10*time.Second)))
+			r.slowestRefusal = max(r.slowestRefusal, late)
+		}
+	}
+	return r
+}
+
+// shareError is how far the least served organisation is below an even share
+// of what was served to those that ask for more than that.
+func shareError(asks []*bedAsk) float64 {
+	served := make([]float64, bedOrgs)
+	total := 0.0
+	for _, a := range asks {
+		if !a.done.IsZero() {
+			served[a.organisation]++
+			total++
+		}
+	}
+	return max(0, 1-slices.Min(served)*bedOrgs/total)
+}
+
+// BenchmarkOverload is a threefold overload.
+func BenchmarkOverload(b *testing.B) {
+	for b.Loop() {
+		r := overload(b)
+		b.ReportMetric(r.firstRatio, "critical-p95-ratio")
+		b.ReportMetric(r.served, "critical-served")
+		b.ReportMetric(r.shareError, "share-error")
+		b.ReportMetric(r.slowestRefusal.Seconds(), "refusal-s")
+	}
+}
+
+// lossResult is what the loss of a stage does.
+type lossResult struct {
+	hit      int
+	worstGap time.Duration
+	restart  time.Duration
+	share    float64
+	lost     int
+}
+
+// stageLoss kills an engine while streams of 64 tokens run at 0.8 of the bound.
+func stageLoss(t require.TestingT) lossResult {
+	b := newBed(t, 4, 7)
+	requests := int(0.8 * b.bound() * 40 / burstTokens)
+	var asks []*bedAsk
+	for i := range requests {
+		b.at(time.Duration(i)*40*time.Second/time.Duration(requests), func() {
+			asks = append(asks, b.ask(i%len(b.nodes), i%bedOrgs, 2, burstTokens, 60*time.Second))
+		})
+	}
+	b.advance(15 * time.Second)
+	lost := plan.Chains(b.state, "m", "v1")[1].Stages[1].Target
+	b.engines[lost].dead = true
+	killed := b.now
+	b.at(time.Second, func() {
+		next, err := b.state.Apply(b.state.Revision+1, []config.Change{{Condition: &config.Condition{Target: lost, Down: true}}})
+		require.NoError(t, err)
+		b.state = next
+	})
+	b.advance(5 * time.Second)
+	before := b.tokens
+	b.advance(20 * time.Second)
+	share := float64(b.tokens-before) / 20 / (0.8 * b.bound())
+	b.advance(60 * time.Second)
+	r := lossResult{share: share}
+	for _, a := range asks {
+		switch {
+		case a.done.IsZero():
+			r.lost++
+		case a.asked.Before(killed) && a.done.After(killed):
+			r.hit++
+			r.worstGap = max(r.worstGap, a.maxGap)
+			r.restart = max(r.restart, killed.Sub(a.asked))
+		}
+	}
+	return r
+}
+
+// BenchmarkStageLoss is the loss of an engine under load. The baseline is a
+// restart from the beginning: the longest-running stream's time so far.
+func BenchmarkStageLoss(b *testing.B) {
+	for b.Loop() {
+		r := stageLoss(b)
+		b.ReportMetric(float64(r.hit), "running-streams")
+		b.ReportMetric(r.worstGap.Seconds(), "worst-gap-s")
+		b.ReportMetric(r.restart.Seconds(), "restart-s")
+		b.ReportMetric(r.worstGap.Seconds()/r.restart.Seconds(), "gap-of-restart")
+		b.ReportMetric(r.share, "share-of-offered")
+		b.ReportMetric(float64(r.lost), "lost")
+	}
+}
--- a/internal/core/control_test.go
+++ b/internal/core/control_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/fake"
 )
 
 // leader returns the VM that holds the leader's lease, or the empty name.
@@ -200,3 +201,29 @@
 	require.NotEmpty(t, a.refusal.Others)
 	require.Equal(t, core.ResultAccepted, w.must("set organisation o weight=2", 100).Kind)
 }
+
+// A late reply to an earlier batch must not count for a later one, and a
+// stream must have a keeper also when every other VM has been slow.
+func TestSlowKeepersStillKeep(t *testing.T) {
+	w := newWorld(t, 9, 3, 1)
+	w.setUp()
+	w.settled()
+	a := w.stream("vm4", "slow", "a prompt", 0)
+	for _, other := range w.names[:3] {
+		w.cut[[2]core.VMName{"vm4", other}] = true
+	}
+	w.advance(1500 * time.Millisecond)
+	shown := a.count
+	require.Less(t, shown, worldTokens, "tokens were shown that no keeper has")
+	for _, other := range w.names[:3] {
+		w.cut[[2]core.VMName{"vm4", other}] = false
+	}
+	w.until("some token is shown", 10*time.Second, func() bool { return a.count > 0 })
+	shown = a.count
+	w.crash("vm4")
+	rest := w.stream("vm1", "slow", "a prompt", shown)
+	w.until("the rest comes from another VM", 20*time.Second, func() bool { return rest.ended() })
+	require.True(t, rest.finished, "%v", rest.refusal)
+	want, _ := fake.Expected("a prompt", worldLayers, worldTokens)
+	require.Equal(t, want, a.text.String()+rest.text.String())
+}
--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -38,7 +38,7 @@
 	for _, report := range r.Reports {
 		n.takeReport(from.VM, report)
 	}
-	n.refreshView()
+	n.leading.view.set(n.viewOf(l))
 	n.grant(l)
 }
 
@@ -47,11 +47,10 @@
 func (n *Node) grant(l *lease) {
 	c := n.machine.Config
 	g := Grant{
-		Term:        n.replica.hard.Term,
-		Number:      l.renew.Number,
-		Revision:    c.Revision,
-		ViewVersion: n.leading.viewVersion,
-		Cluster:     n.cluster,
+		Term:     n.replica.hard.Term,
+		Number:   l.renew.Number,
+		Revision: c.Revision,
+		Cluster:  n.cluster,
 	}
 	deltas, ok := n.leading.deltas.since(l.revision, c.Revision)
 	if ok {
@@ -59,9 +58,7 @@
 	} else {
 		g.State = &c
 	}
-	if l.renew.ViewVersion != n.leading.viewVersion {
-		g.View = n.leading.view
-	}
+	n.leading.view.since(l.renew.ViewVersion, &g)
 	l.until = n.now.Add(n.settings.Timing.Lengthened(n.settings.Timing.LeaseTerm))
 	n.deliver(l.holder.VM, Message{Grant: &g})
 }
@@ -71,28 +68,6 @@
 	return l.renew.Leaving || vm.Drain || n.leading.platform[string(l.holder.VM)]
 }
 
-// refreshView recomputes what callers are told of the entry VMs. The version
-// changes only when that does.
-func (n *Node) refreshView() {
-	var view []EntryView
-	for _, vm := range slices.Sorted(maps.Keys(n.leading.leases)) {
-		l := n.leading.leases[vm]
-		if !n.now.Before(l.until) && !l.until.IsZero() {
-			continue
-		}
-		view = append(view, EntryView{
-			Address:     l.renew.Address,
-			Incarnation: l.holder.Incarnation,
-			Leaving:     n.isLeaving(l),
-			LoadLevel:   loadLevel(l.renew.Load),
-		})
-	}
-	if !slices.Equal(view, n.leading.view) {
-		n.leading.view = view
-		n.leading.viewVersion++
-	}
-}
-
 // loadLevel makes a load in thousandths coarse.
 func loadLevel(load int) int { return min(load/300, 3) }
 
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -46,16 +46,26 @@
 	outbox   []KeepUpdate
 }
 
-// keeperFor chooses the keeper of a stream, or none.
+// keeperFor chooses the keeper of a stream: the first in rendezvous order that
+// is not suspected. When all are, it is the first all the same: a slow keeper
+// is better than none. There is none only when no other entry VM is known.
 func (n *Node) keeperFor(id RequestID) VMName {
-	for _, vm := range rendezvous(string(id), n.entry.view, rendezvousWidth) {
-		if vm != n.settings.Self.VM && !n.isSuspect(string(vm)) {
-			return vm
-		}
+	order := rendezvous(string(id), n.entry.view, rendezvousWidth)
+	if slices.ContainsFunc(order, n.isSuspectVM) {
+		order = rendezvous(string(id), n.entry.view, len(n.entry.view))
+	}
+	order = slices.DeleteFunc(order, func(vm VMName) bool { return vm == n.settings.Self.VM })
+	if i := slices.IndexFunc(order, func(vm VMName) bool { return !n.isSuspectVM(vm) }); i >= 0 {
+		return order[i]
+	}
+	if len(order) > 0 {
+		return order[0]
 	}
 	return ""
 }
 
+func (n *Node) isSuspectVM(vm VMName) bool { return n.isSuspect(string(vm)) }
+
 // register gives a stream to a keeper, and begins it once that has it.
 func (n *Node) register(s *stream) {
 	s.keeper = n.keeperFor(s.id)
@@ -144,7 +154,10 @@
 	if l.inFlight || len(l.outbox) == 0 {
 		return
 	}
-	l.number++
+	// A number is never used again, also not for a link made anew: a late
+	// reply must not be taken for that of another batch.
+	n.entry.keepNumber++
+	l.number = n.entry.keepNumber
 	l.inFlight = true
 	l.answerBy = n.now.Add(n.settings.Timing.PeerReply)
 	l.sent = l.outbox
@@ -268,9 +281,12 @@
 
 // find is a search for a stream that a caller has come back for.
 type find struct {
-	asked    map[VMName]bool
-	answered int
-	answerBy time.Time
+	// none holds the VMs that have said that they keep nothing of it.
+	none map[VMName]bool
+	// againAt is when the VMs that were silent are asked again, endAt when
+	// the search is given up.
+	againAt time.Time
+	endAt   time.Time
 }
 
 // findFirst asks the VMs that may keep a stream before a new one is begun. It
@@ -280,21 +296,39 @@
 		n.adopt(s, n.handOverRecord(k, n.settings.Self))
 		return true
 	}
-	f := &find{asked: make(map[VMName]bool), answerBy: n.now.Add(n.settings.Timing.PeerReply)}
-	for _, vm := range rendezvous(string(s.id), n.entry.view, rendezvousWidth) {
-		if vm != n.settings.Self.VM && !n.isSuspect(string(vm)) {
-			f.asked[vm] = true
-		}
+	f := &find{none: make(map[VMName]bool), endAt: n.now.Add(n.settings.Timing.PeerReply)}
+	if s.shown > 0 {
+		// Somebody has kept it. A VM that is dead leaves the list of entry VMs
+		// when its lease has run out; one that is slow answers until then.
+		f.endAt = n.now.Add(2 * n.settings.Timing.LeaseTerm)
 	}
-	if len(f.asked) == 0 {
+	if len(n.silentKeepers(s, f)) == 0 {
 		return false
 	}
 	s.phase = phaseFinding
 	n.entry.finds[s.id] = f
-	for _, vm := range slices.Sorted(maps.Keys(f.asked)) {
+	n.askKeepers(s, f)
+	return true
+}
+
+// silentKeepers returns the VMs that may keep a stream and have not said that
+// they don't: the first in rendezvous order, or all when the caller has seen a
+// part of the answer already.
+func (n *Node) silentKeepers(s *stream, f *find) []VMName {
+	width := rendezvousWidth
+	if s.shown > 0 {
+		width = len(n.entry.view)
+	}
+	return slices.DeleteFunc(rendezvous(string(s.id), n.entry.view, width), func(vm VMName) bool {
+		return vm == n.settings.Self.VM || f.none[vm]
+	})
+}
+
+func (n *Node) askKeepers(s *stream, f *find) {
+	f.againAt = n.now.Add(n.settings.Timing.PeerReply)
+	for _, vm := range n.silentKeepers(s, f) {
 		n.send(vm, Message{Find: &Find{ID: s.id}})
 	}
-	return true
 }
 
 func (n *Node) handOverRecord(k *keptRecord, to ReplicaID) KeepRecord {
@@ -318,7 +352,7 @@
 
 // findReplied takes the first record that comes. When every VM has said that
 // it has none, the request is a new one.
-func (n *Node) findReplied(r FindReply) {
+func (n *Node) findReplied(from VMName, r FindReply) {
 	f, ok := n.entry.finds[r.ID]
 	s := n.entry.streams[r.ID]
 	if !ok || s == nil || s.phase != phaseFinding {
@@ -329,8 +363,8 @@
 		n.adopt(s, *r.Record)
 		return
 	}
-	f.answered++
-	if f.answered >= len(f.asked) {
+	f.none[from] = true
+	if len(n.silentKeepers(s, f)) == 0 {
 		delete(n.entry.finds, r.ID)
 		n.queueStream(s)
 	}
@@ -344,9 +378,14 @@
 			delete(n.entry.finds, id)
 			continue
 		}
-		if !n.now.Before(f.answerBy) {
+		switch silent := len(n.silentKeepers(s, f)) > 0; {
+		case silent && n.now.Before(f.endAt):
+			if !n.now.Before(f.againAt) {
+				n.askKeepers(s, f)
+			}
+		default:
 			delete(n.entry.finds, id)
-			s.doubted = true
+			s.doubted = silent
 			n.queueStream(s)
 		}
 	}
--- a/internal/core/leading.go
+++ b/internal/core/leading.go
@@ -18,9 +18,7 @@
 	records   map[Index]recordWaiter
 	leases    map[VMName]*lease
 	deltas    deltaRing
-	view      []EntryView
-	// viewVersion counts the changes of view, in the leader's term.
-	viewVersion uint64
+	view      entryList
 	// blindUntil is when the leases of former leaders have run out.
 	blindUntil time.Time
 	// reports holds what the watchers last said of each target.
@@ -80,7 +78,7 @@
 func (n *Node) startLeading() {
 	n.leading.reset()
 	n.leading.blindUntil = n.now.Add(n.settings.Timing.Lengthened(n.settings.Timing.LeaseTerm))
-	n.leading.viewVersion = uint64(n.replica.hard.Term) << 32
+	n.leading.view = newEntryList(n.replica.hard.Term)
 	n.leading.conditionsAt = n.now.Add(n.settings.Timing.LeaseTerm)
 }
 
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -139,9 +139,13 @@
 	Revision config.Revision `cbor:"revision"`
 	Deltas   []Delta         `cbor:"deltas,omitempty"`
 	State    *config.State   `cbor:"state,omitempty"`
-	// View is set when the holder's version differs.
+	// ViewVersion is that of the list of entry VMs after View and Gone are
+	// taken: what has changed since the holder's version. ViewWhole says that
+	// View is the whole list.
 	ViewVersion uint64      `cbor:"view_version"`
 	View        []EntryView `cbor:"view,omitempty"`
+	Gone        []VMName    `cbor:"gone,omitempty"`
+	ViewWhole   bool        `cbor:"view_whole,omitempty"`
 	Cluster     string      `cbor:"cluster"`
 }
 
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strconv"
@@ -15,8 +16,11 @@
 // pool is a set of interchangeable routes and the work that waits for them:
 // the chains of a model's version, or the runners of a plain service.
 type pool struct {
-	name   string
-	routes []route
+	name string
+	// routes is in the order of byName's keys; open are those with room.
+	routes []*route
+	byName map[string]*route
+	open   []*route
 	// used counts what is in progress by the name of its route. It outlives
 	// the route: a chain that is mended comes back under its name while old
 	// work still runs on it.
@@ -26,7 +30,9 @@
 	// exponential mean; queued is the cost of what waits.
 	served   float64
 	servedAt time.Time
-	queued   float64
+	// sharers is how many entry VMs are thought to use each route.
+	sharers float64
+	queued  float64
 }
 
 // route is one way through a pool.
@@ -38,6 +44,8 @@
 	// the targets report room, and halves when one refuses, so that several
 	// entry VMs share targets without speaking to each other.
 	window float64
+	// openAt is the place in the pool's open routes, or -1.
+	openAt int
 }
 
 // targetState is what this entry VM knows of a target from its own work.
@@ -46,9 +54,8 @@
 	// suspectUntil is how long no new work goes there.
 	suspectUntil time.Time
 	failures     int
-	// lastReport is what a watch brought.
-	report  TargetReport
-	watched bool
+	// report is what the last watch brought.
+	report TargetReport
 }
 
 // suspectFor is the first pause after a failure; it doubles up to the bound.
@@ -118,10 +125,10 @@
 
 func poolOf(p config.Pipeline) string { return p.Model + "@" + p.Version }
 
-func chainRoutes(c config.State, p config.Pipeline) []route {
-	var routes []route
+func chainRoutes(c config.State, p config.Pipeline) []*route {
+	var routes []*route
 	for _, chain := range plan.Chains(c, p.Model, p.Version) {
-		r := route{name: chain.Name, slots: chain.Slots}
+		r := &route{name: chain.Name, slots: chain.Slots}
 		for _, placed := range chain.Stages {
 			t, _ := c.Targets.Get(placed.Target)
 			r.stages = append(r.stages, Stage{Target: t.Name, Address: t.Address, Layers: placed.Layers})
@@ -131,71 +138,125 @@
 	return routes
 }
 
-func runnerRoutes(c config.State, service string) []route {
-	var routes []route
+func runnerRoutes(c config.State, service string) []*route {
+	var routes []*route
 	for _, t := range c.Targets.Sorted() {
 		if t.Service == service && t.Available() {
-			routes = append(routes, route{name: t.Name, slots: t.Slots, stages: []Stage{{Target: t.Name, Address: t.Address}}})
+			routes = append(routes, &route{name: t.Name, slots: t.Slots, stages: []Stage{{Target: t.Name, Address: t.Address}}})
 		}
 	}
 	return routes
 }
 
-func (n *Node) setRoutes(name string, routes []route) {
+func (n *Node) setRoutes(name string, all []*route) {
+	routes := n.subset(all)
 	p, ok := n.entry.pools[name]
 	if !ok {
 		p = &pool{name: name, used: make(map[string]int), queue: newFairQueue[*waiting](config.ClassCount), servedAt: n.now}
 		n.entry.pools[name] = p
 	}
-	for i := range routes {
-		routes[i].window = n.firstWindow(routes[i].slots)
-		if old := p.route(routes[i].name); old != nil {
-			routes[i].window = min(old.window, float64(routes[i].slots))
+	p.sharers = n.sharers(len(all), len(routes))
+	byName := make(map[string]*route, len(routes))
+	for _, r := range routes {
+		r.window = p.firstWindow(r.slots)
+		if old := p.byName[r.name]; old != nil {
+			r.window = min(old.window, float64(r.slots))
 		}
+		byName[r.name] = r
+	}
+	p.routes, p.byName, p.open = routes, byName, nil
+	for _, r := range routes {
+		r.openAt = -1
+		p.reopen(r)
 	}
-	p.routes = routes
 }
 
-// firstWindow is an even part of a route's slots.
-func (n *Node) firstWindow(slots int) float64 {
-	entries := max(len(n.entry.view), 1)
-	return math.Max(firstWindowPart, math.Ceil(float64(slots)/float64(entries)))
+// subsetSize is how many routes of a pool an entry VM uses. With fewer there is
+// nothing to gain; with more, each VM would keep connections to every target.
+const subsetSize = 16
+
+// subset returns the routes that this VM uses: those that rank highest by a
+// hash of the VM and the route, so that a change of one moves no other.
+func (n *Node) subset(routes []*route) []*route {
+	if len(routes) <= subsetSize {
+		return routes
+	}
+	ranked := slices.Clone(routes)
+	score := func(r *route) uint64 { return xxhash.Sum64String(string(n.settings.Self.VM) + "\x00" + r.name) }
+	slices.SortFunc(ranked, func(a, b *route) int { return cmp.Compare(score(a), score(b)) })
+	return ranked[:subsetSize]
 }
 
-func (p *pool) route(name string) *route {
-	i := slices.IndexFunc(p.routes, func(r route) bool { return r.name == name })
-	if i < 0 {
-		return nil
+// sharers estimates how many entry VMs use each route.
+func (n *Node) sharers(all, used int) float64 {
+	if all == 0 {
+		return 1
 	}
-	return &p.routes[i]
+	return max(1, float64(len(n.entry.view))*float64(used)/float64(all))
+}
+
+// firstWindow is an even part of a route's slots.
+func (p *pool) firstWindow(slots int) float64 {
+	return math.Max(firstWindowPart, math.Ceil(float64(slots)/max(p.sharers, 1)))
 }
 
+// drawLimit bounds the random draws before all open routes are looked at.
+const drawLimit = 4
+
 // choose returns the better of two routes drawn at random among those with
 // room. Two draws keep several entry VMs from all taking the one that was idle
-// in the last report. The route through avoid is left out while there are others.
+// in the last report. Its cost does not grow with the number of routes: only
+// when the draws meet nothing but suspects are the open ones looked at in turn.
+// The route through avoid is left out while there are others.
 func (n *Node) choose(p *pool, avoid string) *route {
-	var open []int
-	for i, r := range p.routes {
-		if float64(p.used[r.name]) < r.window && !n.routeSuspect(r) && !r.uses(avoid) {
-			open = append(open, i)
-		}
-	}
-	if len(open) == 0 {
-		return nil
+	a := n.draw(p, avoid)
+	b := n.draw(p, avoid)
+	if a == nil || b == nil {
+		return a
 	}
-	a := &p.routes[open[n.rand.IntN(len(open))]]
-	b := &p.routes[open[n.rand.IntN(len(open))]]
 	if n.cost(p, b) < n.cost(p, a) {
 		return b
 	}
 	return a
 }
 
-func (r route) uses(target string) bool {
+func (n *Node) draw(p *pool, avoid string) *route {
+	for range min(drawLimit, len(p.open)) {
+		if r := p.open[n.rand.IntN(len(p.open))]; n.usable(r, avoid) {
+			return r
+		}
+	}
+	for _, r := range p.open {
+		if n.usable(r, avoid) {
+			return r
+		}
+	}
+	return nil
+}
+
+func (n *Node) usable(r *route, avoid string) bool { return !n.routeSuspect(r) && !r.uses(avoid) }
+
+// reopen keeps the list of routes with room in step after a change of one.
+func (p *pool) reopen(r *route) {
+	room := float64(p.used[r.name]) < r.window
+	switch {
+	case room && r.openAt < 0:
+		r.openAt = len(p.open)
+		p.open = append(p.open, r)
+	case !room && r.openAt >= 0:
+		last := p.open[len(p.open)-1]
+		p.open[r.openAt] = last
+		last.openAt = r.openAt
+		p.open = p.open[:len(p.open)-1]
+		r.openAt = -1
+	}
+}
+
+func (r *route) uses(target string) bool {
 	return slices.ContainsFunc(r.stages, func(s Stage) bool { return s.Target == target })
 }
 
-func (n *Node) routeSuspect(r route) bool {
+func (n *Node) routeSuspect(r *route) bool {
 	return slices.ContainsFunc(r.stages, func(s Stage) bool { return n.isSuspect(s.Target) })
 }
 
@@ -215,11 +276,12 @@
 
 // feedback moves a route's window by what its targets said of their load.
 func (n *Node) feedback(p *pool, name string, load int, refused bool) {
-	r := p.route(name)
+	r := p.byName[name]
 	if r == nil {
 		return
 	}
-	least := n.firstWindow(r.slots)
+	defer p.reopen(r)
+	least := p.firstWindow(r.slots)
 	switch {
 	case refused:
 		r.window = max(least/2, r.window/2, 1)
@@ -233,7 +295,7 @@
 // take counts a piece of work on a route and its stages.
 func (n *Node) take(poolName, name string, stages []Stage) {
 	if p, ok := n.entry.pools[poolName]; ok {
-		p.used[name]++
+		p.use(name, 1)
 	}
 	for _, s := range stages {
 		n.target(s.Target).used++
@@ -248,11 +310,19 @@
 	if !ok {
 		return
 	}
-	p.used[name]--
+	p.use(name, -1)
+	n.pump(p)
+}
+
+// use counts work on a route by its name.
+func (p *pool) use(name string, change int) {
+	p.used[name] += change
 	if p.used[name] == 0 {
 		delete(p.used, name)
 	}
-	n.pump(p)
+	if r := p.byName[name]; r != nil {
+		p.reopen(r)
+	}
 }
 
 // ended counts work that has ended, for the estimate of waiting times.
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -104,11 +104,11 @@
 }
 
 func (n *Node) knownTargets() Table {
-	t := Table{Columns: []string{"target", "used", "suspect_until", "watched", "reached", "holding"}}
+	t := Table{Columns: []string{"target", "used", "suspect_until", "reached", "holding"}}
 	for _, target := range n.entry.config.Targets.Sorted() {
 		state, ok := n.entry.targets[target.Name]
 		if ok {
-			t.add(target.Name, state.used, state.suspectUntil, state.watched, state.report.Reached, state.report.Holding)
+			t.add(target.Name, state.used, state.suspectUntil, state.report.Reached, state.report.Holding)
 		}
 	}
 	return t
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -39,12 +39,15 @@
 	inProgress  map[string]int
 	kept        map[RequestID]*keptRecord
 	links       map[VMName]*keeperLink
+	keepNumber  uint64
 	finds       map[RequestID]*find
 	records     map[RequestID]*pendingRecord
 	attempts    uint64
 	budget      retryBudget
 	sweepAt     time.Time
 	watchAt     time.Time
+	watchKey    watchKey
+	watchList   []config.Target
 	// leaveAt is when the answers that name this VM have all run out.
 	leaveAt time.Time
 }
@@ -85,7 +88,7 @@
 	case b.Find != nil:
 		n.findAsked(e.From, *b.Find)
 	case b.FindReply != nil:
-		n.findReplied(*b.FindReply)
+		n.findReplied(e.From.VM, *b.FindReply)
 	}
 }
 
@@ -176,9 +179,7 @@
 	if !n.takeConfig(g) {
 		return
 	}
-	if g.View != nil || g.ViewVersion != n.entry.viewVersion && len(g.View) > 0 {
-		n.takeView(g)
-	}
+	n.takeView(g)
 	until := sent.Add(n.settings.Timing.Shortened(n.settings.Timing.LeaseTerm))
 	if until.After(t.until) {
 		t.until = until
@@ -210,16 +211,6 @@
 	return n.entry.config.Revision == g.Revision
 }
 
-func (n *Node) takeView(g Grant) {
-	n.entry.view = g.View
-	n.entry.viewVersion = g.ViewVersion
-	for _, v := range g.View {
-		if v.Address.VM != n.settings.Self.VM {
-			n.emit(Reach{VM: v.Address.VM, Address: v.Address.Peers})
-		}
-	}
-}
-
 // configTaken recomputes what is derived from the configuration.
 func (n *Node) configTaken() {
 	keys := make(map[string]string, n.entry.config.Organisations.Len())
--- /dev/null
+++ b/internal/core/view.go
@@ -0,0 +1,133 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// entryList is the leader's list of entry VMs, as callers are told of them. It
+// remembers at which version each line changed, so that a holder gets only
+// what it lacks: at the two-year size the whole list for every change would
+// cost more than all other control messages.
+type entryList struct {
+	version uint64
+	// first is the version that the list began with in this term. A holder of
+	// an earlier one gets the whole list.
+	first uint64
+	lines map[VMName]entryLine
+	// names holds the keys of lines, sorted.
+	names     []VMName
+	gone      map[VMName]uint64
+	refreshAt time.Time
+}
+
+type entryLine struct {
+	view    EntryView
+	changed uint64
+}
+
+func newEntryList(term Term) entryList {
+	first := uint64(term) << 32
+	return entryList{version: first, first: first, lines: make(map[VMName]entryLine), gone: make(map[VMName]uint64)}
+}
+
+// set takes what is now said of a VM.
+func (l *entryList) set(view EntryView) {
+	vm := view.Address.VM
+	if line, ok := l.lines[vm]; ok && line.view == view {
+		return
+	}
+	l.version++
+	if at, known := slices.BinarySearch(l.names, vm); !known {
+		l.names = slices.Insert(l.names, at, vm)
+	}
+	l.lines[vm] = entryLine{view: view, changed: l.version}
+	delete(l.gone, vm)
+}
+
+func (l *entryList) remove(vm VMName) {
+	if _, ok := l.lines[vm]; !ok {
+		return
+	}
+	l.version++
+	at, _ := slices.BinarySearch(l.names, vm)
+	l.names = slices.Delete(l.names, at, at+1)
+	delete(l.lines, vm)
+	l.gone[vm] = l.version
+}
+
+// since puts into a grant what has changed after a holder's version.
+func (l *entryList) since(version uint64, g *Grant) {
+	g.ViewVersion = l.version
+	if version == l.version {
+		return
+	}
+	g.ViewWhole = version < l.first || version > l.version
+	for _, vm := range l.names {
+		if line := l.lines[vm]; g.ViewWhole || line.changed > version {
+			g.View = append(g.View, line.view)
+		}
+	}
+	for _, vm := range slices.Sorted(maps.Keys(l.gone)) {
+		if l.gone[vm] > version && !g.ViewWhole {
+			g.Gone = append(g.Gone, vm)
+		}
+	}
+}
+
+// refreshEvery is the interval between two looks at all lines.
+const refreshEvery = 100 * time.Millisecond
+
+// refreshView drops the VMs whose lease has run out.
+func (n *Node) refreshView() {
+	l := &n.leading.view
+	if n.now.Before(l.refreshAt) {
+		return
+	}
+	l.refreshAt = n.now.Add(refreshEvery)
+	for _, vm := range slices.Sorted(maps.Keys(n.leading.leases)) {
+		lease := n.leading.leases[vm]
+		if !n.now.Before(lease.until) {
+			l.remove(vm)
+			continue
+		}
+		l.set(n.viewOf(lease))
+	}
+}
+
+func (n *Node) viewOf(l *lease) EntryView {
+	return EntryView{
+		Address:     l.renew.Address,
+		Incarnation: l.holder.Incarnation,
+		Leaving:     n.isLeaving(l),
+		LoadLevel:   loadLevel(l.renew.Load),
+	}
+}
+
+// takeView brings the list of entry VMs to the grant's version.
+func (n *Node) takeView(g Grant) {
+	if g.ViewVersion <= n.entry.viewVersion {
+		return
+	}
+	lines := make(map[VMName]EntryView, len(n.entry.view)+len(g.View))
+	if !g.ViewWhole {
+		for _, v := range n.entry.view {
+			lines[v.Address.VM] = v
+		}
+	}
+	for _, v := range g.View {
+		lines[v.Address.VM] = v
+		if v.Address.VM != n.settings.Self.VM {
+			n.emit(Reach{VM: v.Address.VM, Address: v.Address.Peers})
+		}
+	}
+	for _, vm := range g.Gone {
+		delete(lines, vm)
+	}
+	n.entry.view = n.entry.view[:0:0]
+	for _, vm := range slices.Sorted(maps.Keys(lines)) {
+		n.entry.view = append(n.entry.view, lines[vm])
+	}
+	n.entry.viewVersion = g.ViewVersion
+}
--- a/internal/core/watch.go
+++ b/internal/core/watch.go
@@ -1,23 +1,45 @@
 package core
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
 
 // watcherCount is how many entry VMs look after each target. The leader hears
 // of each target from them, and no VM has to look at all.
 const watcherCount = 3
 
-// tickWatch looks at the targets that are this VM's to watch, and at those
-// that it suspects.
+// tickWatch looks at the targets that are this VM's to watch.
 func (n *Node) tickWatch() {
 	if n.now.Before(n.entry.watchAt) {
 		return
 	}
 	n.entry.watchAt = n.now.Add(n.settings.Timing.WatchEvery)
+	n.refreshWatchList()
+	for _, t := range n.entry.watchList {
+		n.emit(Watch{Target: t.Name, Address: t.Address})
+	}
+}
+
+// watchKey is what the watch list was computed from.
+type watchKey struct {
+	revision config.Revision
+	view     uint64
+}
+
+// refreshWatchList recomputes which targets are this VM's to watch. It looks at
+// all targets and all VMs, and does so only when either list has changed.
+func (n *Node) refreshWatchList() {
+	key := watchKey{revision: n.entry.config.Revision, view: n.entry.viewVersion}
+	if key == n.entry.watchKey {
+		return
+	}
+	n.entry.watchKey = key
+	n.entry.watchList = nil
 	for _, t := range n.entry.config.Targets.Sorted() {
-		state := n.target(t.Name)
-		state.watched = n.isWatcher(t.Name)
-		if state.watched || n.isSuspect(t.Name) {
-			n.emit(Watch{Target: t.Name, Address: t.Address})
+		if n.isWatcher(t.Name) {
+			n.entry.watchList = append(n.entry.watchList, t)
 		}
 	}
 }
@@ -38,9 +60,8 @@
 // reports returns what the leader is told of the watched targets.
 func (n *Node) reports() []TargetReport {
 	var reports []TargetReport
-	for _, t := range n.entry.config.Targets.Sorted() {
-		state, ok := n.entry.targets[t.Name]
-		if ok && state.watched && state.report.Target != "" {
+	for _, t := range n.entry.watchList {
+		if state, ok := n.entry.targets[t.Name]; ok && state.report.Target != "" {
 			reports = append(reports, state.report)
 		}
 	}
