core: admit what can end in time, size windows by delay, charge shares when served

Looking at starts and ends by organisation: (1) the wait was estimated for the whole queue, not for the organisation's own share, so that those under their share were refused; (2) a flow paid for work at its arrival and went on paying for work that had expired in the queue; (3) work began with too little time left, ran, and was thrown away (1,200 of the large organisation's streams); (4) windows of 48 streams a chain put twice as many into the engines as they can run at a time.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -33,6 +33,8 @@
 	call   *call
 }
 
+func (w *waiting) isGone() bool { return w.gone }
+
 // queueLimit bounds what waits in one pool.
 const queueLimit = 20000
 
@@ -65,12 +67,12 @@
 		return refusal(RefusedLimit, RanNo, "the organisation has as many requests in progress as its limit allows", "wait for one of them, or ask the operators for a higher limit").
 			WithRetryAt(n.comeBack(p)), false
 	}
-	if p.queue.length >= queueLimit || n.now.Add(p.wait(n.now)).After(w.deadline) {
+	wait := p.wait(n.now, p.queue.ahead(int(w.class), w.organisation, float64(max(org.Weight, 1))))
+	if p.queue.length >= queueLimit || n.now.Add(wait).After(p.latest(w)) {
 		return refusal(RefusedOverload, RanNo, "it could not be served before its deadline", "come back at the given time, or give a later deadline").
 			WithRetryAt(n.comeBack(p)), false
 	}
 	p.queue.push(int(w.class), w.organisation, float64(max(org.Weight, 1)), w.cost, w)
-	p.queued += w.cost
 	n.entry.inProgress[w.organisation]++
 	n.pump(p)
 	return Refusal{}, true
@@ -87,7 +89,7 @@
 // comeBack is when the queue will have drained, spread over as long again so
 // that those who are sent away do not return together.
 func (n *Node) comeBack(p *pool) time.Time {
-	wait := max(p.wait(n.now), time.Second)
+	wait := max(p.wait(n.now, p.queued()), time.Second)
 	return n.now.Add(wait + time.Duration(n.rand.Int64N(int64(wait))))
 }
 
@@ -97,10 +99,9 @@
 		if n.choose(p, "") == nil {
 			return
 		}
-		w, _ := p.queue.pop()
-		p.queued -= w.cost
-		if w.gone {
-			continue
+		w, ok := p.queue.pop()
+		if !ok {
+			return
 		}
 		r := n.choose(p, w.avoid)
 		if r == nil {
@@ -144,11 +145,15 @@
 	n.pump(p)
 }
 
+// latest is when work must begin to end before its deadline. What begins later
+// would take room from work that can still be of use, and then be thrown away.
+func (p *pool) latest(w *waiting) time.Time { return w.deadline.Add(-p.service(w.cost)) }
+
 func (n *Node) expire(p *pool, w *waiting) {
-	if w.gone || n.now.Before(w.deadline) {
+	if w.gone || n.now.Before(p.latest(w)) {
 		return
 	}
-	n.dropWaiting(w, refusal(RefusedDeadline, RanNo, "its deadline passed while it waited", "come back at the given time").WithRetryAt(n.comeBack(p)))
+	n.dropWaiting(w, refusal(RefusedDeadline, RanNo, "it waited until it could no longer be served before its deadline", "come back at the given time").WithRetryAt(n.comeBack(p)))
 }
 
 // dropWaiting refuses work that has not begun.
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -34,6 +34,7 @@
 	route        string
 	stages       []Stage
 	holding      bool
+	beganAt      time.Time
 	// attempt numbers the claim; claimAt is when it is asked for again.
 	attempt uint64
 	claimAt time.Time
@@ -215,6 +216,7 @@
 
 func (n *Node) dispatchCall(c *call) {
 	c.phase = phaseDispatched
+	c.beganAt = n.now
 	n.emit(Dispatch{
 		Conn:     c.asked.Conn,
 		ID:       c.asked.ID,
@@ -236,8 +238,8 @@
 	case ResultDone:
 		n.trust(e.Target)
 		if p != nil {
-			n.feedback(p, c.route, 0, false)
-			p.ended(callCost, n.now)
+			p.taken(c.route)
+			p.ended(callCost, callCost, n.now.Sub(c.beganAt), n.now)
 		}
 		if !c.repeatable {
 			n.record(RecordRequest{ID: c.asked.ID, Attempt: c.attempt, Ran: RanYes, Answer: e.Answer})
@@ -245,7 +247,7 @@
 		n.finishCall(c, e.Answer, false)
 	case ResultRefused:
 		if p != nil {
-			n.feedback(p, c.route, 0, true)
+			p.refused(c.route)
 		}
 		n.retryCall(c, e.Target)
 	default:
--- a/internal/core/fair_queue.go
+++ b/internal/core/fair_queue.go
@@ -3,36 +3,47 @@
 import "container/heap"
 
 // fairQueue orders waiting work: by class, and inside a class by weighted fair
-// shares among flows. It is start-time fair queueing: each item gets the tag
-// max(virtual time, its flow's last finish), and the lowest tag goes first. A
-// flow that asks for ten times its share is served at its share while others
-// wait, and gets all that nobody else asks for.
+// shares among flows. It is start-time fair queueing: each flow has a tag, the
+// flow with the lowest goes first, and what it is served moves its tag on by
+// cost over weight. A flow that asks for ten times its share is served at its
+// share while others wait, and gets all that nobody else asks for.
+//
+// Tags move when work is served and not when it arrives. Work that is dropped
+// while it waits costs its flow nothing: charging it at its arrival was tried,
+// and a flow whose work had expired was then served nothing at all.
 //
 // Push and pop cost the logarithm of the number of flows that wait.
 type fairQueue[T any] struct {
 	classes []fairClass[T]
 	length  int
+	// dropped reports whether an item is no longer to be served.
+	dropped func(T) bool
 }
 
 type fairClass[T any] struct {
 	virtual float64
 	flows   map[string]*flow[T]
 	waiting flowHeap[T]
+	// cost is that of all items, weight that of the flows that have items.
+	cost   float64
+	weight float64
 }
 
 type flow[T any] struct {
 	name   string
 	items  []flowItem[T]
-	finish float64
+	tag    float64
+	cost   float64
+	weight float64
 }
 
 type flowItem[T any] struct {
 	value T
-	start float64
+	cost  float64
 }
 
-func newFairQueue[T any](classes int) fairQueue[T] {
-	q := fairQueue[T]{classes: make([]fairClass[T], classes)}
+func newFairQueue[T any](classes int, dropped func(T) bool) fairQueue[T] {
+	q := fairQueue[T]{classes: make([]fairClass[T], classes), dropped: dropped}
 	for i := range q.classes {
 		q.classes[i].flows = make(map[string]*flow[T])
 	}
@@ -47,56 +58,95 @@
 		f = &flow[T]{name: name}
 		c.flows[name] = f
 	}
-	start := max(c.virtual, f.finish)
-	f.finish = start + cost/weight
-	f.items = append(f.items, flowItem[T]{value: value, start: start})
+	f.items = append(f.items, flowItem[T]{value: value, cost: cost})
+	f.cost += cost
+	c.cost += cost
+	q.length++
 	if len(f.items) == 1 {
+		f.weight = weight
+		f.tag = max(f.tag, c.virtual)
+		c.weight += weight
 		heap.Push(&c.waiting, f)
 	}
-	q.length++
 }
 
 // pop takes the item that is next, and reports whether there was one.
 func (q *fairQueue[T]) pop() (value T, ok bool) {
 	for i := range q.classes {
 		c := &q.classes[i]
-		if len(c.waiting) == 0 {
-			continue
-		}
-		f := c.waiting[0]
-		item := f.items[0]
-		f.items = f.items[1:]
-		c.virtual = item.start
-		if len(f.items) == 0 {
-			heap.Pop(&c.waiting)
-			delete(c.flows, f.name)
-			c.keepFinish(f)
-		} else {
-			heap.Fix(&c.waiting, 0)
+		for len(c.waiting) > 0 {
+			f := c.waiting[0]
+			item := f.items[0]
+			served := !q.dropped(item.value)
+			if served {
+				c.virtual = f.tag
+				f.tag += item.cost / f.weight
+			}
+			q.advance(c, f)
+			if served {
+				return item.value, true
+			}
 		}
-		q.length--
-		return item.value, true
 	}
 	return value, false
 }
 
-// keepFinish remembers a flow that has been served ahead of virtual time, so
-// that it can't gain by coming back empty.
-func (c *fairClass[T]) keepFinish(f *flow[T]) {
-	if f.finish > c.virtual && len(c.waiting) > 0 {
-		f.items = nil
-		c.flows[f.name] = f
+// advance takes the head of the class's first flow away.
+func (q *fairQueue[T]) advance(c *fairClass[T], f *flow[T]) {
+	f.cost -= f.items[0].cost
+	c.cost -= f.items[0].cost
+	f.items = f.items[1:]
+	q.length--
+	if len(f.items) > 0 {
+		heap.Fix(&c.waiting, 0)
+		return
+	}
+	f.items = nil
+	c.weight -= f.weight
+	heap.Pop(&c.waiting)
+	c.forget()
+}
+
+// forgetAbove bounds the flows without items that are remembered.
+const forgetAbove = 1000
+
+// forget drops flows without items whose tag says nothing any more. While
+// others wait, one that was served ahead of virtual time stays known, so that
+// it can't gain by coming back empty.
+func (c *fairClass[T]) forget() {
+	if len(c.waiting) > 0 && len(c.flows) < forgetAbove {
+		return
+	}
+	for name, f := range c.flows {
+		if len(f.items) == 0 && (len(c.waiting) == 0 || f.tag <= c.virtual) {
+			delete(c.flows, name)
+		}
+	}
+}
+
+// ahead returns the cost that is served before a new item of the flow: all of
+// the classes before, and of its own class the part that fair shares give the
+// other flows while its own items are served.
+func (q *fairQueue[T]) ahead(class int, name string, weight float64) float64 {
+	var before float64
+	for i := range class {
+		before += q.classes[i].cost
+	}
+	c := &q.classes[class]
+	f, ok := c.flows[name]
+	if !ok || f.cost == 0 {
+		return before
 	}
+	return before + min(f.cost*c.weight/weight, c.cost)
 }
 
-// flowHeap is a heap of the flows that have items, by the tag of the first.
+// flowHeap is a heap of the flows that have items, by their tag.
 type flowHeap[T any] []*flow[T]
 
 func (h flowHeap[T]) Len() int { return len(h) }
 
 func (h flowHeap[T]) Less(i, j int) bool {
-	a, b := h[i].items[0].start, h[j].items[0].start
-	return a < b || a == b && h[i].name < h[j].name
+	return h[i].tag < h[j].tag || h[i].tag == h[j].tag && h[i].name < h[j].name
 }
 
 func (h flowHeap[T]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -406,6 +406,7 @@
 	n.entry.streams[s.id] = s
 	s.phase = phaseRegistering
 	s.holding = true
+	s.beganAt = n.now
 	n.take(s.pool, s.route, s.chain)
 	n.register(s)
 }
--- a/internal/core/repair.go
+++ b/internal/core/repair.go
@@ -201,7 +201,7 @@
 // line for another route, if the budget for retries allows. Else the stages
 // before have run, and only the one that refused is replaced.
 func (n *Node) stageRefused(s *stream, target string) {
-	n.feedback(n.poolOfStream(s), s.route, 0, true)
+	n.poolOfStream(s).refused(s.route)
 	if s.position > 0 || target != s.chain[0].Target {
 		n.suspect(target)
 		n.repair(s, target)
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -27,12 +27,15 @@
 	used  map[string]int
 	queue fairQueue[*waiting]
 	// served is the rate at which work ends, in units of cost a second, as an
-	// exponential mean; queued is the cost of what waits.
+	// exponential mean.
 	served   float64
 	servedAt time.Time
+	// unitTime is how long a unit of cost takes once it has begun, and usedPart
+	// the part of the asked cost that answers come to, as running means.
+	unitTime time.Duration
+	usedPart float64
 	// sharers is how many entry VMs are thought to use each route.
 	sharers float64
-	queued  float64
 }
 
 // route is one way through a pool.
@@ -40,10 +43,9 @@
 	name   string
 	stages []Stage
 	slots  int
-	// window is what this entry VM may have in progress on it. It grows while
-	// the targets report room, and halves when one refuses, so that several
-	// entry VMs share targets without speaking to each other.
+	// window is what this entry VM may have in progress on it; see window.go.
 	window float64
+	delay  delayMeter
 	// openAt is the place in the pool's open routes, or -1.
 	openAt int
 }
@@ -60,11 +62,9 @@
 
 // suspectFor is the first pause after a failure; it doubles up to the bound.
 const (
-	suspectFor      = 500 * time.Millisecond
-	suspectAtMost   = 8 * time.Second
-	roomBelow       = 900
-	servedHalfLife  = 2 * time.Second
-	firstWindowPart = 1
+	suspectFor     = 500 * time.Millisecond
+	suspectAtMost  = 8 * time.Second
+	servedHalfLife = 2 * time.Second
 )
 
 func (n *Node) target(name string) *targetState {
@@ -152,15 +152,16 @@
 	routes := n.subset(all)
 	p, ok := n.entry.pools[name]
 	if !ok {
-		p = &pool{name: name, used: make(map[string]int), queue: newFairQueue[*waiting](config.ClassCount), servedAt: n.now}
+		p = &pool{name: name, used: make(map[string]int), queue: newFairQueue(config.ClassCount, (*waiting).isGone), servedAt: n.now}
 		n.entry.pools[name] = p
 	}
 	p.sharers = n.sharers(len(all), len(routes))
 	byName := make(map[string]*route, len(routes))
 	for _, r := range routes {
-		r.window = p.firstWindow(r.slots)
+		r.window = p.firstWindow(r)
 		if old := p.byName[r.name]; old != nil {
 			r.window = min(old.window, float64(r.slots))
+			r.delay = old.delay
 		}
 		byName[r.name] = r
 	}
@@ -196,10 +197,6 @@
 }
 
 // firstWindow is an even part of a route's slots.
-func (p *pool) firstWindow(slots int) float64 {
-	return math.Max(firstWindowPart, math.Ceil(float64(slots)/max(p.sharers, 1)))
-}
-
 // drawLimit bounds the random draws before all open routes are looked at.
 const drawLimit = 4
 
@@ -274,24 +271,6 @@
 
 const awayCost = 0.01
 
-// feedback moves a route's window by what its targets said of their load.
-func (n *Node) feedback(p *pool, name string, load int, refused bool) {
-	r := p.byName[name]
-	if r == nil {
-		return
-	}
-	defer p.reopen(r)
-	least := p.firstWindow(r.slots)
-	switch {
-	case refused:
-		r.window = max(least/2, r.window/2, 1)
-	case load < roomBelow:
-		r.window = min(r.window+1, float64(r.slots))
-	case r.window > least:
-		r.window = max(least, r.window-1)
-	}
-}
-
 // take counts a piece of work on a route and its stages.
 func (n *Node) take(poolName, name string, stages []Stage) {
 	if p, ok := n.entry.pools[poolName]; ok {
@@ -325,24 +304,53 @@
 	}
 }
 
-// ended counts work that has ended, for the estimate of waiting times.
-func (p *pool) ended(cost float64, now time.Time) {
+// meanPart is the weight of a new sample in a running mean.
+const meanPart = 0.05
+
+// ended counts work that has ended, for the estimates of times: how much was
+// asked for, how much it came to, and how long that took.
+func (p *pool) ended(asked, cost float64, took time.Duration, now time.Time) {
 	elapsed := now.Sub(p.servedAt)
 	p.served = p.served*decay(elapsed) + cost/servedHalfLife.Seconds()*math.Ln2
 	p.servedAt = now
+	if cost <= 0 || asked <= 0 {
+		return
+	}
+	unit := time.Duration(float64(took) / cost)
+	if p.unitTime == 0 {
+		p.unitTime, p.usedPart = unit, cost/asked
+		return
+	}
+	p.unitTime += time.Duration(meanPart * float64(unit-p.unitTime))
+	p.usedPart += meanPart * (cost/asked - p.usedPart)
+}
+
+// service estimates how long work of the given cost takes once it has begun.
+func (p *pool) service(cost float64) time.Duration {
+	return time.Duration(cost * p.usedPart * float64(p.unitTime))
 }
 
 func decay(elapsed time.Duration) float64 {
 	return math.Exp2(-elapsed.Seconds() / servedHalfLife.Seconds())
 }
 
-// wait estimates how long new work would wait. It is 0 while nothing is known.
-func (p *pool) wait(now time.Time) time.Duration {
+// wait estimates how long it takes to serve so much cost. It is 0 while
+// nothing is known.
+func (p *pool) wait(now time.Time, ahead float64) time.Duration {
 	rate := p.served * decay(now.Sub(p.servedAt))
-	if rate <= 0 || p.queued <= 0 {
+	if rate <= 0 || ahead <= 0 {
 		return 0
 	}
-	return time.Duration(p.queued / rate * float64(time.Second))
+	return time.Duration(ahead * p.usedPart / rate * float64(time.Second))
+}
+
+// queued returns the cost of all that waits.
+func (p *pool) queued() float64 {
+	var cost float64
+	for i := range p.queue.classes {
+		cost += p.queue.classes[i].cost
+	}
+	return cost
 }
 
 // load is the part of this VM's windows that is used, in thousandths.
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -58,6 +58,10 @@
 	holding  bool
 	position int
 	inFlight bool
+	// beganAt is when it got its route.
+	beganAt time.Time
+	// sentAt is when the run in flight was ordered.
+	sentAt time.Time
 	// dispatched says that some engine may have run some of it.
 	dispatched bool
 	tokens     []Token
@@ -159,6 +163,7 @@
 	s.route = route
 	s.chain = stages
 	s.holding = true
+	s.beganAt = n.now
 	if s.registered {
 		n.runNext(s)
 		return
@@ -175,6 +180,7 @@
 	s.phase = phaseRunning
 	s.inFlight = true
 	s.dispatched = true
+	s.sentAt = n.now
 	run := Run{
 		Stream:   s.id,
 		Epoch:    s.epoch,
@@ -221,8 +227,10 @@
 }
 
 func (n *Node) commitToken(s *stream, e RunEnded) {
-	if s.position == 0 {
-		n.feedback(n.poolOfStream(s), s.route, e.Load, false)
+	if s.position > 0 {
+		p := n.poolOfStream(s)
+		p.ran(s.route, n.now.Sub(s.sentAt), n.now)
+		n.pump(p)
 	}
 	s.tokens = append(s.tokens, e.Token)
 	s.position = e.Next
@@ -259,7 +267,7 @@
 	}
 	s.holding = false
 	n.emit(Release{Stream: s.id, Epoch: s.epoch, Chain: s.chain})
-	n.poolOfStream(s).ended(float64(len(s.tokens)), n.now)
+	n.poolOfStream(s).ended(float64(s.request.MaxTokens), float64(len(s.tokens)), n.now.Sub(s.beganAt), n.now)
 	for _, stage := range s.chain {
 		n.trust(stage.Target)
 	}
