core: streams that began without a keeper get one; leaving targets; disk tests

Cause: a process test lost 18 to 21 answers when one entry VM was killed. All 60 callers had been sent to it: right after the start its list named only itself, so its streams had no keeper. Ruled out: a hung process (the watch list had moved on), refused updates and late replies (no note of either). Change: when other entry VMs become known, streams without a keeper get one; the test also waits until every VM lists the others. Also found: a record of length 0 in the log read as a whole one, so that a tail of zeros after a crash was taken for damage (TestTornTailIsCutAndDamageIsRefused failed first). New tests: no new work within 3 s of each sign that a target leaves; refusals under a given identity; wire fuzzing; a folder has one user.

--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -23,6 +23,8 @@
 	// sent counts messages and their bytes.
 	sent  int
 	bytes int
+	// kept counts batches to keepers.
+	kept  int
 	conn  core.ConnID
 	asked uint64
 }
@@ -109,6 +111,7 @@
 				r.asked = e.Envelope.Body.Renew.Number
 			}
 			if k := e.Envelope.Body.Keep; k != nil {
+				r.kept++
 				replies = append(replies, core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: e.Envelope.To}, To: "vm000", Body: core.Message{KeepReply: &core.KeepReply{Number: k.Number}}}})
 			}
 		}
--- a/internal/core/control_test.go
+++ b/internal/core/control_test.go
@@ -227,3 +227,19 @@
 	want, _ := fake.Expected("a prompt", worldLayers, worldTokens)
 	require.Equal(t, want, a.text.String()+rest.text.String())
 }
+
+// A stream that began when its entry VM knew no other one gets a keeper as
+// soon as it does.
+func TestStreamGetsAKeeperLater(t *testing.T) {
+	r := newEntryRig(t, 8, 1, 1)
+	run := r.begin(10)
+	run = r.answer(run, "")[0]
+	require.Zero(t, r.kept, "no other VM is known")
+	view := benchView(2)
+	r.step(core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: "c1"}, To: "vm000", Body: core.Message{Grant: &core.Grant{
+		Term: 1, Number: r.asked, Revision: 2, ViewVersion: 2, View: view,
+	}}}})
+	require.Equal(t, 1, r.kept, "the whole stream goes to the VM that is now known")
+	r.answer(run, "")
+	require.Equal(t, 2, r.kept)
+}
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -64,6 +64,19 @@
 	return ""
 }
 
+// findKeepers gives keepers to the streams that have none, since no other entry
+// VM was known when they began: after the start of a deployment, say.
+func (n *Node) findKeepers() {
+	if len(n.entry.view) < 2 {
+		return
+	}
+	for _, id := range slices.Sorted(maps.Keys(n.entry.streams)) {
+		if s := n.entry.streams[id]; s.registered && s.keeper == "" && s.phase != phaseDone {
+			n.register(s)
+		}
+	}
+}
+
 func (n *Node) isSuspectVM(vm VMName) bool { return n.isSuspect(string(vm)) }
 
 // register gives a stream to a keeper, and begins it once that has it.
--- /dev/null
+++ b/internal/core/leaving_test.go
@@ -0,0 +1,97 @@
+package core_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+)
+
+// leavingWithin is how soon after any sign a target gets no new work.
+const leavingWithin = 3 * time.Second
+
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	signs := []struct {
+		name string
+		give func(w *world)
+	}{
+		{"operator", func(w *world) { w.must("drain target e1", 500) }},
+		{"platform", func(w *world) {
+			w.platform = []string{"e1"}
+		}},
+		{"target itself", func(w *world) { w.leaves["e1"] = true }},
+	}
+	for _, sign := range signs {
+		t.Run(sign.name, func(t *testing.T) {
+			w := newWorld(t, 11, 3, 1)
+			w.setUp()
+			w.settled()
+			running := w.stream("vm4", "before", "a prompt before the sign", 0)
+			sign.give(w)
+			w.until("the stream that ran there is whole", 10*time.Second, func() bool { return running.finished })
+			w.advance(leavingWithin)
+			before := w.engines["e1"].Audit().Runs
+			for i := range 30 {
+				w.stream(w.names[i%4], fmt.Sprintf("after%d", i), "another", 0)
+				w.advance(50 * time.Millisecond)
+			}
+			require.Equal(t, before, w.engines["e1"].Audit().Runs, "new work after the sign")
+			for _, a := range w.asks {
+				require.True(t, a.finished, "%v", a.refusal)
+			}
+		})
+	}
+}
+
+func TestRepeatableCallGoesToAnotherRunner(t *testing.T) {
+	w := newWorld(t, 12, 3, 1)
+	w.setUp()
+	w.settled()
+	w.dead["s1"] = true
+	for i := range 20 {
+		a := &ask{vm: "vm4", call: true}
+		conn := w.conn()
+		w.asks[conn] = a
+		w.step("vm4", core.CallAsked{Conn: conn, ID: core.RequestID(fmt.Sprintf("look%d", i)), Key: worldKey, Service: "sign", Method: "GET", Path: "/status", Deadline: w.clock(w.vms["vm4"]).Add(8 * time.Second)})
+		w.advance(200 * time.Millisecond)
+		require.NotNil(t, a.answer, "%v", a.refusal)
+	}
+}
+
+// A refusal under an identity that the caller gave says ran: no only when no
+// other VM has dispatched it.
+func TestRefusalLooksAtTheClaimFirst(t *testing.T) {
+	w := newWorld(t, 13, 3, 1)
+	w.setUp()
+	w.settled()
+	first := w.call("vm4", "same")
+	w.advance(time.Second)
+	require.NotNil(t, first.answer)
+	limit := w.must("set organisation o limit=1", 500)
+	require.Equal(t, core.ResultAccepted, limit.Kind)
+	w.advance(time.Second)
+	for name := range w.engines {
+		w.dead[name] = true
+	}
+	w.stream("vm1", "hold", "a stream that takes the only place", 0)
+	w.advance(100 * time.Millisecond)
+	again := w.call("vm1", "same")
+	fresh := w.call("vm1", "fresh")
+	w.advance(50 * time.Millisecond)
+	require.NotNil(t, again.answer, "the recorded answer, not a refusal: %v", again.refusal)
+	require.NotNil(t, fresh.refusal)
+	require.Equal(t, core.RanNo, fresh.refusal.Ran)
+	require.Equal(t, core.RefusedLimit, fresh.refusal.Kind)
+	parted := w.call("vm2", "unseen")
+	w.advance(time.Second)
+	require.NotNil(t, parted.answer)
+	w.isolate("vm4", true)
+	w.advance(5 * time.Second)
+	refused := w.call("vm4", "unseen")
+	w.advance(time.Second)
+	require.NotNil(t, refused.refusal)
+	require.Equal(t, core.RanUnknown, refused.refusal.Ran)
+}
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -130,4 +130,5 @@
 		n.entry.view = append(n.entry.view, lines[vm])
 	}
 	n.entry.viewVersion = g.ViewVersion
+	n.findKeepers()
 }
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -46,6 +46,10 @@
 	accepted   config.Revision
 	acceptedAt time.Time
 	dead       map[string]bool
+	// platform is the platform's list of what is leaving; leaves holds the
+	// targets that say so themselves.
+	platform []string
+	leaves   map[string]bool
 }
 
 // vm is one VM: its process, its disk and its clock.
@@ -120,7 +124,7 @@
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: epochStart,
 		vms: make(map[core.VMName]*vm), engines: make(map[string]*engine), runners: make(map[string]*runner),
 		cut: make(map[[2]core.VMName]bool), asks: make(map[core.ConnID]*ask), results: make(map[core.ConnID]core.Result),
-		prints: make(map[core.Index]string), dead: make(map[string]bool),
+		prints: make(map[core.Index]string), dead: make(map[string]bool), leaves: make(map[string]bool),
 	}
 	for i := range controls + entries {
 		name := core.VMName(fmt.Sprintf("vm%d", i+1))
@@ -358,6 +362,8 @@
 		w.dispatch(v, e)
 	case core.Watch:
 		w.watch(v, e)
+	case core.ListPlatform:
+		w.after(w.latency(), v.name, core.PlatformListed{Leaving: w.platform})
 	case core.Order:
 		w.order(v, e)
 	case core.Note:
@@ -488,6 +494,7 @@
 
 func (w *world) watch(v *vm, e core.Watch) {
 	watched := core.Watched{Report: core.TargetReport{Target: e.Target, Reached: w.reachable(e.Target)}}
+	watched.Report.Leaving = w.leaves[e.Target]
 	if engine, ok := w.engines[e.Target]; ok && watched.Report.Reached {
 		watched.Report.Holding = engine.Load().Holding
 	}
--- a/internal/daemon/deployment_test.go
+++ b/internal/daemon/deployment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -157,7 +158,12 @@
 func (d *deployment) close() {
 	for _, p := range d.vms {
 		if p.command != nil {
-			_ = p.command.Process.Kill()
+			if d.t.Failed() {
+				// The process writes the stacks of its goroutines and ends.
+				_ = p.command.Process.Signal(syscall.SIGQUIT)
+			} else {
+				_ = p.command.Process.Kill()
+			}
 			_ = p.command.Process.Signal(syscall.SIGCONT)
 			<-p.ended
 		}
@@ -169,7 +175,7 @@
 	if d.t.Failed() {
 		for _, p := range d.vms {
 			text, _ := os.ReadFile(p.log)
-			d.t.Logf("%s:\n%s", p.name, text[max(0, len(text)-2000):])
+			d.t.Logf("%s:\n%s", p.name, text[max(0, len(text)-4000):])
 		}
 	}
 }
@@ -279,11 +285,33 @@
 	d.until("chains and leases", func() bool {
 		return d.rows("show pipelines where chains >= 2") == 1 && d.rows("show vms where state = up") == len(d.vms)
 	})
+	d.until("every VM knows the others", func() bool {
+		for _, p := range d.vms {
+			if d.entries(p) != len(d.vms) {
+				return false
+			}
+		}
+		return true
+	})
 	d.until("three voters", func() bool {
 		return d.rows("show replicas where vote = true and settled = true") == min(3, d.controls())
 	})
 }
 
+// entries counts the addresses that a VM gives to callers.
+func (d *deployment) entries(p *process) int {
+	response, err := http.Get("http://" + p.callers + "/v1/entries")
+	if err != nil {
+		return 0
+	}
+	defer response.Body.Close()
+	var list struct {
+		Entries []core.EntryAddress `json:"entries"`
+	}
+	require.NoError(d.t, json.NewDecoder(response.Body).Decode(&list))
+	return len(list.Entries)
+}
+
 func (d *deployment) controls() int {
 	count := 0
 	for _, p := range d.vms {
--- a/internal/daemon/disk.go
+++ b/internal/daemon/disk.go
@@ -234,7 +234,8 @@
 		return nil, nil, false
 	}
 	length := binary.LittleEndian.Uint32(data)
-	if uint64(length) > uint64(len(data)-frameHeader) {
+	// No record is empty; zeros at the end are what a crash can leave.
+	if length == 0 || uint64(length) > uint64(len(data)-frameHeader) {
 		return nil, nil, false
 	}
 	body = data[frameHeader : frameHeader+length]
--- /dev/null
+++ b/internal/daemon/disk_test.go
@@ -0,0 +1,93 @@
+package daemon_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/daemon"
+	"github.com/spoolbank/spoolbank/internal/wire"
+	"github.com/spoolbank/spoolbank/settings"
+)
+
+// alone are the settings of a deployment of one control VM.
+func alone(t *testing.T, data string) settings.Settings {
+	s := settings.Default()
+	address := freeAddress(t)
+	s.Name, s.Hall, s.Data = "vm-1", "hall", data
+	s.Roles = []settings.Role{settings.RoleControl}
+	s.Listen.Peers = address
+	s.Control.VMs = map[string]string{"vm-1": address}
+	s.Control.Voters = 1
+	s.TLS.PlainText = true
+	return s
+}
+
+// command runs a daemon on a folder, has it accept one command and kills it.
+func command(t *testing.T, data, text string, number uint64) core.Result {
+	s := alone(t, data)
+	d, err := daemon.New(s, logr.Discard())
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run() }()
+	defer func() {
+		d.Kill()
+		require.NoError(t, <-ended)
+	}()
+	var result core.Result
+	require.Eventually(t, func() bool {
+		conn, err := wire.Keys{}.Dial(t.Context(), s.Listen.Peers)
+		if err != nil {
+			return false
+		}
+		defer conn.Close()
+		reply, err := wire.Operate(t.Context(), conn, wire.OperateRequest{Text: text, Operator: "op", Number: number})
+		result = reply.Result
+		return err == nil && result.Kind == core.ResultAccepted
+	}, patience, 20*time.Millisecond)
+	return result
+}
+
+func TestTornTailIsCutAndDamageIsRefused(t *testing.T) {
+	data := filepath.Join(t.TempDir(), "data")
+	require.NoError(t, daemon.Bootstrap(data, "vm-1"))
+	command(t, data, "declare model m layers=4 versions=[v1]", 1)
+	log := filepath.Join(data, "log")
+	whole, err := os.ReadFile(log)
+	require.NoError(t, err)
+
+	for _, tail := range [][]byte{{1}, {200, 0, 0, 0, 1, 2, 3, 4, 5, 6}, make([]byte, 64)} {
+		require.NoError(t, os.WriteFile(log, append(append([]byte{}, whole...), tail...), 0o600))
+		again := command(t, data, "declare model m layers=4 versions=[v1]", 1)
+		require.EqualValues(t, 1, again.Revision, "the command before the torn tail is kept")
+	}
+
+	damaged := append([]byte{}, whole...)
+	damaged[len(damaged)/3] ^= 0x10
+	require.NoError(t, os.WriteFile(log, damaged, 0o600))
+	_, err = daemon.New(alone(t, data), logr.Discard())
+	require.ErrorIs(t, err, daemon.ErrDamaged)
+	require.ErrorContains(t, err, "move the folder away and start again")
+
+	require.NoError(t, os.WriteFile(log, whole, 0o600))
+	identity := filepath.Join(data, "identity")
+	require.NoError(t, os.WriteFile(identity, []byte("rubbish"), 0o600))
+	_, err = daemon.New(alone(t, data), logr.Discard())
+	require.ErrorIs(t, err, daemon.ErrDamaged)
+}
+
+func TestFolderIsUsedByOneProcess(t *testing.T) {
+	data := filepath.Join(t.TempDir(), "data")
+	require.NoError(t, daemon.Bootstrap(data, "vm-1"))
+	d, err := daemon.New(alone(t, data), logr.Discard())
+	require.NoError(t, err)
+	_, err = daemon.New(alone(t, data), logr.Discard())
+	require.ErrorContains(t, err, "in use by another process")
+	go d.Kill()
+	require.NoError(t, d.Run())
+}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -215,7 +215,10 @@
 
 func (d *Daemon) answer(e core.Answer) {
 	if result, ok := d.answers.Load(e.Conn); ok {
-		result.(chan core.Result) <- e.Result
+		select {
+		case result.(chan core.Result) <- e.Result:
+		default:
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,43 @@
+package wire_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/wire"
+)
+
+func envelope() core.Envelope {
+	return core.Envelope{Cluster: "c", From: core.ReplicaID{VM: "a", Incarnation: 7}, To: "b", Body: core.Message{Append: &core.Append{
+		Term: 3, Entries: []core.Entry{{Term: 3, Index: 9, At: time.Unix(1, 2).UTC(), Claim: &core.ClaimOp{ID: "o/\"x\"", Attempt: 2}}},
+	}}}
+}
+
+func TestRoundTrip(t *testing.T) {
+	text, err := wire.Marshal(envelope())
+	require.NoError(t, err)
+	var back core.Envelope
+	require.NoError(t, wire.Unmarshal(text, &back))
+	require.Equal(t, envelope(), back)
+}
+
+// FuzzUnmarshal feeds a Node what a peer that speaks garbage could send.
+func FuzzUnmarshal(f *testing.F) {
+	text, err := wire.Marshal(envelope())
+	require.NoError(f, err)
+	f.Add(text)
+	f.Add([]byte{0xa1, 0x61, 0x78, 0x9b, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var e core.Envelope
+		if wire.Unmarshal(text, &e) != nil {
+			return
+		}
+		self := core.ReplicaID{VM: "b", Incarnation: 1}
+		n := core.New(core.Settings{Self: self, Cluster: "c", Control: true, Entry: true, ControlVMs: []core.VMName{"b"}, Voters: 1, SnapshotEvery: 1000, Timing: core.DefaultTiming()},
+			core.Recovered{Snapshot: core.Snapshot{Index: 1, Term: 1, Members: core.NewMembership(self)}}, time.Unix(100, 0))
+		n.Step(time.Unix(100, 1), core.Received{Envelope: e})
+	})
+}
