target: runs travel over one open request to each engine

Ruled out: HTTP/2 (its client costs more a request than HTTP/1.1's). Change: POST /v1/runs stays open; orders and replies are JSON lines in any order, and lines gather while a write is under way. Engines use it among themselves.

--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -45,7 +45,7 @@
 
 // Run implements Hops.
 func (h httpHops) Run(ctx context.Context, to core.Stage, o target.RunOrder) (target.RunReply, error) {
-	return target.Post[target.RunReply](ctx, h.client, to.Address, target.PathRun, o)
+	return h.client.RunOrder(ctx, to.Address, o)
 }
 
 // Boundary implements Hops.
@@ -115,7 +115,7 @@
 // Handler returns the engine's HTTP interface.
 func (e *Engine) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST "+target.PathRun, handle(e.Run))
+	mux.HandleFunc("POST "+target.PathRuns, func(w http.ResponseWriter, r *http.Request) { target.ServeRuns(w, r, e.Run) })
 	mux.HandleFunc("POST "+target.PathRebuild, handle(e.Rebuild))
 	mux.HandleFunc("POST "+target.PathBoundary, handle(e.Boundary))
 	mux.HandleFunc("POST "+target.PathRelease, handle(e.Release))
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -21,15 +21,24 @@
 const watchTime = time.Second
 
 // Client speaks to back ends and to the platform.
-type Client struct{ http *http.Client }
+type Client struct {
+	http *http.Client
+	runs *runLinks
+}
 
 // NewClient returns a Client with connections of its own.
 func NewClient() *Client {
-	return &Client{http: &http.Client{Transport: &http.Transport{
+	client := &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 512,
 		IdleConnTimeout:     time.Minute,
-	}}}
+	}}
+	return &Client{http: client, runs: newRunLinks(client)}
+}
+
+// RunOrder sends an order over the engine's link and waits for its reply.
+func (c *Client) RunOrder(ctx context.Context, address string, o RunOrder) (RunReply, error) {
+	return c.runs.Run(ctx, address, o)
 }
 
 // Post sends a message to a path at an address and reads the reply into it.
@@ -87,7 +96,7 @@
 	if r.Position > 0 {
 		order.Token = &r.Token
 	}
-	reply, err := Post[RunReply](ctx, c, r.Chain[0].Address, PathRun, order)
+	reply, err := c.RunOrder(ctx, r.Chain[0].Address, order)
 	if err != nil {
 		ended.Result, ended.Target = core.ResultBroken, r.Chain[0].Target
 		return ended
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -9,7 +9,7 @@
 
 // The paths of a model engine.
 const (
-	PathRun      = "/v1/run"
+	PathRuns     = "/v1/runs"
 	PathRebuild  = "/v1/rebuild"
 	PathBoundary = "/v1/boundary"
 	PathRelease  = "/v1/release"
@@ -21,7 +21,7 @@
 // PathVMs is the path of the platform's list.
 const PathVMs = "/v1/vms"
 
-// RunOrder asks the first stage of Chain to run positions of a stream and to
+// RunOrder is a line of a POST to PathRuns. It asks the first stage of Chain to run positions of a stream and to
 // hand its activations on to the next one.
 type RunOrder struct {
 	Stream   core.RequestID `json:"stream"`
--- /dev/null
+++ b/internal/target/runlink.go
@@ -0,0 +1,300 @@
+package target
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+)
+
+// This file carries runs to engines: one request that never ends for each
+// engine, whose body is a line for each order and whose answer a line for each
+// reply, in any order. A request for each token was measured first: it cost
+// more processor time than all else that an entry VM does for the token.
+//
+// Lines gather while the last write is under way, so that a burst costs few
+// writes. A link that breaks fails all its open runs; the next run makes a new
+// one. A run whose caller stops waiting stays open at the engine, and its late
+// reply is dropped.
+
+// RunLine is one order on a link.
+type RunLine struct {
+	Number uint64   `json:"number"`
+	Order  RunOrder `json:"order"`
+}
+
+// ReplyLine is the reply to the RunLine of the same number.
+type ReplyLine struct {
+	Number uint64   `json:"number"`
+	Reply  RunReply `json:"reply"`
+}
+
+// errLinkBroken is why the open runs of a broken link fail.
+var errLinkBroken = errors.New("target: the link to the engine broke")
+
+// runLinks holds one link for each engine's address.
+type runLinks struct {
+	mu     sync.Mutex
+	client *http.Client
+	links  map[string]*runLink
+}
+
+func newRunLinks(client *http.Client) *runLinks {
+	return &runLinks{client: client, links: make(map[string]*runLink)}
+}
+
+// runLink is the link to one engine.
+type runLink struct {
+	writer *LineWriter
+	body   io.Closer
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	number uint64
+	open   map[uint64]chan RunReply
+	broken bool
+}
+
+// Run sends an order and waits for its reply.
+func (l *runLinks) Run(ctx context.Context, address string, order RunOrder) (RunReply, error) {
+	link := l.link(address)
+	number, reply, ok := link.begin()
+	if !ok {
+		return RunReply{}, errLinkBroken
+	}
+	defer link.end(number)
+	if err := link.writer.Write(RunLine{Number: number, Order: order}); err != nil {
+		return RunReply{}, err
+	}
+	select {
+	case r, ok := <-reply:
+		if !ok {
+			return RunReply{}, errLinkBroken
+		}
+		return r, nil
+	case <-ctx.Done():
+		return RunReply{}, ctx.Err()
+	}
+}
+
+// link returns the link to an address, and makes it where there is none.
+func (l *runLinks) link(address string) *runLink {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if link, ok := l.links[address]; ok && !link.isBroken() {
+		return link
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	reader, writer := io.Pipe()
+	link := &runLink{writer: NewLineWriter(writer, nil), body: writer, cancel: cancel, open: make(map[uint64]chan RunReply)}
+	l.links[address] = link
+	go link.serve(ctx, l.client, address, reader)
+	return link
+}
+
+func (l *runLink) isBroken() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.broken
+}
+
+func (l *runLink) begin() (uint64, chan RunReply, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.broken {
+		return 0, nil, false
+	}
+	l.number++
+	reply := make(chan RunReply, 1)
+	l.open[l.number] = reply
+	return l.number, reply, true
+}
+
+func (l *runLink) end(number uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, number)
+}
+
+// serve makes the request and reads replies until the link breaks.
+func (l *runLink) serve(ctx context.Context, client *http.Client, address string, body io.ReadCloser) {
+	defer l.breakAll()
+	defer body.Close()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+PathRuns, body)
+	if err != nil {
+		return
+	}
+	request.Header.Set("Content-Type", "application/jsonl")
+	response, err := client.Do(request)
+	if err != nil {
+		return
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return
+	}
+	lines := json.NewDecoder(bufio.NewReader(response.Body))
+	for {
+		var line ReplyLine
+		if err := lines.Decode(&line); err != nil {
+			return
+		}
+		l.deliver(line)
+	}
+}
+
+func (l *runLink) deliver(line ReplyLine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if reply, ok := l.open[line.Number]; ok {
+		delete(l.open, line.Number)
+		reply <- line.Reply
+	}
+}
+
+// breakAll fails the open runs.
+func (l *runLink) breakAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.broken = true
+	for number, reply := range l.open {
+		delete(l.open, number)
+		close(reply)
+	}
+	l.cancel()
+	l.body.Close()
+	l.writer.Close()
+}
+
+// LineWriter writes JSON lines. Lines that come while a write is under way
+// gather and go out together.
+type LineWriter struct {
+	flush  func() error
+	mu     sync.Mutex
+	wake   *sync.Cond
+	buffer []byte
+	err    error
+	done   chan struct{}
+}
+
+// errWriterClosed is the error of a write after Close.
+var errWriterClosed = errors.New("target: the writer is closed")
+
+// NewLineWriter returns a LineWriter that writes to w and then calls flush,
+// which may be nil. Close ends its goroutine.
+func NewLineWriter(w io.Writer, flush func() error) *LineWriter {
+	l := &LineWriter{flush: flush, done: make(chan struct{})}
+	l.wake = sync.NewCond(&l.mu)
+	go l.run(w)
+	return l
+}
+
+// Write adds a line. An error says that an earlier write has failed.
+func (l *LineWriter) Write(value any) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return fmt.Errorf("target: %w", err)
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err != nil {
+		return l.err
+	}
+	l.buffer = append(append(l.buffer, text...), '\n')
+	l.wake.Signal()
+	return nil
+}
+
+// CloseAndWait ends the writer and waits until it no longer writes.
+func (l *LineWriter) CloseAndWait() {
+	l.Close()
+	<-l.done
+}
+
+// Close ends the writer; what has not been written is dropped.
+func (l *LineWriter) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err == nil {
+		l.err = errWriterClosed
+	}
+	l.wake.Signal()
+}
+
+func (l *LineWriter) run(w io.Writer) {
+	defer close(l.done)
+	var spare []byte
+	for {
+		batch, ok := l.next(spare)
+		if !ok {
+			return
+		}
+		_, err := w.Write(batch)
+		if err == nil && l.flush != nil {
+			err = l.flush()
+		}
+		if err != nil {
+			l.fail(err)
+			return
+		}
+		spare = batch[:0]
+	}
+}
+
+// next waits for lines and returns them; spare becomes the next buffer.
+func (l *LineWriter) next(spare []byte) ([]byte, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.buffer) == 0 && l.err == nil {
+		l.wake.Wait()
+	}
+	if l.err != nil {
+		return nil, false
+	}
+	batch := l.buffer
+	l.buffer = spare
+	return batch, true
+}
+
+func (l *LineWriter) fail(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.err == nil {
+		l.err = err
+	}
+}
+
+// ServeRuns serves the other end of a link: it hands each order to run, each
+// in a goroutine of its own, until the link ends.
+func ServeRuns(w http.ResponseWriter, r *http.Request, run func(context.Context, RunOrder) RunReply) {
+	control := http.NewResponseController(w)
+	if err := control.EnableFullDuplex(); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+	if err := control.Flush(); err != nil {
+		return
+	}
+	writer := NewLineWriter(w, control.Flush)
+	ctx, cancel := context.WithCancel(r.Context())
+	var open sync.WaitGroup
+	defer func() {
+		cancel()
+		open.Wait()
+		writer.CloseAndWait()
+	}()
+	lines := json.NewDecoder(bufio.NewReader(r.Body))
+	for {
+		var line RunLine
+		if err := lines.Decode(&line); err != nil {
+			return
+		}
+		open.Go(func() {
+			_ = writer.Write(ReplyLine{Number: line.Number, Reply: run(ctx, line.Order)})
+		})
+	}
+}
