core: versions roll over the chains; submissions leave room for lookups

Change: one chain at a time is taken apart, and only while all others are ready; new streams use the wanted version where it has room and the old one meanwhile; a stream keeps to its version, also when another entry VM takes it over. Work that may not be repeated ranks after all else of its class and leaves the last place of a runner to lookups.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -35,6 +35,23 @@
 
 func (w *waiting) isGone() bool { return w.gone }
 
+// rankCount is the number of ranks of a queue: two for each class.
+const rankCount = 2 * config.ClassCount
+
+// rank is the place of work among what waits: by class, and inside a class what
+// may not be repeated after all else, so that lookups are to be had when
+// submissions pile up.
+func (w *waiting) rank() int {
+	rank := 2 * int(w.class)
+	if w.isSubmission() {
+		rank++
+	}
+	return rank
+}
+
+// isSubmission reports whether the work is a call that may not be repeated.
+func (w *waiting) isSubmission() bool { return w.call != nil && !w.call.repeatable }
+
 // queueLimit bounds what waits in one pool.
 const queueLimit = 20000
 
@@ -67,12 +84,12 @@
 		return refusal(RefusedLimit, RanNo, "the organisation has as many requests in progress as its limit allows", "wait for one of them, or ask the operators for a higher limit").
 			WithRetryAt(n.comeBack(p)), false
 	}
-	wait := p.wait(n.now, p.queue.ahead(int(w.class), w.organisation, float64(max(org.Weight, 1))))
+	wait := p.wait(n.now, p.queue.ahead(w.rank(), w.organisation, float64(max(org.Weight, 1))))
 	if p.queue.length >= queueLimit || n.now.Add(wait).After(p.latest(w)) {
 		return refusal(RefusedOverload, RanNo, "it could not be served before its deadline", "come back at the given time, or give a later deadline").
 			WithRetryAt(n.comeBack(p)), false
 	}
-	p.queue.push(int(w.class), w.organisation, float64(max(org.Weight, 1)), w.cost, w)
+	p.queue.push(w.rank(), w.organisation, float64(max(org.Weight, 1)), w.cost, w)
 	n.entry.inProgress[w.organisation]++
 	n.pump(p)
 	return Refusal{}, true
@@ -95,18 +112,16 @@
 
 // pump begins what waits while there are routes with room.
 func (n *Node) pump(p *pool) {
-	for p.queue.length > 0 {
-		if n.choose(p, "") == nil {
-			return
-		}
-		w, ok := p.queue.pop()
+	for len(p.open) > 0 {
+		w, ok := p.queue.peek()
 		if !ok {
 			return
 		}
-		r := n.choose(p, w.avoid)
+		r := n.choose(p, w)
 		if r == nil {
-			r = n.choose(p, "")
+			return
 		}
+		p.queue.pop()
 		n.begin(p, r, w)
 	}
 }
@@ -137,8 +152,10 @@
 func (n *Node) sweepPool(p *pool) {
 	for i := range p.queue.classes {
 		for _, name := range slices.Sorted(maps.Keys(p.queue.classes[i].flows)) {
-			for _, item := range p.queue.classes[i].flows[name].items {
-				n.expire(p, item.value)
+			if f := p.queue.classes[i].flows[name]; f != nil {
+				for _, item := range f.items {
+					n.expire(p, item.value)
+				}
 			}
 		}
 	}
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -28,6 +28,8 @@
 	keepers map[core.VMName]bool
 	conn    core.ConnID
 	asked   uint64
+	// result is the newest answer to an operator.
+	result core.Result
 }
 
 const (
@@ -238,6 +240,8 @@
 			synced = e.Sequence
 		case core.SaveSnapshot:
 			synced = e.Sequence
+		case core.Answer:
+			r.result = e.Result
 		case core.Send:
 			r.sent++
 			if r.bytes >= 0 {
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -93,22 +93,13 @@
 		return
 	}
 	n.entry.budget.earn()
-	c.wait = &waiting{id: a.ID, conn: a.Conn, organisation: org.Name, class: c.class(), cost: callCost, deadline: a.Deadline, call: c}
+	c.wait = &waiting{id: a.ID, conn: a.Conn, organisation: org.Name, class: service.Class, cost: callCost, deadline: a.Deadline, call: c}
 	if r, ok := n.admit(p, c.wait); !ok {
 		c.wait = nil
 		n.refuseCall(c, r)
 	}
 }
 
-// class puts lookups before the calls that change something, so that status
-// stays to be had when submissions pile up.
-func (c *call) class() config.Class {
-	if c.repeatable && c.service.Class > config.ClassCritical {
-		return c.service.Class - 1
-	}
-	return c.service.Class
-}
-
 // joinCall gives a call that is under way here to the caller that resends it.
 func (n *Node) joinCall(c *call) bool {
 	old, ok := n.entry.callIDs[c.asked.ID]
@@ -287,7 +278,7 @@
 	w := *c.wait
 	w.avoid = avoid
 	c.wait = &w
-	p.queue.push(int(w.class), w.organisation, requeueWeight, 0, c.wait)
+	p.queue.push(w.rank(), w.organisation, requeueWeight, 0, c.wait)
 	n.give(pool, route, stages)
 }
 
--- a/internal/core/fair_queue.go
+++ b/internal/core/fair_queue.go
@@ -70,27 +70,42 @@
 	}
 }
 
-// pop takes the item that is next, and reports whether there was one.
-func (q *fairQueue[T]) pop() (value T, ok bool) {
+// peek returns the item that is next, and reports whether there is one. What
+// has been dropped is taken away on the way.
+func (q *fairQueue[T]) peek() (value T, ok bool) {
 	for i := range q.classes {
 		c := &q.classes[i]
 		for len(c.waiting) > 0 {
 			f := c.waiting[0]
-			item := f.items[0]
-			served := !q.dropped(item.value)
-			if served {
-				c.virtual = f.tag
-				f.tag += item.cost / f.weight
-			}
-			q.advance(c, f)
-			if served {
+			if item := f.items[0]; !q.dropped(item.value) {
 				return item.value, true
 			}
+			q.advance(c, f)
 		}
 	}
 	return value, false
 }
 
+// pop takes the item that is next, and reports whether there was one.
+func (q *fairQueue[T]) pop() (value T, ok bool) {
+	value, ok = q.peek()
+	if !ok {
+		return value, false
+	}
+	for i := range q.classes {
+		c := &q.classes[i]
+		if len(c.waiting) == 0 {
+			continue
+		}
+		f := c.waiting[0]
+		c.virtual = f.tag
+		f.tag += f.items[0].cost / f.weight
+		q.advance(c, f)
+		break
+	}
+	return value, true
+}
+
 // advance takes the head of the class's first flow away.
 func (q *fairQueue[T]) advance(c *fairClass[T], f *flow[T]) {
 	f.cost -= f.items[0].cost
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -111,6 +111,7 @@
 		Owner:    n.settings.Self.VM,
 		Epoch:    s.epoch,
 		Request:  s.request,
+		Version:  s.pipeline.Version,
 		Chain:    s.chain,
 		Position: s.position,
 		Tokens:   slices.Clone(s.tokens),
@@ -429,6 +430,7 @@
 func (n *Node) adopt(s *stream, r KeepRecord) {
 	n.note("stream taken over", string(s.id))
 	s.request = r.Request
+	s.pipeline.Version = r.Version
 	s.epoch = r.Epoch
 	s.chain = r.Chain
 	s.position = r.Position
--- a/internal/core/leaving_test.go
+++ b/internal/core/leaving_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/fake"
 )
 
 // leavingWithin is how soon after any sign a target gets no new work.
@@ -52,10 +53,7 @@
 	w.settled()
 	w.dead["s1"] = true
 	for i := range 20 {
-		a := &ask{vm: "vm4", call: true}
-		conn := w.conn()
-		w.asks[conn] = a
-		w.step("vm4", core.CallAsked{Conn: conn, ID: core.RequestID(fmt.Sprintf("look%d", i)), Key: worldKey, Service: "sign", Method: "GET", Path: "/status", Deadline: w.clock(w.vms["vm4"]).Add(8 * time.Second)})
+		a := w.lookUp("vm4", fmt.Sprintf("look%d", i))
 		w.advance(200 * time.Millisecond)
 		require.NotNil(t, a.answer, "%v", a.refusal)
 	}
@@ -95,3 +93,48 @@
 	require.NotNil(t, refused.refusal)
 	require.Equal(t, core.RanUnknown, refused.refusal.Ran)
 }
+
+// Lookups are served at once while submissions fill the service and wait.
+func TestLookupsPassSubmissions(t *testing.T) {
+	w := newWorld(t, 14, 3, 1)
+	w.setUp()
+	w.settled()
+	w.slow = time.Second
+	for i := range 200 {
+		w.call("vm4", fmt.Sprintf("submission%d", i))
+	}
+	w.advance(500 * time.Millisecond)
+	for i := range 20 {
+		a := w.lookUp("vm4", fmt.Sprintf("look%d", i))
+		w.advance(60 * time.Millisecond)
+		require.NotNil(t, a.answer, "lookup %d: %v", i, a.refusal)
+	}
+}
+
+// A change of version rolls over the chains while streams go on: each keeps to
+// the version that it began with, and none is refused or cut.
+func TestVersionChangeRolls(t *testing.T) {
+	w := newWorld(t, 15, 3, 1)
+	w.setUp()
+	w.settled()
+	require.Equal(t, core.ResultAccepted, w.must("set model m versions=[v1, v2]", 500).Kind)
+	require.Equal(t, core.ResultAccepted, w.must("set pipeline p version=v2", 501).Kind)
+	var asks []*ask
+	w.until("all chains hold the new version", 60*time.Second, func() bool {
+		asks = append(asks, w.stream(w.names[len(asks)%4], fmt.Sprintf("roll%d", len(asks)), "a prompt", 0))
+		w.advance(20 * time.Millisecond)
+		placements := w.vms[w.leader()].node.Dump().Config.Placements
+		for _, p := range placements.Items {
+			if p.Version != "v2" || !p.Ready {
+				return false
+			}
+		}
+		return placements.Len() >= 4
+	})
+	w.advance(5 * time.Second)
+	want, _ := fake.Expected("a prompt", worldLayers, worldTokens)
+	for _, a := range asks {
+		require.True(t, a.finished, "%v", a.refusal)
+		require.Equal(t, want, a.text.String())
+	}
+}
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -231,14 +231,16 @@
 // KeepRecord is what a keeper holds of a stream, so that another entry VM can
 // go on with it: the request, and the tokens its caller may have seen.
 type KeepRecord struct {
-	ID       RequestID     `cbor:"id"`
-	Owner    VMName        `cbor:"owner"`
-	Epoch    Epoch         `cbor:"epoch"`
-	Request  StreamRequest `cbor:"request"`
-	Chain    []Stage       `cbor:"chain"`
-	Position int           `cbor:"position"`
-	Tokens   []Token       `cbor:"tokens"`
-	Finish   string        `cbor:"finish"`
+	ID      RequestID     `cbor:"id"`
+	Owner   VMName        `cbor:"owner"`
+	Epoch   Epoch         `cbor:"epoch"`
+	Request StreamRequest `cbor:"request"`
+	// Version is that of the model; a stream keeps to one.
+	Version  string  `cbor:"version"`
+	Chain    []Stage `cbor:"chain"`
+	Position int     `cbor:"position"`
+	Tokens   []Token `cbor:"tokens"`
+	Finish   string  `cbor:"finish"`
 }
 
 // KeepUpdate adds to a kept record. From is the place of the first token.
--- a/internal/core/plan/plan.go
+++ b/internal/core/plan/plan.go
@@ -151,7 +151,10 @@
 	p.keepWhole()
 	uses := p.uses()
 	for i, u := range uses {
-		p.placeUse(u, len(uses)-i)
+		placed := p.placeUse(u, len(uses)-i)
+		if !placed && p.count(u) == 0 && p.takeChain(uses) {
+			p.placeUse(u, 1)
+		}
 	}
 	p.clearFree()
 	return p.changes
@@ -172,6 +175,56 @@
 	changes []config.Change
 	// free holds the engines that may be given something else.
 	free map[string]bool
+	// taken says that a chain that works has been taken apart already. That
+	// happens to one at a time, and only while all engines are ready, so that a
+	// change of version rolls over the chains without losing capacity.
+	taken bool
+}
+
+// settled reports whether every available engine holds what it was given.
+func (p *planner) settled() bool {
+	for _, placed := range p.config.Placements.Items {
+		if t, ok := p.config.Targets.Get(placed.Target); ok && t.Available() && !placed.Ready {
+			return false
+		}
+	}
+	return true
+}
+
+// takeOne reports whether a chain that works may be taken apart now.
+func (p *planner) takeOne() bool {
+	if p.taken || !p.settled() {
+		return false
+	}
+	p.taken = true
+	return true
+}
+
+// takeChain frees the engines of a chain of the use that has most of them, for
+// a use that has none.
+func (p *planner) takeChain(uses []use) bool {
+	var richest use
+	most := 1
+	for _, u := range uses {
+		if count := p.count(u); count > most {
+			richest, most = u, count
+		}
+	}
+	if most == 1 || !p.takeOne() {
+		return false
+	}
+	name := ""
+	for _, placed := range p.config.Placements.Sorted() {
+		if placed.Model == richest.model.Name && placed.Version == richest.version {
+			name = max(name, placed.Chain)
+		}
+	}
+	for _, placed := range p.config.Placements.Sorted() {
+		if t, ok := p.config.Targets.Get(placed.Target); ok && t.Available() && placed.Chain == name {
+			p.free[placed.Target] = true
+		}
+	}
+	return true
 }
 
 // uses returns what pipelines need, in a fixed order.
@@ -226,6 +279,10 @@
 func (p *planner) keepChain(stages []config.Placement) {
 	present, lost := p.divide(stages)
 	m, ok := p.config.Models.Get(stages[0].Model)
+	if !p.wanted(stages[0]) && p.modelWanted(stages[0]) && len(lost) == 0 && !p.takeOne() {
+		// It serves on with its old version until its turn comes.
+		return
+	}
 	if ok && p.wanted(stages[0]) {
 		if p.mend(stages[0], present, lost, gaps(present, m.Layers)) {
 			return
@@ -322,14 +379,24 @@
 	return false
 }
 
+func (p *planner) modelWanted(s config.Placement) bool {
+	for _, pipeline := range p.config.Pipelines.Items {
+		if pipeline.Model == s.Model {
+			return true
+		}
+	}
+	return false
+}
+
 // placeUse makes chains for one use out of the free engines. With others still
-// to place it takes its part of them only.
-func (p *planner) placeUse(u use, sharers int) {
+// to place it takes its part of them only. It reports whether it made any.
+func (p *planner) placeUse(u use, sharers int) bool {
 	chains := p.group(u.model.Layers, p.freeStages())
 	take := (len(chains) + sharers - 1) / sharers
 	for _, stages := range chains[:take] {
 		p.placeChain(u, stages)
 	}
+	return take > 0
 }
 
 func (p *planner) placeChain(u use, stages []Stage) {
--- a/internal/core/repair.go
+++ b/internal/core/repair.go
@@ -232,7 +232,7 @@
 	w := *s.wait
 	w.avoid = avoid
 	s.wait = &w
-	p.queue.push(int(w.class), w.organisation, requeueWeight, 0, s.wait)
+	p.queue.push(w.rank(), w.organisation, requeueWeight, 0, s.wait)
 	n.give(pool, route, chain)
 }
 
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -102,12 +102,15 @@
 	c := n.entry.config
 	wanted := make(map[string]bool)
 	for _, p := range c.Pipelines.Sorted() {
-		name := poolOf(p)
-		if wanted[name] {
-			continue
+		m, _ := c.Models.Get(p.Model)
+		for _, p.Version = range m.Versions {
+			name := poolOf(p)
+			if wanted[name] {
+				continue
+			}
+			wanted[name] = true
+			n.setRoutes(name, chainRoutes(c, p))
 		}
-		wanted[name] = true
-		n.setRoutes(name, chainRoutes(c, p))
 	}
 	for _, s := range c.Services.Sorted() {
 		wanted[s.Name] = true
@@ -123,6 +126,29 @@
 	}
 }
 
+// servingVersion returns the version that a new stream uses: the pipeline's, or,
+// while chains still roll over to that, another one that has room where the
+// pipeline's has none.
+func (n *Node) servingVersion(p config.Pipeline) string {
+	wanted := p.Version
+	m, _ := n.entry.config.Models.Get(p.Model)
+	best, ok := n.entry.pools[poolOf(p)]
+	if ok && len(best.open) > 0 {
+		return wanted
+	}
+	for _, version := range m.Versions {
+		p.Version = version
+		other := n.entry.pools[poolOf(p)]
+		if other == nil || len(other.routes) == 0 {
+			continue
+		}
+		if len(other.open) > 0 || !ok || len(best.routes) == 0 {
+			return version
+		}
+	}
+	return wanted
+}
+
 func poolOf(p config.Pipeline) string { return p.Model + "@" + p.Version }
 
 func chainRoutes(c config.State, p config.Pipeline) []*route {
@@ -152,7 +178,7 @@
 	routes := n.subset(all)
 	p, ok := n.entry.pools[name]
 	if !ok {
-		p = &pool{name: name, used: make(map[string]int), queue: newFairQueue(config.ClassCount, (*waiting).isGone), servedAt: n.now}
+		p = &pool{name: name, used: make(map[string]int), queue: newFairQueue(rankCount, (*waiting).isGone), servedAt: n.now}
 		n.entry.pools[name] = p
 	}
 	p.sharers = n.sharers(len(all), len(routes))
@@ -203,11 +229,10 @@
 // choose returns the better of two routes drawn at random among those with
 // room. Two draws keep several entry VMs from all taking the one that was idle
 // in the last report. Its cost does not grow with the number of routes: only
-// when the draws meet nothing but suspects are the open ones looked at in turn.
-// The route through avoid is left out while there are others.
-func (n *Node) choose(p *pool, avoid string) *route {
-	a := n.draw(p, avoid)
-	b := n.draw(p, avoid)
+// when the draws meet none that is usable are the open ones looked at in turn.
+func (n *Node) choose(p *pool, w *waiting) *route {
+	a := n.draw(p, w)
+	b := n.draw(p, w)
 	if a == nil || b == nil {
 		return a
 	}
@@ -217,21 +242,33 @@
 	return a
 }
 
-func (n *Node) draw(p *pool, avoid string) *route {
+func (n *Node) draw(p *pool, w *waiting) *route {
 	for range min(drawLimit, len(p.open)) {
-		if r := p.open[n.rand.IntN(len(p.open))]; n.usable(r, avoid) {
+		if r := p.open[n.rand.IntN(len(p.open))]; n.usable(p, r, w) && !r.uses(w.avoid) {
 			return r
 		}
 	}
+	var last *route
 	for _, r := range p.open {
-		if n.usable(r, avoid) {
+		if !n.usable(p, r, w) {
+			continue
+		}
+		if !r.uses(w.avoid) {
 			return r
 		}
+		last = r
 	}
-	return nil
+	return last
 }
 
-func (n *Node) usable(r *route, avoid string) bool { return !n.routeSuspect(r) && !r.uses(avoid) }
+// usable reports whether work may go on a route. Submissions leave the last
+// place of each runner to lookups.
+func (n *Node) usable(p *pool, r *route, w *waiting) bool {
+	if n.routeSuspect(r) {
+		return false
+	}
+	return !w.isSubmission() || r.window < 2 || float64(p.used[r.name])+1 < r.window
+}
 
 // reopen keeps the list of routes with room in step after a change of one.
 func (p *pool) reopen(r *route) {
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -136,6 +136,7 @@
 		n.failStream(s, refusal(RefusedLost, RanUnknown, "the rest of the answer is no longer kept", "ask again under a new identity, and drop the part that was received"))
 		return
 	}
+	s.pipeline.Version = n.servingVersion(s.pipeline)
 	p, ok := n.entry.pools[poolOf(s.pipeline)]
 	if !ok {
 		n.failStream(s, refusal(RefusedNoTarget, RanNo, "no engine holds the model yet", "come back later").WithRetryAt(n.now.Add(time.Second)))
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -46,6 +46,8 @@
 	accepted   config.Revision
 	acceptedAt time.Time
 	dead       map[string]bool
+	// slow is how much longer a submission takes at its runner.
+	slow time.Duration
 	// platform is the platform's list of what is leaving; leaves holds the
 	// targets that say so themselves.
 	platform []string
@@ -488,7 +490,11 @@
 				ended.Result = core.ResultBroken
 			}
 		}
-		w.push(delivery{at: w.now.Add(w.latency() + time.Duration(w.rand.IntN(50))*time.Millisecond), to: v.name, life: life, event: ended})
+		took := w.latency() + time.Duration(w.rand.IntN(50))*time.Millisecond
+		if strings.Contains(string(d.ID), "sub") {
+			took += w.slow
+		}
+		w.push(delivery{at: w.now.Add(took), to: v.name, life: life, event: ended})
 	}})
 }
 
@@ -660,6 +666,15 @@
 	return a
 }
 
+// lookUp asks for a call that may be repeated.
+func (w *world) lookUp(name core.VMName, id string) *ask {
+	a := &ask{vm: name, call: true, id: core.RequestID(id)}
+	conn := w.conn()
+	w.asks[conn] = a
+	w.step(name, core.CallAsked{Conn: conn, ID: a.id, Key: worldKey, Service: "sign", Method: "GET", Path: "/status", Deadline: w.clock(w.vms[name]).Add(8 * time.Second)})
+	return a
+}
+
 func (w *world) give(effect core.Effect) {
 	switch e := effect.(type) {
 	case core.Emit:
