--- a/internal/core/faults_test.go
+++ b/internal/core/faults_test.go
@@ -187,6 +187,8 @@
 				number++
 				name := w.names[rapid.IntRange(0, 2).Draw(t, "operator's VM")]
 				w.command(name, fmt.Sprintf("set organisation o weight=%d", number), "op", number, 0)
+				reader := w.names[rapid.IntRange(0, 2).Draw(t, "reader's VM")]
+				w.command(reader, "show config", "", 0, 0)
 			}
 			for range rapid.IntRange(1, 60).Draw(t, "ticks") {
 				w.advance(tickEvery)
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -45,7 +45,12 @@
 	// accepted is the newest revision that an operator was told of, and when.
 	accepted   config.Revision
 	acceptedAt time.Time
-	dead       map[string]bool
+	// floors holds, for each statement, the newest revision that any operator
+	// had been told of when it was sent: what the answer may not fall behind.
+	floors map[core.ConnID]config.Revision
+	// sent holds the commands that have been sent before.
+	sent map[string]bool
+	dead map[string]bool
 	// slow is how much longer a submission takes at its runner.
 	slow time.Duration
 	// platform is the platform's list of what is leaving; leaves holds the
@@ -126,7 +131,8 @@
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: epochStart,
 		vms: make(map[core.VMName]*vm), engines: make(map[string]*engine), runners: make(map[string]*runner),
 		cut: make(map[[2]core.VMName]bool), asks: make(map[core.ConnID]*ask), results: make(map[core.ConnID]core.Result),
-		prints: make(map[core.Index]string), dead: make(map[string]bool), leaves: make(map[string]bool),
+		prints: make(map[core.Index]string), floors: make(map[core.ConnID]config.Revision), sent: make(map[string]bool),
+		dead: make(map[string]bool), leaves: make(map[string]bool),
 	}
 	for i := range controls + entries {
 		name := core.VMName(fmt.Sprintf("vm%d", i+1))
@@ -575,14 +581,29 @@
 	statement, err := query.Parse(text)
 	require.NoError(w.t, err)
 	conn := w.conn()
+	if key := fmt.Sprintf("%s/%d", operator, number); !w.sent[key] || !statement.IsCommand() {
+		w.sent[key] = true
+		w.floors[conn] = w.accepted
+	}
 	if v := w.vms[name]; v.node != nil {
 		w.step(name, core.Operated{Conn: conn, Statement: statement, Operator: operator, Number: number, Digest: text, Expect: expect})
 	}
 	return conn
 }
 
+// answered takes an operator's result. Statements are linearizable: revisions
+// order the accepted commands, a command that was sent after another was
+// accepted comes after it, and a query sees all that was accepted before it.
 func (w *world) answered(a core.Answer) {
 	w.results[a.Conn] = a.Result
+	if floor, ok := w.floors[a.Conn]; ok {
+		switch a.Result.Kind {
+		case core.ResultAccepted:
+			require.Greater(w.t, a.Result.Revision, floor, "a command before one that was accepted when it was sent")
+		case core.ResultTable:
+			require.GreaterOrEqual(w.t, a.Result.Revision, floor, "a stale answer")
+		}
+	}
 	if a.Result.Kind == core.ResultAccepted && a.Result.Revision > w.accepted {
 		w.accepted = a.Result.Revision
 		w.acceptedAt = w.now
--- a/internal/daemon/disk_test.go
+++ b/internal/daemon/disk_test.go
@@ -1,7 +1,9 @@
 package daemon_test
 
 import (
+	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
@@ -91,3 +93,54 @@
 	go d.Kill()
 	require.NoError(t, d.Run())
 }
+
+// A disk that takes no more ends the process; nothing that was accepted is
+// lost. A limit on the size of files stands for the full disk.
+func TestFullDiskLosesNothingAccepted(t *testing.T) {
+	path, err := binary()
+	require.NoError(t, err)
+	s := alone(t, filepath.Join(t.TempDir(), "data"))
+	file := filepath.Join(t.TempDir(), "settings.jsonc")
+	text := fmt.Sprintf(`{"name": "vm-1", "hall": "hall", "roles": ["control"], "data": %q, "listen": {"peers": %q},
+		"control": {"vms": {"vm-1": %q}, "voters": 1, "snapshot_every": 100000}, "tls": {"plain_text": true}}`, s.Data, s.Listen.Peers, s.Listen.Peers)
+	require.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+	require.NoError(t, daemon.Bootstrap(s.Data, "vm-1"))
+	limited := exec.Command("sh", "-c", `ulimit -f 64; exec "$0" --settings "$1"`, path, file)
+	require.NoError(t, limited.Start())
+	ended := make(chan error, 1)
+	go func() { ended <- limited.Wait() }()
+
+	accepted := 0
+	for number := 1; ; number++ {
+		result, gone := askUntil(t, s.Listen.Peers, fmt.Sprintf("declare model m layers=%d versions=[v1]", number), uint64(number), ended)
+		if gone {
+			break
+		}
+		require.Equal(t, core.ResultAccepted, result.Kind, result.Message)
+		accepted = number
+	}
+	require.Positive(t, accepted)
+	again := command(t, s.Data, fmt.Sprintf("declare model m layers=%d versions=[v1]", accepted), uint64(accepted))
+	require.EqualValues(t, accepted, again.Revision, "the last accepted command is still there")
+}
+
+// askUntil sends a command until it is answered or the process has ended.
+func askUntil(t *testing.T, address, text string, number uint64, ended chan error) (core.Result, bool) {
+	for {
+		select {
+		case err := <-ended:
+			require.Error(t, err, "the process ends with an error")
+			return core.Result{}, true
+		default:
+		}
+		conn, err := wire.Keys{}.Dial(t.Context(), address)
+		if err != nil {
+			continue
+		}
+		reply, err := wire.Operate(t.Context(), conn, wire.OperateRequest{Text: text, Operator: "op", Number: number})
+		conn.Close()
+		if err == nil && reply.Result.Kind != core.ResultNotLeader {
+			return reply.Result, false
+		}
+	}
+}
