daemon: a peer speaks only for the VM of its certificate

Cause: by reading: any certificate of the authority could send as any VM, that is vote and append. Ruled out: a second authority for VMs (two to look after). Change: the name in the certificate must be that of the sender. Measured: TestPeerSpeaksOnlyForItself; before, the same messages were taken.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -166,13 +166,19 @@
 // peerServer is the wire.Server of a daemon.
 type peerServer struct{ daemon *Daemon }
 
-// Link implements wire.Server.
+// Link implements wire.Server. Under TLS a peer speaks only for the VM that its
+// certificate names.
 func (s *peerServer) Link(stream drpc.Stream) error {
+	name, secure := wire.PeerName(stream.Context())
 	for {
 		var e core.Envelope
 		if err := stream.MsgRecv(&e, wire.Encoding{}); err != nil {
 			return err
 		}
+		if secure && string(e.From.VM) != name {
+			s.daemon.log.Info("peer speaks for another VM, its link is closed", "certificate", name, "vm", e.From.VM)
+			return fmt.Errorf("peer %s speaks for %s; use the certificate of that VM", name, e.From.VM)
+		}
 		s.daemon.metrics.received()
 		s.daemon.post(core.Received{Envelope: e})
 	}
--- /dev/null
+++ b/internal/daemon/tls_test.go
@@ -0,0 +1,62 @@
+package daemon_test
+
+import (
+	"io"
+	"path/filepath"
+	"testing"
+
+	"github.com/go-logr/logr"
+	"github.com/stretchr/testify/require"
+
+	spoolbank "github.com/spoolbank/spoolbank/cmd/spoolbank/cmd"
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/daemon"
+	"github.com/spoolbank/spoolbank/internal/wire"
+	"github.com/spoolbank/spoolbank/settings"
+)
+
+// makeKeys makes an authority and certificates, as an operator does.
+func makeKeys(t *testing.T, names ...string) string {
+	dir := t.TempDir()
+	require.Zero(t, spoolbank.Main([]string{"key", "authority", dir}, nil, io.Discard, io.Discard))
+	for _, name := range names {
+		require.Zero(t, spoolbank.Main([]string{"key", "certificate", dir, name, "127.0.0.1"}, nil, io.Discard, io.Discard))
+	}
+	return dir
+}
+
+func keysOf(t *testing.T, dir, name string) wire.Keys {
+	keys, err := wire.LoadKeys(filepath.Join(dir, name+".pem"), filepath.Join(dir, name+"-key.pem"), filepath.Join(dir, "authority.pem"))
+	require.NoError(t, err)
+	return keys
+}
+
+func TestPeerSpeaksOnlyForItself(t *testing.T) {
+	dir := makeKeys(t, "vm-1", "vm-2")
+	s := alone(t, filepath.Join(t.TempDir(), "data"))
+	s.TLS = settings.TLS{Certificate: filepath.Join(dir, "vm-1.pem"), Key: filepath.Join(dir, "vm-1-key.pem"), Authority: filepath.Join(dir, "authority.pem")}
+	require.NoError(t, daemon.Bootstrap(s.Data, "vm-1"))
+	d, err := daemon.New(s, logr.Discard())
+	require.NoError(t, err)
+	ended := make(chan error, 1)
+	go func() { ended <- d.Run() }()
+	defer func() {
+		d.Kill()
+		require.NoError(t, <-ended)
+	}()
+
+	_, err = keysOf(t, makeKeys(t, "vm-2"), "vm-2").Dial(t.Context(), s.Listen.Peers)
+	require.Error(t, err, "another authority")
+
+	conn, err := keysOf(t, dir, "vm-2").Dial(t.Context(), s.Listen.Peers)
+	require.NoError(t, err)
+	defer conn.Close()
+	stream, err := conn.NewStream(t.Context(), wire.RPCLink, wire.Encoding{})
+	require.NoError(t, err)
+	own := core.Envelope{From: core.ReplicaID{VM: "vm-2"}, To: "vm-1", Body: core.Message{Join: &core.Join{}}}
+	require.NoError(t, stream.MsgSend(&own, wire.Encoding{}))
+	other := core.Envelope{From: core.ReplicaID{VM: "vm-3"}, To: "vm-1", Body: core.Message{Join: &core.Join{}}}
+	require.NoError(t, stream.MsgSend(&other, wire.Encoding{}))
+	var answer core.Envelope
+	require.ErrorContains(t, stream.MsgRecv(&answer, wire.Encoding{}), "peer vm-2 speaks for vm-3")
+}
--- a/internal/wire/dial.go
+++ b/internal/wire/dial.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcwire"
 )
@@ -52,6 +53,20 @@
 	return tls.NewListener(l, k.config)
 }
 
+// PeerName returns the name in the certificate of the other end of a call, and
+// whether there is one: in plain text there is not.
+func PeerName(ctx context.Context) (string, bool) {
+	transport, ok := drpcctx.Transport(ctx)
+	if !ok {
+		return "", false
+	}
+	secure, ok := transport.(*tls.Conn)
+	if !ok || len(secure.ConnectionState().PeerCertificates) == 0 {
+		return "", false
+	}
+	return secure.ConnectionState().PeerCertificates[0].Subject.CommonName, true
+}
+
 // ManagerOptions returns the limits of both ends of a connection.
 func ManagerOptions() drpcmanager.Options {
 	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: MessageLimit}}
