--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -26,6 +26,8 @@
 	// kept counts batches to keepers.
 	kept    int
 	keepers map[core.VMName]bool
+	// renewal is the size of the newest renewal, in bytes.
+	renewal int
 	// shown counts the tokens that callers got.
 	shown int
 	conn  core.ConnID
@@ -114,10 +116,15 @@
 			runs = append(runs, e)
 		case core.Emit:
 			r.shown += len(e.Tokens)
+		case core.Watch:
+			replies = append(replies, core.Watched{Report: core.TargetReport{Target: e.Target, Reached: true, Holding: 7}})
 		case core.Send:
 			r.sent++
 			if e.Envelope.Body.Renew != nil {
 				r.asked = e.Envelope.Body.Renew.Number
+				text, err := wire.Marshal(e.Envelope)
+				require.NoError(r.t, err)
+				r.renewal = len(text)
 			}
 			if k := e.Envelope.Body.Keep; k != nil {
 				r.kept++
@@ -205,6 +212,7 @@
 				}
 			}
 			b.ReportMetric(float64(r.sent)/float64(b.N), "messages/op")
+			b.ReportMetric(float64(r.renewal), "B/renewal")
 		})
 	}
 }
