core: one way to put work back in line

Cause: two copies of the same requeue, with a weight of 1 whatever the organisation's, and a taken-over stream with none. Change: waitingStream and readmit.

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -18,17 +18,17 @@
 
 // waiting is work that waits for a route: a stream or a call.
 type waiting struct {
-	id           RequestID
-	conn         ConnID
 	organisation string
 	class        config.Class
-	cost         float64
-	deadline     time.Time
+	// weight is the organisation's share; cost is what it asks for.
+	weight   float64
+	cost     float64
+	deadline time.Time
 	// avoid is a target that has just refused it.
 	avoid string
 	// gone says that it has been refused or its caller has left.
 	gone bool
-	// begin starts it on a route.
+	// stream or call is the work itself.
 	stream *stream
 	call   *call
 }
@@ -69,6 +69,12 @@
 	return Refusal{}, true
 }
 
+// weightOf returns an organisation's share in its class.
+func (n *Node) weightOf(organisation string) float64 {
+	org, _ := n.entry.config.Organisations.Get(organisation)
+	return float64(max(org.Weight, 1))
+}
+
 // organisationOf returns the organisation of an API key.
 func (n *Node) organisationOf(key string) (config.Organisation, bool) {
 	return n.entry.config.Organisations.Get(n.entry.keys[config.HashKey(key)])
@@ -84,17 +90,26 @@
 		return refusal(RefusedLimit, RanNo, "the organisation has as many requests in progress as its limit allows", "wait for one of them, or ask the operators for a higher limit").
 			WithRetryAt(n.comeBack(p)), false
 	}
-	wait := p.wait(n.now, p.queue.ahead(w.rank(), w.organisation, float64(max(org.Weight, 1))))
+	wait := p.wait(n.now, p.queue.ahead(w.rank(), w.organisation, w.weight))
 	if p.queue.length >= queueLimit || n.now.Add(wait).After(p.latest(w)) {
 		return refusal(RefusedOverload, RanNo, "it could not be served before its deadline", "come back at the given time, or give a later deadline").
 			WithRetryAt(n.comeBack(p)), false
 	}
-	p.queue.push(w.rank(), w.organisation, float64(max(org.Weight, 1)), w.cost, w)
+	p.queue.push(w.rank(), w.organisation, w.weight, w.cost, w)
 	n.entry.inProgress[w.organisation]++
 	n.pump(p)
 	return Refusal{}, true
 }
 
+// readmit puts work that had its turn and was refused by a target back in line.
+// It is not charged again, so that it goes to the front of its flow's share.
+func (p *pool) readmit(w *waiting, avoid string) *waiting {
+	again := *w
+	again.avoid = avoid
+	p.queue.push(again.rank(), again.organisation, again.weight, 0, &again)
+	return &again
+}
+
 // leave uncounts a request that has got its final answer.
 func (n *Node) leave(organisation string) {
 	n.entry.inProgress[organisation]--
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -93,7 +93,14 @@
 		return
 	}
 	n.entry.budget.earn()
-	c.wait = &waiting{id: a.ID, conn: a.Conn, organisation: org.Name, class: service.Class, cost: callCost, deadline: a.Deadline, call: c}
+	c.wait = &waiting{
+		organisation: org.Name,
+		class:        service.Class,
+		weight:       n.weightOf(org.Name),
+		cost:         callCost,
+		deadline:     a.Deadline,
+		call:         c,
+	}
 	if r, ok := n.admit(p, c.wait); !ok {
 		c.wait = nil
 		n.refuseCall(c, r)
@@ -275,10 +282,7 @@
 	pool, route, stages := c.pool, c.route, c.stages
 	c.holding = false
 	c.phase = phaseQueued
-	w := *c.wait
-	w.avoid = avoid
-	c.wait = &w
-	p.queue.push(w.rank(), w.organisation, requeueWeight, 0, c.wait)
+	c.wait = p.readmit(c.wait, avoid)
 	n.give(pool, route, stages)
 }
 
--- a/internal/core/keeper.go
+++ b/internal/core/keeper.go
@@ -437,7 +437,7 @@
 	s.tokens = r.Tokens
 	s.finish = r.Finish
 	s.pool = poolOf(s.pipeline)
-	s.wait = &waiting{id: s.id, organisation: s.request.Organisation, deadline: s.request.Deadline, cost: float64(s.request.MaxTokens), class: s.pipeline.Class, stream: s}
+	s.wait = n.waitingStream(s)
 	n.entry.inProgress[s.request.Organisation]++
 	n.entry.streams[s.id] = s
 	s.phase = phaseRegistering
--- a/internal/core/repair.go
+++ b/internal/core/repair.go
@@ -229,13 +229,6 @@
 		n.failStream(s, refusal(RefusedNoTarget, RanNo, "no engine holds the model any more", "come back later").WithRetryAt(n.now.Add(time.Second)))
 		return
 	}
-	w := *s.wait
-	w.avoid = avoid
-	s.wait = &w
-	p.queue.push(w.rank(), w.organisation, requeueWeight, 0, s.wait)
+	s.wait = p.readmit(s.wait, avoid)
 	n.give(pool, route, chain)
 }
-
-// requeueWeight and a cost of 0 put a stream that had its turn at the front of
-// its flow's share without charging it again.
-const requeueWeight = 1
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -143,18 +143,22 @@
 		return
 	}
 	s.phase = phaseQueued
-	s.wait = &waiting{
-		id:           s.id,
-		conn:         s.conn,
+	s.wait = n.waitingStream(s)
+	if r, ok := n.admit(p, s.wait); !ok {
+		n.failStream(s, r)
+	}
+}
+
+// waitingStream is a stream as the queue of its pool knows it.
+func (n *Node) waitingStream(s *stream) *waiting {
+	return &waiting{
 		organisation: s.request.Organisation,
 		class:        s.pipeline.Class,
+		weight:       n.weightOf(s.request.Organisation),
 		cost:         float64(s.request.MaxTokens),
 		deadline:     s.request.Deadline,
 		stream:       s,
 	}
-	if r, ok := n.admit(p, s.wait); !ok {
-		n.failStream(s, r)
-	}
 }
 
 // beginStream starts a stream on a route that has room. The keeper gets the
