--- a/settings/settings.go
+++ b/settings/settings.go
@@ -205,8 +205,10 @@
 		c.require(!required, path, path[1:]+" is required; give an address as IP:PORT")
 		return
 	}
-	_, err := netip.ParseAddrPort(address)
+	parsed, err := netip.ParseAddrPort(address)
 	c.require(err == nil, path, fmt.Sprintf("%q is no address; give IP:PORT with an IP number", address))
+	// Others are told this address, so it must be one that they can use.
+	c.require(err != nil || !parsed.Addr().IsUnspecified(), path, fmt.Sprintf("%q stands for all addresses; give the IP number that others reach this VM by", address))
 }
 
 func (c *checker) checkControl(s Settings) {
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -40,6 +41,9 @@
 			`3:26: a string does not go here; give a int`,
 			`4:23: give a duration in quotes, as in "1.5s"`,
 		}},
+		{"an address that nobody can reach", strings.Replace(whole, "127.0.0.1:1", "0.0.0.0:1", 1), []string{
+			`4:25: "0.0.0.0:1" stands for all addresses; give the IP number that others reach this VM by`,
+		}},
 		{"all that is missing", `{}`, []string{
 			"1:1: control.vms is required; list each control VM with its address for peers",
 			"1:1: hall is required; name the VM's data hall",
