--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -120,7 +120,7 @@
 // ObjectName implements Named.
 func (e Event) ObjectName() string { return e.Name }
 
-// Organisation is a customer with its API key, share and limit.
+// Organisation is whoever an API key belongs to, with its share and limit.
 type Organisation struct {
 	Name string `json:"name" cbor:"name"`
 	// Key is the hexadecimal SHA-256 of the API key; see HashKey.
