daemon: process tests listen on ports that no connection can take

Cause: two of some twenty runs of the process tests failed: a daemon could not listen, since the port that the kernel had given out and taken back had gone to an outgoing connection (also on a loopback address of its own: a connection to it comes from it). Ruled out: the daemon itself, which says so and exits. Change: ports are counted up below the kernel's range; on failure the beginning of each log is shown, not its end.

--- a/internal/daemon/deployment_test.go
+++ b/internal/daemon/deployment_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -13,6 +14,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -71,12 +73,32 @@
 	testKey    = "key"
 )
 
-// freeAddress returns an address that was free a moment ago.
+// testIP is a loopback address of this test process alone.
+var testIP = fmt.Sprintf("127.%d.%d.%d", 1+rand.IntN(250), 1+rand.IntN(250), 1+rand.IntN(250))
+
+// Ports are counted up below those that outgoing connections take: one that the
+// kernel gave out and that was free a moment ago can be taken by a connection
+// before the daemon listens there.
+const (
+	firstPort = 10000
+	portCount = 18000
+)
+
+var nextPort atomic.Int64
+
+// freeAddress returns an address that nobody listens at, each one once.
 func freeAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for range portCount {
+		address := fmt.Sprintf("%s:%d", testIP, firstPort+nextPort.Add(1)%portCount)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		require.NoError(t, l.Close())
+		return address
+	}
+	require.FailNow(t, "no free port")
+	return ""
 }
 
 // deploy starts control VMs that are entry VMs too, and entry VMs beside them.
@@ -175,7 +197,7 @@
 	if d.t.Failed() {
 		for _, p := range d.vms {
 			text, _ := os.ReadFile(p.log)
-			d.t.Logf("%s:\n%s", p.name, text[max(0, len(text)-4000):])
+			d.t.Logf("%s:\n%s", p.name, text[:min(len(text), 4000)])
 		}
 	}
 }
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -20,7 +20,7 @@
 	dir := t.TempDir()
 	require.Zero(t, spoolbank.Main([]string{"key", "authority", dir}, nil, io.Discard, io.Discard))
 	for _, name := range names {
-		require.Zero(t, spoolbank.Main([]string{"key", "certificate", dir, name, "127.0.0.1"}, nil, io.Discard, io.Discard))
+		require.Zero(t, spoolbank.Main([]string{"key", "certificate", dir, name, testIP}, nil, io.Discard, io.Discard))
 	}
 	return dir
 }
