core: say why a hand-over needs no denial; drop two leftovers

Cause: read as a newcomer: a condition that is always true, a branch that sets what is set, an iterator where a loop does. Change: as said.

--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -248,7 +248,7 @@
 
 func (n *Node) voteAsked(from ReplicaID, v Vote) {
 	r := &n.replica
-	if n.mustDeny(from, v) {
+	if n.mustDeny(v) {
 		return
 	}
 	if !v.Pre && v.Term > r.hard.Term {
@@ -265,9 +265,13 @@
 
 // mustDeny reports whether a leader may still hold its lease. The request is
 // then dropped whole: not even its term is taken.
-func (n *Node) mustDeny(from ReplicaID, v Vote) bool {
+//
+// A planned hand-over needs no such denial. The leader of term T gave its lease
+// up before it asked for the candidacy in term T+1, and whoever leads by then was
+// elected in T+1 or later, so that no quorum has a vote left for this one.
+func (n *Node) mustDeny(v Vote) bool {
 	r := &n.replica
-	if v.Transfer && from.VM != "" {
+	if v.Transfer {
 		return false
 	}
 	if r.role == Leader {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -10,7 +10,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -49,7 +48,7 @@
 	client  *target.Client
 	callers *callers
 	metrics *metrics
-	// urgent wakes what must end at once when the daemon does.
+	// context ends when the daemon does, and with it all that is under way.
 	context context.Context
 	cancel  context.CancelFunc
 	lastID  atomic.Uint64
@@ -157,18 +156,12 @@
 		cluster = d.folder.identity.Cluster
 	}
 	return core.Settings{
-		Self:    self,
-		Cluster: cluster,
-		Address: core.EntryAddress{VM: self.VM, Hall: s.Hall, Callers: s.Listen.Callers, Peers: s.Listen.Peers},
-		Control: s.HasRole(settings.RoleControl),
-		Entry:   s.HasRole(settings.RoleEntry),
-		ControlVMs: slices.Sorted(func(yield func(core.VMName) bool) {
-			for name := range maps.Keys(s.Control.VMs) {
-				if !yield(core.VMName(name)) {
-					return
-				}
-			}
-		}),
+		Self:          self,
+		Cluster:       cluster,
+		Address:       core.EntryAddress{VM: self.VM, Hall: s.Hall, Callers: s.Listen.Callers, Peers: s.Listen.Peers},
+		Control:       s.HasRole(settings.RoleControl),
+		Entry:         s.HasRole(settings.RoleEntry),
+		ControlVMs:    controlVMs(s.Control),
 		Voters:        s.Control.Voters,
 		SnapshotEvery: s.Control.SnapshotEvery,
 		Timing:        coreTiming(s.Timing),
@@ -176,6 +169,16 @@
 	}
 }
 
+// controlVMs returns the names of the control VMs, sorted.
+func controlVMs(c settings.Control) []core.VMName {
+	var names []core.VMName
+	for name := range c.VMs {
+		names = append(names, core.VMName(name))
+	}
+	slices.Sort(names)
+	return names
+}
+
 func coreTiming(s settings.Timing) core.Timing {
 	t := core.DefaultTiming()
 	t.Heartbeat = time.Duration(s.Heartbeat)
--- a/internal/daemon/disk.go
+++ b/internal/daemon/disk.go
@@ -182,14 +182,10 @@
 		return core.Recovered{}, err
 	}
 	var recovered core.Recovered
-	found, err := f.readWhole(fileSnapshot, &recovered.Snapshot)
-	if err != nil {
+	// There is no snapshot before the first one was due.
+	if _, err := f.readWhole(fileSnapshot, &recovered.Snapshot); err != nil {
 		return core.Recovered{}, err
 	}
-	if !found && f.identity.Cluster != "" {
-		// A replica that has joined has a snapshot only once one was due.
-		recovered.Snapshot = core.Snapshot{}
-	}
 	if err := f.readLog(&recovered); err != nil {
 		return core.Recovered{}, err
 	}
