--- a/internal/daemon/disk_test.go
+++ b/internal/daemon/disk_test.go
@@ -30,17 +30,22 @@
 	return s
 }
 
-// command runs a daemon on a folder, has it accept one command and kills it.
-func command(t *testing.T, data, text string, number uint64) core.Result {
-	s := alone(t, data)
+// run starts a daemon in this process and returns what ends it.
+func run(t *testing.T, s settings.Settings) func() {
 	d, err := daemon.New(s, logr.Discard())
 	require.NoError(t, err)
 	ended := make(chan error, 1)
 	go func() { ended <- d.Run() }()
-	defer func() {
+	return func() {
 		d.Kill()
 		require.NoError(t, <-ended)
-	}()
+	}
+}
+
+// command runs a daemon on a folder, has it accept one command and kills it.
+func command(t *testing.T, data, text string, number uint64) core.Result {
+	s := alone(t, data)
+	defer run(t, s)()
 	var result core.Result
 	require.Eventually(t, func() bool {
 		conn, err := wire.Keys{}.Dial(t.Context(), s.Listen.Peers)
--- a/internal/daemon/tls_test.go
+++ b/internal/daemon/tls_test.go
@@ -5,7 +5,6 @@
 	"path/filepath"
 	"testing"
 
-	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
 	spoolbank "github.com/spoolbank/spoolbank/cmd/spoolbank/cmd"
@@ -36,16 +35,9 @@
 	s := alone(t, filepath.Join(t.TempDir(), "data"))
 	s.TLS = settings.TLS{Certificate: filepath.Join(dir, "vm-1.pem"), Key: filepath.Join(dir, "vm-1-key.pem"), Authority: filepath.Join(dir, "authority.pem")}
 	require.NoError(t, daemon.Bootstrap(s.Data, "vm-1"))
-	d, err := daemon.New(s, logr.Discard())
-	require.NoError(t, err)
-	ended := make(chan error, 1)
-	go func() { ended <- d.Run() }()
-	defer func() {
-		d.Kill()
-		require.NoError(t, <-ended)
-	}()
-
-	_, err = keysOf(t, makeKeys(t, "vm-2"), "vm-2").Dial(t.Context(), s.Listen.Peers)
+	defer run(t, s)()
+
+	_, err := keysOf(t, makeKeys(t, "vm-2"), "vm-2").Dial(t.Context(), s.Listen.Peers)
 	require.Error(t, err, "another authority")
 
 	conn, err := keysOf(t, dir, "vm-2").Dial(t.Context(), s.Listen.Peers)
