core: a refused request frees no place under its organisation's limit

Cause: read once more: a stream that admit refuses was not counted, and was uncounted all the same when it was forgotten, so that after one refusal by the limit the next request got in (TestRefusalFreesNoPlaceUnderTheLimit failed first: request 3 was taken under a limit of 2). Ruled out: calls, which drop their place in line before they are refused. Change: the same for streams. Measured: the test and all of core green, with -race.

--- a/internal/core/control_test.go
+++ b/internal/core/control_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -380,3 +381,20 @@
 	w.crash(w.leader())
 	w.until("it has a vote again", 60*time.Second, isMember(true))
 }
+
+// A request that is refused by its organisation's limit frees no place under it.
+func TestRefusalFreesNoPlaceUnderTheLimit(t *testing.T) {
+	w := newWorld(t, 18, 3, 1)
+	w.setUp()
+	w.settled()
+	require.Equal(t, core.ResultAccepted, w.must("set organisation o limit=2", 500).Kind)
+	w.advance(time.Second)
+	for name := range w.engines {
+		w.dead[name] = true
+	}
+	for i := range 6 {
+		a := w.stream("vm4", fmt.Sprintf("limit%d", i), "a prompt", 0)
+		w.advance(100 * time.Millisecond)
+		require.Equal(t, i >= 2, a.refusal != nil, "request %d: %v", i, a.refusal)
+	}
+}
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -145,6 +145,8 @@
 	s.phase = phaseQueued
 	s.wait = n.waitingStream(s)
 	if r, ok := n.admit(p, s.wait); !ok {
+		// It was not counted, so it must not be uncounted either.
+		s.wait = nil
 		n.failStream(s, r)
 	}
 }
