--- /dev/null
+++ b/cmd/spoolbankd/cmd/platform.go
@@ -0,0 +1,19 @@
+package cmd
+
+import (
+	"io"
+
+	"github.com/spoolbank/spoolbank/internal/daemon"
+	"github.com/spoolbank/spoolbank/platform"
+)
+
+// servePlatform runs the daemon on the users' platform until it ends.
+func servePlatform(stdout io.Writer) error {
+	log, flush := daemon.NewLogger(stdout)
+	defer flush()
+	err := platform.Run(log)
+	if err != nil {
+		log.Error(err, "process ends")
+	}
+	return err
+}
--- a/cmd/spoolbankd/cmd/root.go
+++ b/cmd/spoolbankd/cmd/root.go
@@ -25,6 +25,7 @@
 	settings  string
 	check     bool
 	bootstrap bool
+	platform  bool
 }
 
 // Main runs the daemon and returns its exit code.
@@ -34,9 +35,10 @@
 	flags.StringVar(&o.settings, 's', "settings", "", "file of settings, JSON with comments")
 	flags.BoolVar(&o.check, 0, "check", "check the settings, print every fault and exit")
 	flags.BoolVar(&o.bootstrap, 0, "bootstrap", "make the empty data folder that of a new cluster and exit; done once, on one control VM")
+	flags.BoolVar(&o.platform, 0, "platform", "run on the users' platform, with the settings that it gives")
 	command := &ff.Command{
 		Name:  "spoolbankd",
-		Usage: "spoolbankd --settings FILE [--check | --bootstrap]",
+		Usage: "spoolbankd --settings FILE [--check | --bootstrap] | --platform",
 		Flags: flags,
 		Exec:  func(context.Context, []string) error { return run(o, stdout) },
 	}
@@ -64,6 +66,9 @@
 }
 
 func run(o options, stdout io.Writer) error {
+	if o.platform {
+		return servePlatform(stdout)
+	}
 	if o.settings == "" {
 		return errors.New("no settings; name a file with --settings")
 	}
--- a/internal/core/config/change.go
+++ b/internal/core/config/change.go
@@ -60,6 +60,7 @@
 	Condition    *Condition    `cbor:"condition,omitempty"`
 	Place        *Placement    `cbor:"place,omitempty"`
 	Unplace      string        `cbor:"unplace,omitempty"`
+	Document     *Document     `cbor:"document,omitempty"`
 }
 
 // InvalidError tells an operator why a change can't be taken.
@@ -116,6 +117,10 @@
 		s.Placements = s.Placements.With(*c.Place)
 	case c.Unplace != "":
 		s.Placements = s.Placements.Without(c.Unplace)
+	case c.Document != nil:
+		if c.Document.Version > s.Document.Version {
+			s.Document = *c.Document
+		}
 	}
 	return s, nil
 }
--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -211,4 +211,14 @@
 	Organisations Set[Organisation] `cbor:"organisations"`
 	Services      Set[Service]      `cbor:"services"`
 	Placements    Set[Placement]    `cbor:"placements"`
+	Document      Document          `cbor:"document"`
+}
+
+// Document is a whole configuration in the form in which its operator wrote it.
+// It stands beside the objects that are declared one by one: a deployment uses
+// the one or the other. What it means is decoded where it is used.
+type Document struct {
+	Version uint64 `cbor:"version"`
+	// Source is the packed text.
+	Source []byte `cbor:"source"`
 }
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -165,7 +165,7 @@
 		return
 	}
 	r.joinAt = n.now.Add(n.settings.Timing.ElectionMin)
-	for _, vm := range n.settings.ControlVMs {
+	for _, vm := range n.controlVMs() {
 		if vm != r.id.VM {
 			n.send(vm, Message{Join: &Join{}})
 		}
--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -59,6 +59,9 @@
 		g.State = &c
 	}
 	n.leading.view.since(l.renew.ViewVersion, &g)
+	if n.followsTargets() {
+		n.addFleet(l, &g)
+	}
 	l.until = n.now.Add(n.settings.Timing.Lengthened(n.settings.Timing.LeaseTerm))
 	n.deliver(l.holder.VM, Message{Grant: &g})
 }
--- a/internal/core/leading.go
+++ b/internal/core/leading.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
 // leading is what a leader knows beside the replicated state. It is lost with
@@ -32,6 +33,8 @@
 	planned      config.Revision
 	planPending  Index
 	conditionsAt time.Time
+	placing      placing
+	fleet        fleet
 }
 
 type claimWaiter struct {
@@ -74,6 +77,7 @@
 		reports:   make(map[string]map[VMName]sighting),
 		platform:  make(map[string]bool),
 		orders:    make(map[string]*orderState),
+		placing:   placing{orders: make(map[relay.TargetID]layerOrder)},
 	}
 }
 
@@ -97,6 +101,7 @@
 	n.tickConditions()
 	n.tickPlan()
 	n.tickOrders()
+	n.tickPlacing()
 	for _, index := range slices.Sorted(maps.Keys(n.leading.operators)) {
 		n.answerIfDue(index, n.leading.operators[index])
 	}
--- a/internal/core/machine.go
+++ b/internal/core/machine.go
@@ -162,6 +162,7 @@
 		n.commandApplied(e.Index, result)
 	case e.Changes != nil:
 		n.applyChanges(e.Changes)
+		n.commandApplied(e.Index, Result{Kind: ResultAccepted, Revision: m.Config.Revision})
 	case e.Claim != nil:
 		outcome := m.applyClaim(e.Index, *e.Claim)
 		n.claimApplied(e.Index, *e.Claim, outcome)
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -157,9 +157,18 @@
 }
 
 // joinAsked takes a replica in as a learner.
-func (n *Node) joinAsked(from ReplicaID) {
+func (n *Node) joinAsked(from ReplicaID, j Join) {
 	r := &n.replica
-	if r.role != Leader || r.members.Has(from) {
+	if r.role != Leader {
+		if j.For.IsZero() && r.leader.VM != "" && r.leader.VM != r.id.VM {
+			n.send(r.leader.VM, Message{Join: &Join{For: from}})
+		}
+		return
+	}
+	if !j.For.IsZero() {
+		from = j.For
+	}
+	if r.members.Has(from) {
 		return
 	}
 	if r.membersIndex > r.commit || !r.committedOwnTerm() {
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
 // Envelope is a message between two processes of one deployment.
@@ -36,6 +37,8 @@
 	KeepReply   *KeepReply     `cbor:"keep_reply,omitempty"`
 	Find        *Find          `cbor:"find,omitempty"`
 	FindReply   *FindReply     `cbor:"find_reply,omitempty"`
+	Follow      *Follow        `cbor:"follow,omitempty"`
+	TargetNews  *TargetNews    `cbor:"target_news,omitempty"`
 }
 
 // Vote asks for a vote, or, with Pre, whether one would be given.
@@ -86,8 +89,11 @@
 	Term Term `cbor:"term"`
 }
 
-// Join asks the leader to take a replica in as a learner.
-type Join struct{}
+// Join asks the leader to take a replica in as a learner. Who does not lead
+// passes it on, and names in For the replica that asked.
+type Join struct {
+	For ReplicaID `cbor:"for"`
+}
 
 // EntryAddress is where one entry VM is reached.
 type EntryAddress struct {
@@ -120,6 +126,8 @@
 	InProgress int            `cbor:"in_progress"`
 	Load       int            `cbor:"load"`
 	Reports    []TargetReport `cbor:"reports,omitempty"`
+	// Work is what the entry VM has under way at registered targets.
+	Work map[relay.TargetID]relay.Work `cbor:"work,omitempty"`
 }
 
 // EntryView is what callers are told of one entry VM.
@@ -147,6 +155,13 @@
 	Gone        []VMName    `cbor:"gone,omitempty"`
 	ViewWhole   bool        `cbor:"view_whole,omitempty"`
 	Cluster     string      `cbor:"cluster"`
+	// Control are the members of the control state.
+	Control []VMName `cbor:"control,omitempty"`
+	// Others is what all other entry VMs have under way, and Silent the targets
+	// that tell no VM that they live. VMs counts the entry VMs.
+	Others map[relay.TargetID]relay.Work `cbor:"others,omitempty"`
+	Silent []relay.TargetID              `cbor:"silent,omitempty"`
+	VMs    int                           `cbor:"vms,omitempty"`
 }
 
 // Delta is one accepted change of the configuration.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
 // Settings are what a Node is made with. They do not change in its life.
@@ -23,8 +25,12 @@
 	// SnapshotEvery is the number of log entries between two snapshots.
 	SnapshotEvery int
 	Timing        Timing
-	// Seed feeds the Node's own random numbers.
+	// Seed feeds the Node's own random numbers, and names this life of the
+	// process to those who follow its registry.
 	Seed uint64
+	// DecodeDocument reads a document; nil where the deployment has none. It must
+	// depend on nothing but the text.
+	DecodeDocument func(source []byte) (*relay.Document, error)
 }
 
 // Recovered is what a control VM read from its data folder.
@@ -47,6 +53,7 @@
 	machine  Machine
 	leading  leading
 	entry    entry
+	registry registry
 	stopping bool
 	stopped  bool
 }
@@ -60,6 +67,7 @@
 		cluster:  settings.Cluster,
 	}
 	n.machine = newMachine()
+	n.startRegistry()
 	if settings.Control {
 		n.startReplica(recovered)
 	}
@@ -110,6 +118,18 @@
 		n.orderEnded(ev)
 	case EntriesAsked:
 		n.entriesAsked(ev)
+	case DocumentPut:
+		n.documentPut(ev)
+	case DocumentAsked:
+		n.documentAsked(ev)
+	case TargetSpoke:
+		n.targetSpoke(ev)
+	case WorkCounted:
+		n.entry.work = ev.Work
+	case LayersOrdered:
+		n.layersOrdered(ev)
+	case SeedsRead:
+		n.settings.ControlVMs = ev.VMs
 	case Stopping:
 		n.stop()
 	}
@@ -123,6 +143,7 @@
 	if n.settings.Entry {
 		n.tickEntry()
 	}
+	n.tickRegistry()
 	n.finishStop()
 }
 
@@ -130,6 +151,7 @@
 	if !n.sameCluster(e) {
 		return
 	}
+	n.receiveRegistry(e)
 	if n.settings.Control {
 		n.receiveControl(e)
 	}
--- /dev/null
+++ b/internal/core/placing.go
@@ -0,0 +1,172 @@
+package core
+
+import (
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// This file has the leader tell engines that register themselves which layers
+// to hold.
+//
+// What an engine holds, it says itself, so that a new leader needs no memory of
+// the orders of the one before. An order is conditional on the number of orders
+// that the engine has carried out: a late copy of an older one is refused by the
+// engine. An order without an answer may still be carried out; the engine then
+// counts as holding its range until it says otherwise or the wait is over.
+
+// OrderLayers asks the runtime to order an engine to hold layers. LayersOrdered
+// answers it.
+type OrderLayers struct {
+	Target  relay.TargetID
+	Address string
+	Layers  config.Range
+	// NotAfter is when the order is void.
+	NotAfter time.Time
+}
+
+// OrderOutcome is how an order ended.
+type OrderOutcome int
+
+// The outcomes of an order.
+const (
+	// OrderBegun: the engine carries it out.
+	OrderBegun OrderOutcome = iota
+	// OrderRefused: the engine did not take it.
+	OrderRefused
+	// OrderUnknown: it may have been taken, or may be later.
+	OrderUnknown
+)
+
+// String returns the outcome's name.
+func (o OrderOutcome) String() string { return [...]string{"begun", "refused", "unknown"}[o] }
+
+// LayersOrdered answers OrderLayers.
+type LayersOrdered struct {
+	Target  relay.TargetID
+	Outcome OrderOutcome
+}
+
+func (OrderLayers) isEffect() {}
+
+func (LayersOrdered) isEvent() {}
+
+const (
+	// placeEvery is the interval between two looks at what engines hold.
+	placeEvery = 250 * time.Millisecond
+	// placeSettle is the quiet after the last new engine before the first plan is
+	// made: engines register within one beat of 1.2 s.
+	placeSettle = 1300 * time.Millisecond
+	// placeLife is how long an order may wait to be delivered.
+	placeLife = 2 * time.Second
+	// placeAgain is the pause after an order that was refused.
+	placeAgain = 2 * time.Second
+	// placeUnknown is the wait for an order without an answer: a late one is
+	// carried out within 12 s.
+	placeUnknown = 13 * time.Second
+)
+
+// placing is what the leader knows of its orders. It is lost with the lead.
+type placing struct {
+	decoded decoded
+	lookAt  time.Time
+	// orders holds what was ordered and is not yet seen to be held.
+	orders map[relay.TargetID]layerOrder
+	// known is the number of engines at the last look, and settledAt when the
+	// first plan may be made.
+	known     int
+	settledAt time.Time
+}
+
+type layerOrder struct {
+	layers config.Range
+	// until is when it is taken to have come to nothing.
+	until time.Time
+}
+
+// tickPlacing compares what engines hold with the plan.
+func (n *Node) tickPlacing() {
+	p := &n.leading.placing
+	if !n.followsTargets() || n.now.Before(p.lookAt) {
+		return
+	}
+	p.lookAt = n.now.Add(placeEvery)
+	document := p.decoded.read(n, n.machine.Config.Document)
+	if document == nil {
+		return
+	}
+	for i := range document.Services {
+		if s := &document.Services[i]; s.Engine != nil && s.Engine.Layers > 0 {
+			n.placeService(s)
+		}
+	}
+}
+
+func (n *Node) placeService(s *relay.Service) {
+	p := &n.leading.placing
+	engines, holding := n.enginesOf(s.Name)
+	if len(engines) > p.known {
+		p.settledAt = n.now.Add(placeSettle)
+	}
+	p.known = max(p.known, len(engines))
+	if !holding && n.now.Before(p.settledAt) {
+		return
+	}
+	for _, a := range relay.Plan(s.Engine, engines) {
+		n.orderLayers(s.Engine, a)
+	}
+}
+
+// enginesOf returns the engines of a service that live and take work, with what
+// they hold or were ordered to hold.
+func (n *Node) enginesOf(service string) (engines []relay.Target, holding bool) {
+	p := &n.leading.placing
+	silent := make(map[relay.TargetID]bool)
+	for _, id := range n.registry.targets.Silent(n.now.Add(-silentAfter)) {
+		silent[id] = true
+	}
+	for _, t := range n.registry.targets.All() {
+		if t.Service != service || !t.Takes() || silent[t.ID] {
+			continue
+		}
+		order, ordered := p.orders[t.ID]
+		if ordered && (t.Layers.Len() > 0 || !n.now.Before(order.until)) {
+			delete(p.orders, t.ID)
+			ordered = false
+		}
+		if ordered && t.Layers.Len() == 0 {
+			t.Layers = order.layers
+		}
+		holding = holding || t.Layers.Len() > 0
+		engines = append(engines, t)
+	}
+	return engines, holding
+}
+
+func (n *Node) orderLayers(e *relay.Engine, a relay.Assignment) {
+	t, ok := n.registry.targets.Get(a.Target)
+	if !ok || t.Loading {
+		return
+	}
+	share := float64(a.Layers.Len()) / float64(e.Layers)
+	load := time.Duration(float64(e.Load) * share * loadCaution)
+	n.leading.placing.orders[a.Target] = layerOrder{layers: a.Layers, until: n.now.Add(load + placeUnknown)}
+	n.note("engine ordered to hold layers "+a.Layers.String(), string(a.Target))
+	n.emit(OrderLayers{Target: a.Target, Address: t.Address, Layers: a.Layers, NotAfter: n.now.Add(placeLife)})
+}
+
+// loadCaution lengthens the expected time of a load, since loads share a store.
+const loadCaution = 4
+
+func (n *Node) layersOrdered(o LayersOrdered) {
+	order, ok := n.leading.placing.orders[o.Target]
+	if !ok {
+		return
+	}
+	n.note("order of layers "+order.layers.String()+" "+o.Outcome.String(), string(o.Target))
+	if o.Outcome == OrderRefused {
+		order.until = n.now.Add(placeAgain)
+		n.leading.placing.orders[o.Target] = order
+	}
+}
--- /dev/null
+++ b/internal/core/registry.go
@@ -0,0 +1,321 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// This file spreads what targets say of themselves.
+//
+// Problem: targets register with any control VM, and each entry VM must know
+// within the drain bound that a target leaves, also while there is no leader.
+//
+// Algorithm: soft state, without the log. A control VM keeps what targets told
+// it and pushes each change to all who follow it, other control VMs among them.
+// Every VM follows every control VM that it knows, so that a word needs one hop.
+// Words on one life of a target are ordered by its own numbering; leaving is
+// never taken back. A follower names the last change that it has, and a restart
+// of either side begins with the whole.
+//
+// Invariants: a control VM that has not heard the leader lately takes no word,
+// so that a target goes to one whose followers can hear it; what is pushed is
+// what targets said, never a guess.
+//
+// Limits: a word that only one control VM has heard is lost with it if it dies
+// within one tick; targets repeat what they say until they end.
+
+// TargetSpoke is a word of a target that came to this VM.
+type TargetSpoke struct {
+	Conn   ConnID
+	Target relay.Target
+}
+
+// TargetHeard answers TargetSpoke. Taken is false where the target should tell
+// another control VM.
+type TargetHeard struct {
+	Conn  ConnID
+	Taken bool
+}
+
+// WorkCounted is what this VM has under way at targets.
+type WorkCounted struct{ Work map[relay.TargetID]relay.Work }
+
+// SeedsRead are the control VMs that the settings name now.
+type SeedsRead struct{ VMs []VMName }
+
+// TargetsLearned tells the runtime what targets have newly said.
+type TargetsLearned struct{ Targets []relay.Target }
+
+// FleetLearned tells the runtime of an entry VM what the leader knows of all.
+type FleetLearned struct {
+	// LeaseUntil is when this VM's right to act by its document ends.
+	LeaseUntil time.Time
+	VMs        int
+	// Others is what other VMs have under way at targets.
+	Others map[relay.TargetID]relay.Work
+	// Silent are the targets that tell no VM that they live.
+	Silent []relay.TargetID
+}
+
+func (TargetSpoke) isEvent() {}
+func (WorkCounted) isEvent() {}
+func (SeedsRead) isEvent()   {}
+
+func (TargetHeard) isEffect()    {}
+func (TargetsLearned) isEffect() {}
+func (FleetLearned) isEffect()   {}
+
+// Follow asks a control VM for the changes of its registry.
+type Follow struct {
+	// Life and After name the last change that the asker has.
+	Life  uint64 `cbor:"life"`
+	After uint64 `cbor:"after"`
+	// Beats asks for signs of life too.
+	Beats bool `cbor:"beats,omitempty"`
+}
+
+// TargetNews brings changes of a registry.
+type TargetNews struct {
+	Life    uint64         `cbor:"life"`
+	Upto    uint64         `cbor:"upto"`
+	Targets []relay.Target `cbor:"targets,omitempty"`
+	Beats   []relay.Beat   `cbor:"beats,omitempty"`
+}
+
+const (
+	// followEvery is the interval between two asks; a change is pushed at once.
+	followEvery = 500 * time.Millisecond
+	// followLife is how long a follower that has not asked again is pushed to.
+	followLife = 4 * followEvery
+	// forgetAfter is the silence after which a target is dropped: far longer than
+	// any cut in the users' record.
+	forgetAfter = 60 * time.Second
+	// silentAfter is the silence after which a target counts as lost: two beats of
+	// 1.2 s and a half, so that one late beat does no harm.
+	silentAfter = 3 * time.Second
+	// deafAfter is the silence of the leader after which a control VM takes no
+	// word: an election ends within it.
+	deafAfter = 1500 * time.Millisecond
+)
+
+// registry is a Node's part in spreading the words of targets.
+type registry struct {
+	targets   *relay.Registry
+	followers map[VMName]*follower
+	// followed is how far this VM has followed each control VM.
+	followed map[VMName]position
+	followAt time.Time
+	forgetAt time.Time
+}
+
+type position struct {
+	life  uint64
+	after uint64
+}
+
+// follower is a VM that is pushed to.
+type follower struct {
+	after   uint64
+	until   time.Time
+	beats   bool
+	beatsAt time.Time
+}
+
+func (n *Node) startRegistry() {
+	n.registry = registry{
+		targets:   relay.NewRegistry(),
+		followers: make(map[VMName]*follower),
+		followed:  make(map[VMName]position),
+	}
+}
+
+// targetSpoke takes a target's own word.
+func (n *Node) targetSpoke(s TargetSpoke) {
+	if !n.hearsLeader() {
+		n.emit(TargetHeard{Conn: s.Conn})
+		return
+	}
+	if n.registry.targets.Hear(s.Target, n.now) {
+		n.note("target said something new", string(s.Target.ID))
+		n.push()
+	}
+	n.emit(TargetHeard{Conn: s.Conn, Taken: true})
+}
+
+// hearsLeader reports whether this control VM is in touch with a quorum: it
+// leads with a lease, or has heard the one who leads.
+func (n *Node) hearsLeader() bool {
+	if n.replica.role == Leader {
+		return n.holdsLease()
+	}
+	return n.replica.leader.VM != "" && n.now.Before(n.replica.heardAt.Add(deafAfter))
+}
+
+// controlVMs returns the control VMs that this VM knows of, from its settings,
+// the members of the log and the last lease, sorted.
+func (n *Node) controlVMs() []VMName {
+	known := make(map[VMName]bool)
+	for _, vm := range n.settings.ControlVMs {
+		known[vm] = true
+	}
+	for _, m := range n.replica.members.Members {
+		known[m.ID.VM] = true
+	}
+	for _, vm := range n.entry.controls {
+		known[vm] = true
+	}
+	return slices.Sorted(maps.Keys(known))
+}
+
+// followsTargets reports whether this deployment has targets that register.
+func (n *Node) followsTargets() bool { return n.settings.DecodeDocument != nil }
+
+func (n *Node) tickRegistry() {
+	if !n.followsTargets() {
+		return
+	}
+	if !n.now.Before(n.registry.followAt) {
+		n.registry.followAt = n.now.Add(followEvery)
+		for _, vm := range n.controlVMs() {
+			if vm != n.settings.Self.VM {
+				at := n.registry.followed[vm]
+				n.send(vm, Message{Follow: &Follow{Life: at.life, After: at.after, Beats: n.settings.Control}})
+			}
+		}
+	}
+	if !n.now.Before(n.registry.forgetAt) {
+		n.registry.forgetAt = n.now.Add(forgetAfter / 10)
+		n.registry.targets.Forget(n.now.Add(-forgetAfter))
+	}
+}
+
+func (n *Node) receiveRegistry(e Envelope) {
+	switch b := e.Body; {
+	case b.Follow != nil:
+		n.followAsked(e.From.VM, *b.Follow)
+	case b.TargetNews != nil:
+		n.newsTaken(e.From.VM, *b.TargetNews)
+	}
+}
+
+// followAsked answers one who follows this VM's registry. Who asks under another
+// life gets the whole.
+func (n *Node) followAsked(from VMName, f Follow) {
+	if !n.settings.Control {
+		return
+	}
+	present, ok := n.registry.followers[from]
+	if !ok {
+		present = &follower{}
+		n.registry.followers[from] = present
+	}
+	present.until = n.now.Add(followLife)
+	present.beats = f.Beats
+	present.after = f.After
+	if f.Life != n.settings.Seed {
+		present.after = 0
+	}
+	n.tell(from, present)
+}
+
+// push sends what is new to all who follow.
+func (n *Node) push() {
+	for _, vm := range slices.Sorted(maps.Keys(n.registry.followers)) {
+		f := n.registry.followers[vm]
+		if n.now.After(f.until) {
+			delete(n.registry.followers, vm)
+			continue
+		}
+		n.tell(vm, f)
+	}
+}
+
+func (n *Node) tell(vm VMName, f *follower) {
+	news := TargetNews{Life: n.settings.Seed, Upto: n.registry.targets.Change()}
+	if f.after < news.Upto {
+		news.Targets = n.registry.targets.Since(f.after)
+	}
+	if f.beats {
+		news.Beats = n.registry.targets.BeatsSince(f.beatsAt)
+		f.beatsAt = n.now
+	}
+	f.after = news.Upto
+	n.send(vm, Message{TargetNews: &news})
+}
+
+// newsTaken takes what a control VM has heard.
+func (n *Node) newsTaken(from VMName, news TargetNews) {
+	n.registry.followed[from] = position{life: news.Life, after: news.Upto}
+	var learned []relay.Target
+	for _, t := range news.Targets {
+		if n.registry.targets.Learn(t, n.now) {
+			learned = append(learned, t)
+		}
+	}
+	for _, b := range news.Beats {
+		n.registry.targets.Alive(b.ID, b.Call, n.now)
+	}
+	if len(learned) == 0 {
+		return
+	}
+	if n.settings.Entry {
+		n.emit(TargetsLearned{Targets: learned})
+	}
+}
+
+// addFleet adds to a lease what the leader knows of all entry VMs and targets.
+func (n *Node) addFleet(to *lease, g *Grant) {
+	for _, m := range n.replica.members.Members {
+		g.Control = append(g.Control, m.ID.VM)
+	}
+	f := n.leading.fleetNow(n)
+	g.VMs = f.vms
+	g.Silent = f.silent
+	g.Others = make(map[relay.TargetID]relay.Work, len(f.work))
+	for id, w := range f.work {
+		own := to.renew.Work[id]
+		g.Others[id] = relay.Work{Requests: max(w.Requests-own.Requests, 0), Tokens: max(w.Tokens-own.Tokens, 0)}
+	}
+}
+
+// fleet is the sum over all entry VMs. It is made anew seldom, for each of
+// hundreds of leases a second carries it.
+type fleet struct {
+	at     time.Time
+	vms    int
+	work   map[relay.TargetID]relay.Work
+	silent []relay.TargetID
+}
+
+// fleetEvery is the age at which the sum is made anew.
+const fleetEvery = 100 * time.Millisecond
+
+func (l *leading) fleetNow(n *Node) fleet {
+	if n.now.Before(l.fleet.at.Add(fleetEvery)) {
+		return l.fleet
+	}
+	l.fleet = fleet{at: n.now, work: make(map[relay.TargetID]relay.Work)}
+	for _, lease := range l.leases {
+		if !n.now.Before(lease.until) {
+			continue
+		}
+		l.fleet.vms++
+		for id, w := range lease.renew.Work {
+			l.fleet.work[id] = l.fleet.work[id].Plus(w)
+		}
+	}
+	l.fleet.silent = n.registry.targets.Silent(n.now.Add(-silentAfter))
+	return l.fleet
+}
+
+// fleetTaken hands on what came with a lease.
+func (n *Node) fleetTaken(g Grant) {
+	if !n.followsTargets() {
+		return
+	}
+	n.entry.controls = g.Control
+	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, Silent: g.Silent})
+}
--- a/internal/core/replication.go
+++ b/internal/core/replication.go
@@ -38,7 +38,7 @@
 	case b.TimeoutNow != nil:
 		n.timeoutNow(*b.TimeoutNow)
 	case b.Join != nil:
-		n.joinAsked(from)
+		n.joinAsked(from, *b.Join)
 	case b.Renew != nil:
 		n.renewAsked(from, *b.Renew)
 	case b.Claim != nil:
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
 // tenure is an entry VM's half of its lease: see grants.go.
@@ -25,9 +26,15 @@
 
 // entry is the state of the entry role.
 type entry struct {
-	tenure      tenure
-	config      config.State
-	keys        map[string]string
+	tenure tenure
+	config config.State
+	keys   map[string]string
+	// decoded is the document that requests are routed by.
+	decoded decoded
+	// work is what this VM has under way at registered targets.
+	work map[relay.TargetID]relay.Work
+	// controls are the members of the control state, as the last lease said.
+	controls    []VMName
 	view        []EntryView
 	viewVersion uint64
 	// halls holds the data hall of each VM in view.
@@ -132,7 +139,8 @@
 	}
 	to := t.leader
 	if to == "" {
-		to = n.settings.ControlVMs[t.turn%len(n.settings.ControlVMs)]
+		known := n.controlVMs()
+		to = known[t.turn%len(known)]
 		t.turn++
 	}
 	n.deliver(to, Message{Renew: &Renew{
@@ -144,6 +152,7 @@
 		InProgress:  len(n.entry.streams) + len(n.entry.calls),
 		Load:        n.load(),
 		Reports:     n.reports(),
+		Work:        n.entry.work,
 	}})
 }
 
@@ -186,6 +195,8 @@
 	if until.After(t.until) {
 		t.until = until
 	}
+	n.documentTaken()
+	n.fleetTaken(g)
 	if n.entry.config.Revision != before {
 		n.configTaken()
 		n.renew()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/relay"
 	"github.com/spoolbank/spoolbank/internal/target"
 	"github.com/spoolbank/spoolbank/internal/wire"
 	"github.com/spoolbank/spoolbank/settings"
@@ -48,6 +49,9 @@
 	client  *target.Client
 	callers *callers
 	metrics *metrics
+	// platform and gateway are set where an adapter runs this daemon.
+	platform *Platform
+	gateway  *Gateway
 	// context ends when the daemon does, and with it all that is under way.
 	context context.Context
 	cancel  context.CancelFunc
@@ -60,7 +64,19 @@
 }
 
 // New opens the data folder and the listeners. Run starts the work.
-func New(s settings.Settings, log logr.Logger) (*Daemon, error) {
+func New(s settings.Settings, log logr.Logger) (*Daemon, error) { return newDaemon(s, log, nil) }
+
+// NewOnPlatform returns a daemon that an adapter runs, and the gateway by which
+// the adapter hands it what comes from the platform.
+func NewOnPlatform(s settings.Settings, log logr.Logger, p Platform) (*Daemon, *Gateway, error) {
+	d, err := newDaemon(s, log, &p)
+	if err != nil {
+		return nil, nil, err
+	}
+	return d, d.gateway, nil
+}
+
+func newDaemon(s settings.Settings, log logr.Logger, p *Platform) (*Daemon, error) {
 	d := &Daemon{
 		settings: s,
 		log:      log,
@@ -68,6 +84,7 @@
 		inspect:  make(chan func(*core.Node)),
 		disk:     make(chan core.Effect, eventQueue),
 		client:   target.NewClient(),
+		platform: p,
 	}
 	d.context, d.cancel = context.WithCancel(context.Background())
 	if err := d.loadKeys(); err != nil {
@@ -89,6 +106,13 @@
 		d.closeAll()
 		return nil, err
 	}
+	if p != nil {
+		d.gateway, err = newGateway(d, *p)
+	}
+	if err != nil {
+		d.closeAll()
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -115,7 +139,11 @@
 func (d *Daemon) listen() error {
 	var err error
 	l := d.settings.Listen
-	if d.callerListener, err = listenOn(l.Callers); err != nil {
+	// On a platform the adapter listens for callers.
+	if d.platform == nil {
+		d.callerListener, err = listenOn(l.Callers)
+	}
+	if err != nil {
 		return err
 	}
 	if d.peerListener, err = listenOn(l.Peers); err != nil {
@@ -155,17 +183,22 @@
 		self.Incarnation = d.folder.identity.Incarnation
 		cluster = d.folder.identity.Cluster
 	}
+	var decode func([]byte) (*relay.Document, error)
+	if d.platform != nil {
+		decode = d.platform.Decode
+	}
 	return core.Settings{
-		Self:          self,
-		Cluster:       cluster,
-		Address:       core.EntryAddress{VM: self.VM, Hall: s.Hall, Callers: s.Listen.Callers, Peers: s.Listen.Peers},
-		Control:       s.HasRole(settings.RoleControl),
-		Entry:         s.HasRole(settings.RoleEntry),
-		ControlVMs:    controlVMs(s.Control),
-		Voters:        s.Control.Voters,
-		SnapshotEvery: s.Control.SnapshotEvery,
-		Timing:        coreTiming(s.Timing),
-		Seed:          uint64(newIncarnation()),
+		DecodeDocument: decode,
+		Self:           self,
+		Cluster:        cluster,
+		Address:        core.EntryAddress{VM: self.VM, Hall: s.Hall, Callers: s.Listen.Callers, Peers: s.Listen.Peers},
+		Control:        s.HasRole(settings.RoleControl),
+		Entry:          s.HasRole(settings.RoleEntry),
+		ControlVMs:     controlVMs(s.Control),
+		Voters:         s.Control.Voters,
+		SnapshotEvery:  s.Control.SnapshotEvery,
+		Timing:         coreTiming(s.Timing),
+		Seed:           uint64(newIncarnation()),
 	}
 }
 
@@ -221,11 +254,35 @@
 	if d.metricListener != nil {
 		d.tomb.Go(d.serveMetrics)
 	}
+	if d.gateway != nil && d.settings.HasRole(settings.RoleEntry) {
+		d.tomb.Go(d.gateway.upkeep)
+	}
 	return nil
 }
 
 // Stop asks for a planned stop: what is in progress ends first.
-func (d *Daemon) Stop() { d.post(core.Stopping{}) }
+func (d *Daemon) Stop() {
+	if d.gateway != nil {
+		d.gateway.stopping.Store(true)
+	}
+	d.post(core.Stopping{})
+}
+
+// Go runs a part of an adapter as a part of the daemon: the daemon ends with its
+// error, and dying is closed when it is to end.
+func (d *Daemon) Go(part func(dying <-chan struct{}) error) {
+	d.tomb.Go(func() error { return part(d.tomb.Dying()) })
+}
+
+// Serve serves HTTP on an address until the daemon ends.
+func (d *Daemon) Serve(server *http.Server, address string) error {
+	l, err := listenOn(address)
+	if err != nil {
+		return err
+	}
+	d.tomb.Go(func() error { return d.serveHTTP(server, l) })
+	return nil
+}
 
 // Kill ends the process's work at once.
 func (d *Daemon) Kill() { d.tomb.Kill(nil) }
--- a/internal/daemon/disk.go
+++ b/internal/daemon/disk.go
@@ -37,6 +37,9 @@
 // ErrDamaged is the kind of errors for folders that must not be used.
 var ErrDamaged = errors.New("damaged data folder")
 
+// ErrInUse is the kind of errors for folders that belong to a cluster already.
+var ErrInUse = errors.New("data folder in use")
+
 const (
 	fileIdentity = "identity"
 	fileLog      = "log"
@@ -121,7 +124,7 @@
 	}
 	defer f.close()
 	if _, err := os.Stat(f.file(fileIdentity)); err == nil {
-		return fmt.Errorf("data folder %s belongs to a cluster already; bootstrap is done once, on one VM with an empty folder", path)
+		return fmt.Errorf("%w: %s belongs to a cluster already; bootstrap is done once, on one VM with an empty folder", ErrInUse, path)
 	}
 	cluster := make([]byte, 8)
 	if _, err := rand.Read(cluster); err != nil {
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -16,7 +16,13 @@
 		d.toDisk(e)
 	case core.Answer:
 		d.answer(e)
-	case core.Emit, core.Refuse, core.Finish, core.Entries:
+	case core.Entries:
+		if d.gateway != nil {
+			reply(d, e.Conn, e)
+			return
+		}
+		d.callers.give(e)
+	case core.Emit, core.Refuse, core.Finish:
 		d.callers.give(e)
 	case core.Run:
 		go func() { d.post(d.client.Run(d.context, e)) }()
@@ -32,12 +38,26 @@
 		go func() { d.post(d.client.Order(d.context, e)) }()
 	case core.ListPlatform:
 		go d.listPlatform()
+	case core.DocumentAnswer:
+		reply(d, e.Conn, e)
+	case core.TargetHeard:
+		reply(d, e.Conn, e)
+	case core.DocumentInForce, core.TargetsLearned, core.FleetLearned, core.OrderLayers:
+		d.gateway.carryOut(e)
 	case core.Note:
 		d.log.Info(e.Text, "subject", e.Subject)
 	case core.Stopped:
-		d.log.Info("planned stop is complete")
-		d.tomb.Kill(errStopped)
+		go d.finishStop()
+	}
+}
+
+// finishStop ends the process once callers have their answers.
+func (d *Daemon) finishStop() {
+	if d.gateway != nil {
+		d.gateway.inFlight.Wait()
 	}
+	d.log.Info("planned stop is complete")
+	d.tomb.Kill(errStopped)
 }
 
 func (d *Daemon) toDisk(effect core.Effect) {
--- /dev/null
+++ b/internal/daemon/forward.go
@@ -0,0 +1,582 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
+	"github.com/spoolbank/spoolbank/internal/target"
+)
+
+// This file takes one request from a caller to targets and their answer back.
+//
+// Problem: a target may refuse, die in the middle, fall silent or garble its
+// answer. The caller is to get one whole answer of one run, or a true word on
+// what became of its request.
+//
+// Algorithm: pick a path, send, read the answer; go on with another path while
+// that is allowed. What has provably not run may be sent again in any case. What
+// may have run is sent again only where the route says so, and a stream that its
+// caller has seen a part of only with the id of the last event given, so that
+// the new run goes on from there. Only whole events are handed on: a run that
+// breaks off inside one leaves nothing that the next could contradict. The head
+// goes to the caller with the first event, and an answer of a plain service once
+// it is there whole.
+//
+// Invariants: a request that may run once is sent once, unless its target says
+// that it did not run; 503 is said only of what has not run; an answer that is
+// not whole never looks complete; repeats are drawn from the budget.
+
+// result is how one try ended.
+type result int
+
+const (
+	// resultDone: the caller has its final answer.
+	resultDone result = iota
+	// resultNotRun: it has provably not run.
+	resultNotRun
+	// resultBroken: it may have run, in part or whole.
+	resultBroken
+	// resultGone: the caller has left, or its time is over.
+	resultGone
+)
+
+// String returns the result's name.
+func (r result) String() string { return [...]string{"done", "not run", "broken", "gone"}[r] }
+
+const (
+	// tryMost bounds the targets that are asked in vain for one request.
+	tryMost = 4
+	// pauseCheck is the pause in a stream after which its stages are compared with
+	// those under suspicion: over two usual gaps between events on a slow path.
+	pauseCheck = 250 * time.Millisecond
+	// probeAfter is the pause after which the first engine is asked. Callers give
+	// a stream up after some 2 s, and a new run needs about 300 ms.
+	probeAfter = 500 * time.Millisecond
+	// wholeLimit bounds the answers of plain services that are read whole before
+	// they are handed on, in bytes.
+	wholeLimit = 256 << 10
+	// eventBuffer is the size of reads from a stream, in bytes.
+	eventBuffer = 4 << 10
+	// resumeTime is how long a room is looked for that a broken stream can go on
+	// in, and resumePause the wait between two looks.
+	resumeTime  = 900 * time.Millisecond
+	resumePause = 30 * time.Millisecond
+)
+
+// forwarding is one request under way.
+type forwarding struct {
+	g            *Gateway
+	call         *Call
+	route        *relay.Route
+	organisation string
+	class        int
+	deadline     time.Time
+	w            http.ResponseWriter
+	flush        func()
+
+	service string
+	avoid   []relay.TargetID
+	tries   int
+	runs    int
+	// begun says that the caller has got the head of an answer.
+	begun   bool
+	beganAt time.Time
+	// after is the id of the last event that the caller has.
+	after string
+	// kept is a failed answer that is given if no other target does better.
+	kept *wholeAnswer
+	// last is what the last try ended with, for the log.
+	last     string
+	lastPath relay.Path
+}
+
+// wholeAnswer is an answer that was read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Serve takes a call to its final answer.
+func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Done()
+	route, org, refusal := g.admit(call)
+	if refusal != nil {
+		g.refuse(w, call, refusal, nil)
+		return
+	}
+	f := &forwarding{g: g, call: call, route: route, class: route.Class, w: w, after: call.After}
+	if org != nil {
+		f.organisation = org.Name
+		if org.HasClass {
+			f.class = org.Class
+		}
+	}
+	f.deadline = call.Arrived.Add(route.Timeout)
+	if call.Deadline.Before(f.deadline) {
+		f.deadline = call.Deadline
+	}
+	if flusher, ok := w.(http.Flusher); ok {
+		f.flush = flusher.Flush
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.deadline)
+	defer cancel()
+	f.run(ctx)
+}
+
+func (g *Gateway) admit(call *Call) (*relay.Route, *relay.Organisation, *relay.Refusal) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if now.After(g.leaseUntil) {
+		return nil, nil, &relay.Refusal{Kind: relay.RefusedNoDocument, RetryAt: now.Add(comeBackElsewhere), Reason: "this VM is out of touch with the control VMs"}
+	}
+	return g.router.Admit(call.Host, call.Path, call.Key, now)
+}
+
+// comeBackElsewhere is when a caller that met a VM without a lease tries again:
+// it opens a new connection then, most likely to another VM.
+const comeBackElsewhere = 50 * time.Millisecond
+
+// run tries targets until the caller has its final answer.
+func (f *forwarding) run(ctx context.Context) {
+	for {
+		path, refusal := f.choose(ctx)
+		if refusal != nil {
+			f.end(ctx, refusal)
+			return
+		}
+		f.service = path.Service
+		f.lastPath = path
+		r := f.try(ctx, path)
+		f.g.release(path)
+		f.tries++
+		if r == resultDone {
+			f.served(path)
+			return
+		}
+		if ctx.Err() != nil {
+			f.end(ctx, &relay.Refusal{Kind: relay.RefusedTimeout, Reason: "its time ran out under way"})
+			return
+		}
+		f.g.log.Info("try failed", "request", f.call.ID, "try", f.tries, "result", r.String(), "cause", f.last, "path", path.String(), "begun", f.begun)
+		if refusal := f.mayRepeat(r); refusal != nil {
+			f.end(ctx, refusal)
+			return
+		}
+	}
+}
+
+// served notes an answer that was given whole.
+func (f *forwarding) served(path relay.Path) {
+	f.g.meter.served(f.call.Arrived)
+	first := int64(-1)
+	if !f.beganAt.IsZero() {
+		first = f.beganAt.Sub(f.call.Arrived).Milliseconds()
+	}
+	f.g.log.Info("request served", "request", f.call.ID, "first_ms", first, "took_ms", time.Since(f.call.Arrived).Milliseconds(),
+		"tries", f.tries, "prompt", f.call.Prompt, "answer", f.call.Answer, "hint", f.call.Hint, "path", path.String())
+}
+
+// choose picks the next path. A stream that its caller has a part of waits a
+// little for room: refusing it would throw away what was done.
+func (f *forwarding) choose(ctx context.Context) (relay.Path, *relay.Refusal) {
+	until := time.Now().Add(resumeTime)
+	for {
+		path, refusal := f.g.choose(f)
+		if refusal == nil || !f.begun || time.Now().After(until) {
+			return path, refusal
+		}
+		select {
+		case <-time.After(resumePause):
+		case <-ctx.Done():
+			return path, refusal
+		}
+	}
+}
+
+func (g *Gateway) choose(f *forwarding) (relay.Path, *relay.Refusal) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	path, refusal := g.router.Choose(relay.Ask{
+		Route: f.route, Service: f.service, Avoid: f.avoid,
+		Prompt: f.call.Prompt, Answer: expectedAnswer(f.call),
+	}, now)
+	if refusal == nil && f.tries == 0 {
+		g.router.Count(path.Service, now)
+	}
+	return path, refusal
+}
+
+// expectedAnswer is the tokens that room is kept for: the caller's estimate is
+// right in the middle and often well off, but never over the most it asked for.
+func expectedAnswer(c *Call) int {
+	if c.Hint > 0 && c.Hint < c.Answer {
+		return (c.Hint + c.Answer) / 2
+	}
+	return c.Answer
+}
+
+func (g *Gateway) release(p relay.Path) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.Release(p)
+}
+
+func (g *Gateway) failed(id relay.TargetID, certain bool) {
+	g.mu.Lock()
+	g.router.Failed(id, certain, time.Now())
+	g.mu.Unlock()
+	g.meter.targetFailed()
+}
+
+func (g *Gateway) succeeded(id relay.TargetID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.Succeeded(id)
+}
+
+// mayRepeat returns why the request may not go to another target, or nil.
+func (f *forwarding) mayRepeat(r result) *relay.Refusal {
+	now := time.Now()
+	soon := now.Add(comeBackElsewhere)
+	if r == resultBroken {
+		f.runs++
+		if f.route.Repeat == relay.RepeatNever {
+			return &relay.Refusal{Kind: relay.RefusedUnknownRun, Reason: "its target broke off: " + f.last}
+		}
+	}
+	notTaken := &relay.Refusal{Kind: relay.RefusedNotTaken, RetryAt: soon, Reason: "no target took it: " + f.last}
+	if f.runs > 0 {
+		notTaken = &relay.Refusal{Kind: relay.RefusedUnknownRun, Reason: "its target broke off: " + f.last}
+	}
+	if f.tries >= tryMost || f.runs >= max(f.route.MaxTargets, 1) || f.route.MaxTargets <= 1 && f.tries >= 1 {
+		return notTaken
+	}
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	if !f.g.router.Repeat(f.service, now) {
+		notTaken.Reason += "; the budget of repeats is used up"
+		return notTaken
+	}
+	return nil
+}
+
+// end gives the caller a final answer that is not a served one.
+func (f *forwarding) end(ctx context.Context, refusal *relay.Refusal) {
+	if f.begun {
+		f.g.meter.refused(relay.RefusedUnknownRun)
+		f.g.log.Info("stream cut", "request", f.call.ID, "after", f.after, "reason", refusal.Reason, "tries", f.tries, "path", f.lastPath.String(), "caller_gone", errors.Is(context.Cause(ctx), context.Canceled))
+		panic(http.ErrAbortHandler)
+	}
+	if f.kept != nil {
+		f.giveWhole(f.kept)
+		return
+	}
+	if f.runs > 0 && refusal.NotRun() {
+		refusal = &relay.Refusal{Kind: relay.RefusedUnknownRun, Reason: refusal.Reason}
+	}
+	f.g.refuse(f.w, f.call, refusal, f)
+}
+
+func (g *Gateway) refuse(w http.ResponseWriter, call *Call, r *relay.Refusal, f *forwarding) {
+	now := time.Now()
+	g.meter.refused(r.Kind)
+	tries, path := 0, ""
+	if f != nil {
+		tries, path = f.tries, f.lastPath.String()
+	}
+	g.log.Info("request refused", "request", call.ID, "kind", r.Kind.String(), "reason", r.Reason, "uri", call.URI,
+		"held_ms", now.Sub(call.Arrived).Milliseconds(), "tries", tries, "path", path)
+	g.platform.Codec.Refuse(w, r, now)
+}
+
+// try sends the request along a path once.
+func (f *forwarding) try(ctx context.Context, path relay.Path) result {
+	first := path.First()
+	header := f.g.platform.Codec.Head(Hop{
+		Call: f.call, Path: path, Organisation: f.organisation, Deadline: f.deadline, After: f.after, Class: f.class,
+	})
+	watch := &watcher{f: f, ctx: ctx, path: path, began: time.Now()}
+	request := &target.Request{
+		Method: f.call.Method, URI: f.call.URI, Host: f.call.Host, Header: header, Body: f.call.Body,
+		Fresh:   f.route.Repeat == relay.RepeatNever,
+		Matches: func(h http.Header) bool { return f.g.platform.Codec.Verdict(0, h).ID == f.call.ID },
+	}
+	if f.route.Stream {
+		request.Patience = pauseCheck
+		request.Silent = watch.waitOn
+	}
+	answer, err := f.g.exchanger.Do(ctx, first.Address, request)
+	if err != nil {
+		return f.broken(ctx, path, watch, err)
+	}
+	defer answer.Close()
+	verdict := f.g.platform.Codec.Verdict(answer.Status, answer.Header)
+	if verdict.NotRun {
+		return f.notRun(path, verdict, answer)
+	}
+	if f.route.Stream && answer.Status == http.StatusOK {
+		return f.stream(ctx, path, watch, answer)
+	}
+	return f.whole(ctx, path, watch, answer)
+}
+
+// broken takes an exchange that came to no whole answer.
+func (f *forwarding) broken(ctx context.Context, path relay.Path, watch *watcher, err error) result {
+	f.last = err.Error()
+	if ctx.Err() != nil {
+		return resultGone
+	}
+	culprit := path.First().Target
+	if watch.culprit != "" {
+		culprit = watch.culprit
+	}
+	f.g.failed(culprit, true)
+	f.avoid = append(f.avoid, culprit)
+	if errors.Is(err, target.ErrNotSent) {
+		return resultNotRun
+	}
+	return resultBroken
+}
+
+// notRun takes an answer that says that the request has not run.
+func (f *forwarding) notRun(path relay.Path, v Verdict, answer *target.Answer) result {
+	drain(answer)
+	culprit := path.First()
+	certain := false
+	if s, ok := path.At(v.AtFault); ok {
+		culprit = s
+		certain = true
+	}
+	f.last = "target " + culprit.Address + " answered " + strconv.Itoa(answer.Status) + ", not run"
+	f.g.failed(culprit.Target, certain)
+	f.avoid = append(f.avoid, culprit.Target)
+	return resultNotRun
+}
+
+// drain reads a small body to its end, so that the connection can be kept.
+func drain(answer *target.Answer) {
+	if answer.Framed && answer.Length < eventBuffer {
+		_, _ = io.Copy(io.Discard, io.LimitReader(answer, eventBuffer)) // a connection that breaks here is closed by Close
+	}
+}
+
+// whole takes the answer of a plain service.
+func (f *forwarding) whole(ctx context.Context, path relay.Path, watch *watcher, answer *target.Answer) result {
+	body, err := io.ReadAll(io.LimitReader(answer, wholeLimit+1))
+	if err != nil {
+		return f.broken(ctx, path, watch, err)
+	}
+	if len(body) > wholeLimit {
+		return f.long(answer, body)
+	}
+	given := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
+	if answer.Status < http.StatusInternalServerError {
+		f.g.succeeded(path.First().Target)
+		if f.begun {
+			f.last = "target answered " + strconv.Itoa(answer.Status) + " in the middle of a stream"
+			return resultBroken
+		}
+		f.giveWhole(given)
+		return resultDone
+	}
+	f.g.failed(path.First().Target, false)
+	f.last = "target answered " + strconv.Itoa(answer.Status)
+	if f.begun {
+		return resultBroken
+	}
+	if f.route.Repeat != relay.RepeatNever {
+		f.kept = given
+		f.avoid = append(f.avoid, path.First().Target)
+		return resultBroken
+	}
+	f.giveWhole(given)
+	return resultDone
+}
+
+// long hands on an answer that is too long to be held.
+func (f *forwarding) long(answer *target.Answer, head []byte) result {
+	copyHeader(f.w.Header(), answer.Header)
+	if answer.Length >= 0 {
+		f.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	f.w.WriteHeader(answer.Status)
+	f.begun = true
+	if _, err := io.Copy(f.w, io.MultiReader(bytes.NewReader(head), answer)); err != nil {
+		f.last = err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	return resultDone
+}
+
+func (f *forwarding) giveWhole(a *wholeAnswer) {
+	copyHeader(f.w.Header(), a.header)
+	f.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	f.w.WriteHeader(a.status)
+	if _, err := f.w.Write(a.body); err != nil {
+		f.g.log.V(1).Info("caller left before its answer", "request", f.call.ID, "error", err.Error())
+	}
+}
+
+// connectionHeaders concern one connection only.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+}
+
+// copyHeader copies all but what concerns one connection.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !connectionHeaders[name] {
+			to[name] = values
+		}
+	}
+}
+
+// stream hands on events as they come, whole ones only.
+func (f *forwarding) stream(ctx context.Context, path relay.Path, watch *watcher, answer *target.Answer) result {
+	var pending []byte
+	buffer := make([]byte, eventBuffer)
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			watch.heard = time.Now()
+			pending = f.handOn(answer, append(pending, buffer[:n]...))
+		}
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, io.EOF) && len(pending) == 0 && f.begun:
+			for _, s := range path.Stages {
+				f.g.succeeded(s.Target)
+			}
+			return resultDone
+		case errors.Is(err, io.EOF):
+			err = io.ErrUnexpectedEOF
+		}
+		return f.broken(ctx, path, watch, err)
+	}
+}
+
+// eventEnd ends each event.
+var eventEnd = []byte("\n\n")
+
+// handOn writes the whole events of data to the caller, and returns the rest.
+func (f *forwarding) handOn(answer *target.Answer, data []byte) []byte {
+	end := bytes.LastIndex(data, eventEnd)
+	if end < 0 {
+		return data
+	}
+	whole := data[:end+len(eventEnd)]
+	if !f.begun {
+		copyHeader(f.w.Header(), answer.Header)
+		f.w.WriteHeader(answer.Status)
+		f.begun = true
+		f.beganAt = time.Now()
+		f.g.meter.firstEvent(f.call.Arrived)
+	}
+	if id := lastEventID(whole); id != "" {
+		f.after = id
+	}
+	if _, err := f.w.Write(whole); err != nil {
+		f.last = "caller left: " + err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	f.flush()
+	return append([]byte(nil), data[end+len(eventEnd):]...)
+}
+
+// lastEventID returns the id of the last event that has one.
+func lastEventID(events []byte) string {
+	at := bytes.LastIndex(events, []byte("\nid:"))
+	switch {
+	case at >= 0:
+		events = events[at+len("\nid:"):]
+	case bytes.HasPrefix(events, []byte("id:")):
+		events = events[len("id:"):]
+	default:
+		return ""
+	}
+	line, _, _ := bytes.Cut(events, []byte("\n"))
+	return string(bytes.TrimSpace(line))
+}
+
+// watcher looks after one try of a stream in its pauses.
+type watcher struct {
+	f     *forwarding
+	ctx   context.Context
+	path  relay.Path
+	began time.Time
+	// heard is when the last bytes came.
+	heard time.Time
+	// culprit is the target that the try was given up for.
+	culprit relay.TargetID
+}
+
+// waitOn is asked in each pause of pauseCheck whether to wait on.
+func (w *watcher) waitOn() bool {
+	if w.ctx.Err() != nil {
+		return false
+	}
+	since := w.heard
+	if since.IsZero() {
+		since = w.began
+	}
+	if id, ok := w.f.g.suspectOn(w.path); ok {
+		w.culprit = id
+		return false
+	}
+	if time.Since(since) < probeAfter {
+		return true
+	}
+	return !w.probe()
+}
+
+// suspectOn returns a target on a path that is under suspicion.
+func (g *Gateway) suspectOn(p relay.Path) (relay.TargetID, bool) {
+	now := time.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range p.Stages {
+		if g.router.Suspect(s.Target, now) {
+			return s.Target, true
+		}
+	}
+	return "", false
+}
+
+// probe asks the first engine whether the request stands still, and reports
+// whether it is to be given up.
+func (w *watcher) probe() bool {
+	first := w.path.First()
+	w.f.g.meter.probed()
+	stalled, err := w.f.g.probes.ask(w.ctx, first.Address)
+	if w.ctx.Err() != nil {
+		return true
+	}
+	if err != nil {
+		w.f.g.log.Info("engine does not answer", "target", first.Target, "address", first.Address, "request", w.f.call.ID, "error", err.Error())
+		w.culprit = first.Target
+		return true
+	}
+	address, ok := stalled[w.f.call.ID]
+	if !ok {
+		return false
+	}
+	if s, ok := w.path.At(address); ok {
+		w.culprit = s.Target
+	} else {
+		w.culprit = first.Target
+	}
+	w.f.g.log.Info("stream stands still", "request", w.f.call.ID, "waits_for", address)
+	return true
+}
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,283 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+	"github.com/spoolbank/spoolbank/internal/target"
+)
+
+// This file is the daemon's side of a platform: what an adapter calls, and what
+// the daemon calls of an adapter. The adapter translates and decides nothing.
+
+// Platform is what a daemon needs of an adapter.
+type Platform struct {
+	// Decode reads the text of a document.
+	Decode func(source []byte) (*relay.Document, error)
+	// Codec translates requests and answers.
+	Codec Codec
+	// Engines speaks to model engines beside the requests.
+	Engines Engines
+	// Router holds the settings of this VM's router.
+	Router relay.Settings
+}
+
+// Codec translates one request and its answer.
+type Codec interface {
+	// Head returns the header that the first target of a path gets.
+	Head(h Hop) http.Header
+	// Verdict reads what a target says of a request with its answer.
+	Verdict(status int, h http.Header) Verdict
+	// Refuse gives a caller a final answer of the system's own.
+	Refuse(w http.ResponseWriter, r *relay.Refusal, now time.Time)
+}
+
+// Hop is one sending of a request to a target.
+type Hop struct {
+	Call         *Call
+	Path         relay.Path
+	Organisation string
+	// Deadline is when the answer is of no more use.
+	Deadline time.Time
+	// After is the id of the last event that the caller has, or empty.
+	After string
+	// Class is the request's priority.
+	Class int
+}
+
+// Verdict is what a target says of a request with its answer.
+type Verdict struct {
+	// ID is that of the request that the answer belongs to.
+	ID string
+	// NotRun says that the target has not run the request.
+	NotRun bool
+	// AtFault is the address of the target that could not do its part, if told.
+	AtFault string
+}
+
+// Engines speaks to model engines beside the requests.
+type Engines interface {
+	// Order tells an engine to hold layers.
+	Order(ctx context.Context, o core.OrderLayers) core.OrderOutcome
+	// Stalled returns the requests that stand still at an engine that is first on
+	// their paths, each with the address of the stage that they wait for.
+	Stalled(ctx context.Context, address string) (map[string]string, error)
+}
+
+// Call is a caller's request, read whole.
+type Call struct {
+	ID  string
+	Key string
+	// Arrived is when it was read; Deadline is when the caller stops waiting.
+	Arrived  time.Time
+	Deadline time.Time
+	Method   string
+	URI      string
+	Path     string
+	Host     string
+	Header   http.Header
+	Body     []byte
+	// Prompt and Answer are the tokens of a stream, Hint the caller's estimate of
+	// the answer's; 0 where it says nothing.
+	Prompt, Answer, Hint int
+	// After is the id of the last event that the caller has, or empty.
+	After string
+}
+
+// Gateway routes whole requests for an adapter.
+type Gateway struct {
+	daemon    *Daemon
+	log       logr.Logger
+	platform  Platform
+	exchanger *target.Exchanger
+	probes    probes
+	meter     *gatewayMetrics
+
+	mu     sync.Mutex
+	router *relay.Router
+	// leaseUntil is when this VM's right to act by its document ends.
+	leaseUntil time.Time
+
+	inFlight sync.WaitGroup
+	stopping atomic.Bool
+}
+
+func newGateway(d *Daemon, p Platform) (*Gateway, error) {
+	meter, err := newGatewayMetrics(d.metrics)
+	if err != nil {
+		return nil, err
+	}
+	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, router: relay.NewRouter(p.Router)}
+	g.exchanger = target.NewExchanger(meter.dialled)
+	g.probes.engines = p.Engines
+	g.probes.known = make(map[string]*probe)
+	return g, nil
+}
+
+// PutDocument replicates a document and returns once that is decided.
+func (g *Gateway) PutDocument(ctx context.Context, doc config.Document) core.Result {
+	conn, results := ask[core.Result](g.daemon)
+	defer g.daemon.answers.Delete(conn)
+	g.daemon.post(core.DocumentPut{Conn: conn, Document: doc})
+	return wait(ctx, results, core.Result{Kind: core.ResultInterrupted, Message: "not decided in time; send it again"})
+}
+
+// ReadDocument returns the newest document, if this VM may speak for it.
+func (g *Gateway) ReadDocument(ctx context.Context) core.DocumentAnswer {
+	conn, results := ask[core.DocumentAnswer](g.daemon)
+	defer g.daemon.answers.Delete(conn)
+	g.daemon.post(core.DocumentAsked{Conn: conn})
+	return wait(ctx, results, core.DocumentAnswer{Result: core.Result{Kind: core.ResultInterrupted}})
+}
+
+// HearTarget takes a target's word. It returns false where the target should
+// tell another control VM.
+func (g *Gateway) HearTarget(ctx context.Context, t relay.Target) bool {
+	conn, results := ask[core.TargetHeard](g.daemon)
+	defer g.daemon.answers.Delete(conn)
+	g.daemon.post(core.TargetSpoke{Conn: conn, Target: t})
+	return wait(ctx, results, core.TargetHeard{}).Taken
+}
+
+// EntryAddresses returns the addresses that a caller in a hall should use, and
+// when it has to ask again.
+func (g *Gateway) EntryAddresses(ctx context.Context, hall string) core.Entries {
+	conn, results := ask[core.Entries](g.daemon)
+	defer g.daemon.answers.Delete(conn)
+	g.daemon.post(core.EntriesAsked{Conn: conn, Hall: hall})
+	return wait(ctx, results, core.Entries{})
+}
+
+// TakeSeeds takes the control VMs that the settings name now.
+func (g *Gateway) TakeSeeds(vms []core.VMName) { g.daemon.post(core.SeedsRead{VMs: vms}) }
+
+// Ready reports whether this VM serves callers.
+func (g *Gateway) Ready() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.stopping.Load() && g.router.Document() != nil && time.Now().Before(g.leaseUntil)
+}
+
+// Stopping reports whether a planned stop is under way.
+func (g *Gateway) Stopping() bool { return g.stopping.Load() }
+
+// Limits returns what callers may send, once a document says so.
+func (g *Gateway) Limits() (relay.Limits, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if d := g.router.Document(); d != nil {
+		return d.Limits, true
+	}
+	return relay.Limits{}, false
+}
+
+// ask makes a place for the one answer to an event.
+func ask[Reply any](d *Daemon) (core.ConnID, chan Reply) {
+	conn := d.newConn()
+	replies := make(chan Reply, 1)
+	d.answers.Store(conn, replies)
+	return conn, replies
+}
+
+func wait[Reply any](ctx context.Context, replies chan Reply, otherwise Reply) Reply {
+	select {
+	case r := <-replies:
+		return r
+	case <-ctx.Done():
+		return otherwise
+	}
+}
+
+// reply hands an answer to whoever waits for it.
+func reply[Reply any](d *Daemon, conn core.ConnID, r Reply) {
+	waiting, ok := d.answers.Load(conn)
+	if !ok {
+		return
+	}
+	if replies, ok := waiting.(chan Reply); ok {
+		select {
+		case replies <- r:
+		default:
+		}
+	}
+}
+
+// carryOut takes the effects that are for a gateway.
+func (g *Gateway) carryOut(effect core.Effect) {
+	switch e := effect.(type) {
+	case core.DocumentInForce:
+		g.takeDocument(e)
+	case core.TargetsLearned:
+		g.mu.Lock()
+		g.router.TakeTargets(e.Targets)
+		g.mu.Unlock()
+		for _, t := range e.Targets {
+			g.log.Info("target learned", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving, "gone", t.Gone, "layers", t.Layers.String(), "call", t.Call)
+		}
+	case core.FleetLearned:
+		g.takeFleet(e)
+	case core.OrderLayers:
+		go g.order(e)
+	}
+}
+
+func (g *Gateway) takeDocument(e core.DocumentInForce) {
+	g.mu.Lock()
+	g.router.TakeDocument(e.Document)
+	g.mu.Unlock()
+	g.log.Info("document in force", "version", e.Document.Version, "revision", e.Revision, "routes", len(e.Document.Routes))
+}
+
+func (g *Gateway) takeFleet(e core.FleetLearned) {
+	now := time.Now()
+	g.mu.Lock()
+	regained := now.After(g.leaseUntil)
+	g.leaseUntil = e.LeaseUntil
+	g.router.TakeVMs(e.VMs)
+	g.router.TakeOthers(e.Others)
+	g.router.TakeSilent(e.Silent)
+	g.mu.Unlock()
+	if regained {
+		g.log.Info("lease held", "until_in", time.Until(e.LeaseUntil).String(), "entry_vms", e.VMs)
+	}
+}
+
+func (g *Gateway) order(o core.OrderLayers) {
+	outcome := core.OrderRefused
+	if time.Now().Before(o.NotAfter) {
+		ctx, cancel := context.WithDeadline(g.daemon.context, o.NotAfter)
+		outcome = g.platform.Engines.Order(ctx, o)
+		cancel()
+	}
+	g.meter.ordered(outcome)
+	g.daemon.post(core.LayersOrdered{Target: o.Target, Outcome: outcome})
+}
+
+// upkeepEvery is the interval of a gateway's own housekeeping.
+const upkeepEvery = 200 * time.Millisecond
+
+// upkeep tells the Node what is under way, and closes idle connections.
+func (g *Gateway) upkeep() error {
+	ticker := time.NewTicker(upkeepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			g.exchanger.Sweep(now)
+			g.mu.Lock()
+			own := g.router.Own()
+			g.mu.Unlock()
+			g.daemon.post(core.WorkCounted{Work: own})
+		case <-g.daemon.tomb.Dying():
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/daemon/gateway_metrics.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// gatewayMetrics counts what a gateway does. docs/OPERATIONS.md lists the names.
+type gatewayMetrics struct {
+	answers  metric.Int64Counter
+	duration metric.Float64Histogram
+	first    metric.Float64Histogram
+	dials    metric.Int64Counter
+	failures metric.Int64Counter
+	probes   metric.Int64Counter
+	orders   metric.Int64Counter
+}
+
+// latencyBuckets are the bounds of latency histograms, in seconds, around the
+// users' objectives of 0.15 to 0.6 s and deadlines of 2.5 to 20 s.
+var latencyBuckets = []float64{.01, .02, .05, .1, .15, .2, .3, .5, .75, 1, 2, 5, 10, 20}
+
+func newGatewayMetrics(m *metrics) (*gatewayMetrics, error) {
+	g := &gatewayMetrics{}
+	var err error
+	histogram := func(name string) metric.Float64Histogram {
+		h, failed := m.meter.Float64Histogram(name, metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(latencyBuckets...))
+		if failed != nil {
+			err = failed
+		}
+		return h
+	}
+	counter := func(name string) metric.Int64Counter {
+		c, failed := m.meter.Int64Counter(name)
+		if failed != nil {
+			err = failed
+		}
+		return c
+	}
+	g.answers = counter("spoolbank.gateway.answers")
+	g.duration = histogram("spoolbank.gateway.duration")
+	g.first = histogram("spoolbank.gateway.first_event")
+	g.dials = counter("spoolbank.target.connections")
+	g.failures = counter("spoolbank.target.failures")
+	g.probes = counter("spoolbank.target.probes")
+	g.orders = counter("spoolbank.target.orders")
+	return g, err
+}
+
+var attrServed = metric.WithAttributeSet(attribute.NewSet(attribute.String("outcome", "served")))
+
+func (g *gatewayMetrics) served(arrived time.Time) {
+	g.answers.Add(context.Background(), 1, attrServed)
+	g.duration.Record(context.Background(), time.Since(arrived).Seconds())
+}
+
+func (g *gatewayMetrics) refused(kind relay.RefusalKind) {
+	g.answers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", kind.String())))
+}
+
+func (g *gatewayMetrics) firstEvent(arrived time.Time) {
+	g.first.Record(context.Background(), time.Since(arrived).Seconds())
+}
+
+func (g *gatewayMetrics) dialled()      { g.dials.Add(context.Background(), 1) }
+func (g *gatewayMetrics) targetFailed() { g.failures.Add(context.Background(), 1) }
+func (g *gatewayMetrics) probed()       { g.probes.Add(context.Background(), 1) }
+
+func (g *gatewayMetrics) ordered(o core.OrderOutcome) {
+	g.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", o.String())))
+}
--- /dev/null
+++ b/internal/daemon/logs.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/zapr"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// This file writes logs without ever holding up a request.
+//
+// Lines go into a buffer that is written by one goroutine. When the buffer is full
+// lines are dropped and counted; the count is written as soon as there is room
+// again. What wakes the writer is a timer rather than each line: a system call a
+// line would cost more than the line.
+
+const (
+	// logBuffer bounds the lines that wait to be written, in bytes: a second of
+	// the busiest process in the users' record.
+	logBuffer = 256 << 10
+	// logEvery is the longest time that a line waits.
+	logEvery = 100 * time.Millisecond
+)
+
+// logSink is a zapcore.WriteSyncer that never blocks.
+type logSink struct {
+	out     io.Writer
+	mu      sync.Mutex
+	buffer  []byte
+	writing sync.Mutex
+	armed   bool
+	dropped atomic.Int64
+}
+
+// Write implements io.Writer.
+func (s *logSink) Write(line []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.buffer)+len(line) > logBuffer {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
+	s.buffer = append(s.buffer, line...)
+	if !s.armed {
+		s.armed = true
+		time.AfterFunc(logEvery, s.flush)
+	}
+	return len(line), nil
+}
+
+// Sync implements zapcore.WriteSyncer.
+func (s *logSink) Sync() error {
+	s.flush()
+	return nil
+}
+
+func (s *logSink) flush() {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	s.mu.Lock()
+	lines := s.buffer
+	s.buffer = nil
+	s.armed = false
+	s.mu.Unlock()
+	// There is nowhere left to report that the log itself can't be written.
+	_, _ = s.out.Write(lines)
+}
+
+// NewLogger returns a logger that writes JSON lines to out, and a function that
+// writes what is left.
+func NewLogger(out io.Writer) (logr.Logger, func()) {
+	sink := &logSink{out: out}
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	logger := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), sink, zapcore.InfoLevel))
+	return zapr.NewLogger(logger), sink.flush
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -21,6 +21,7 @@
 // metrics counts by OpenTelemetry. docs/OPERATING.md lists the names.
 type metrics struct {
 	registry *prometheus.Registry
+	meter    metric.Meter
 	steps    metric.Float64Histogram
 	messages metric.Int64Counter
 	tokens   metric.Int64Counter
@@ -35,7 +36,7 @@
 		return nil, fmt.Errorf("metrics: %w", err)
 	}
 	meter := sdk.NewMeterProvider(sdk.WithReader(exporter)).Meter("spoolbank")
-	m := &metrics{registry: registry, byEvent: make(map[string]metric.MeasurementOption)}
+	m := &metrics{registry: registry, meter: meter, byEvent: make(map[string]metric.MeasurementOption)}
 	if m.steps, err = meter.Float64Histogram("spoolbank.step.duration", metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(1e-6, 1e-5, 1e-4, 1e-3, 1e-2, 1e-1)); err != nil {
 		return nil, err
 	}
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -85,9 +86,7 @@
 }
 
 func (p *peers) send(e core.Envelope) {
-	p.mu.Lock()
-	l, ok := p.links[e.To]
-	p.mu.Unlock()
+	l, ok := p.link(e.To)
 	if !ok {
 		return
 	}
@@ -98,6 +97,24 @@
 	}
 }
 
+// link returns the link to a VM. Where VMs are named by their addresses, one that
+// is not known yet can be reached all the same.
+func (p *peers) link(vm core.VMName) (*peerLink, bool) {
+	p.mu.Lock()
+	l, ok := p.links[vm]
+	p.mu.Unlock()
+	if ok {
+		return l, true
+	}
+	if _, err := netip.ParseAddrPort(string(vm)); err != nil {
+		return nil, false
+	}
+	p.learn(vm, string(vm))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.links[vm], true
+}
+
 // serveLink keeps a stream to one peer and sends what is in its outbox. What
 // gathers while the peer can't be reached is old by then, and is dropped.
 func (d *Daemon) serveLink(l *peerLink) {
@@ -219,14 +236,7 @@
 	return time.Now().Add(time.Duration(millis) * time.Millisecond)
 }
 
-func (d *Daemon) answer(e core.Answer) {
-	if result, ok := d.answers.Load(e.Conn); ok {
-		select {
-		case result.(chan core.Result) <- e.Result:
-		default:
-		}
-	}
-}
+func (d *Daemon) answer(e core.Answer) { reply(d, e.Conn, e.Result) }
 
 // Dump implements wire.Server.
 func (s *peerServer) Dump(context.Context, *wire.DumpRequest) (*wire.DumpReply, error) {
--- /dev/null
+++ b/internal/relay/document.go
@@ -0,0 +1,279 @@
+package relay
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Version numbers the documents; the highest one wins.
+type Version uint64
+
+// Repeat says how often a request may run.
+type Repeat int
+
+// The values of Repeat.
+const (
+	// RepeatNever: at most one run, ever.
+	RepeatNever Repeat = iota
+	// RepeatAlways: any number of runs.
+	RepeatAlways
+	// RepeatResume: a stream that another engine may go on with.
+	RepeatResume
+)
+
+// String returns the value's name.
+func (r Repeat) String() string { return [...]string{"never", "always", "resume"}[r] }
+
+// Document is one whole configuration. It is immutable.
+type Document struct {
+	Version       Version
+	Routes        []Route
+	Services      []Service
+	Organisations []Organisation
+	Limits        Limits
+}
+
+// Route sends the requests of a host and path prefix to services.
+type Route struct {
+	Name   string
+	Host   string
+	Prefix string
+	Repeat Repeat
+	// Stream says that the answer is a series of events.
+	Stream bool
+	// Timeout bounds the time that a request is held.
+	Timeout time.Duration
+	// Objective is the time to the answer, or to its first event, and Pause that
+	// between two events, within which an answer is in time.
+	Objective time.Duration
+	Pause     time.Duration
+	// Class is the route's priority: a lower number is served first.
+	Class int
+	// MaxTargets bounds the targets that one request is sent to.
+	MaxTargets int
+	// Anonymous routes need no key.
+	Anonymous bool
+	Shares    []Share
+}
+
+// Share is one service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  int
+}
+
+// Service is a group of targets that do the same.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns bounds the connections to one target from all VMs together.
+	MaxConns int
+	// Engine is set where the targets are model engines.
+	Engine *Engine
+}
+
+// Engine tells how the model engines of a service work. It is the cost model
+// that plans and paths are made with.
+type Engine struct {
+	// Slots bounds the requests that an engine takes as the first of a path.
+	Slots  int
+	Model  string
+	Layers int
+	// LayerBytes is the size of one layer's weights.
+	LayerBytes float64
+	// TokenBytes is the memory of one token over all layers.
+	TokenBytes float64
+	// StepBase, StepPerRequest and StepPerKilotoken add up to one step over all
+	// layers at pace 1: a constant, a part for each request that writes and one
+	// for each 1,000 tokens of context.
+	StepBase         time.Duration
+	StepPerRequest   time.Duration
+	StepPerKilotoken time.Duration
+	// ReadPerSecond is the number of prompt tokens read in a second over all
+	// layers at a reading factor of 1.
+	ReadPerSecond float64
+	// Load is the time to load all layers.
+	Load time.Duration
+	// LoadsAtOnce is how many loads run before they slow each other down.
+	LoadsAtOnce  int
+	UsualPrompt  int
+	UsualAnswer  int
+	Accelerators []Accelerator
+	Delays       []HallDelay
+}
+
+// Accelerator is a kind of engine hardware.
+type Accelerator struct {
+	Name string
+	// Bytes is the memory for weights and requests together.
+	Bytes float64
+	// Pace multiplies the time of steps, and Read that of reading prompts.
+	Pace float64
+	Read float64
+}
+
+// HallDelay is the one-way delay between two data halls.
+type HallDelay struct {
+	From, To string
+	Delay    time.Duration
+}
+
+// Organisation is whoever a set of keys belongs to.
+type Organisation struct {
+	Name string
+	Keys []string
+	// Class, where HasClass, goes before that of the route.
+	Class    int
+	HasClass bool
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	Idle          time.Duration
+}
+
+// InvalidError says why a document can't be taken.
+type InvalidError struct {
+	Subject string
+	Reason  string
+}
+
+// Error implements error.
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("%s: %s; correct the document and send it under a higher version", e.Subject, e.Reason)
+}
+
+func invalid(subject, reason string) error { return &InvalidError{Subject: subject, Reason: reason} }
+
+// Validate reports the first fault of the document.
+func (d Document) Validate() error {
+	if d.Version == 0 {
+		return invalid("document", "the version is missing or 0")
+	}
+	services := make(map[string]bool, len(d.Services))
+	for _, s := range d.Services {
+		if s.Name == "" || services[s.Name] {
+			return invalid("service "+s.Name, "the name is empty or given twice")
+		}
+		services[s.Name] = true
+	}
+	if err := d.validateRoutes(services); err != nil {
+		return err
+	}
+	return d.validateKeys()
+}
+
+func (d Document) validateRoutes(services map[string]bool) error {
+	places := make(map[string]bool, len(d.Routes))
+	for _, r := range d.Routes {
+		place := strings.ToLower(r.Host) + " " + r.Prefix
+		if places[place] {
+			return invalid("route "+r.Name, "another route has the same host and prefix")
+		}
+		places[place] = true
+		if r.Timeout <= 0 {
+			return invalid("route "+r.Name, "the timeout is not above 0")
+		}
+		total := 0
+		for _, s := range r.Shares {
+			if !services[s.Service] {
+				return invalid("route "+r.Name, "there is no service "+s.Service)
+			}
+			if s.Weight < 0 {
+				return invalid("route "+r.Name, "a weight is negative")
+			}
+			total += s.Weight
+		}
+		if total == 0 {
+			return invalid("route "+r.Name, "the weights add up to 0")
+		}
+	}
+	return nil
+}
+
+func (d Document) validateKeys() error {
+	owners := make(map[string]string)
+	for _, o := range d.Organisations {
+		for _, k := range o.Keys {
+			if owner, taken := owners[k]; taken && owner != o.Name {
+				return invalid("organisation "+o.Name, "shares a key with "+owner)
+			}
+			owners[k] = o.Name
+		}
+	}
+	return nil
+}
+
+// accelerator returns the kind of that name.
+func (e *Engine) accelerator(name string) (Accelerator, bool) {
+	i := slices.IndexFunc(e.Accelerators, func(a Accelerator) bool { return a.Name == name })
+	if i < 0 {
+		return Accelerator{}, false
+	}
+	return e.Accelerators[i], true
+}
+
+// maxLayers is how many layers of weights fit an accelerator.
+func (e *Engine) maxLayers(a Accelerator) int { return int(a.Bytes / e.LayerBytes) }
+
+// tokens is the number of tokens that fit beside the weights of n layers.
+func (e *Engine) tokens(a Accelerator, n int) int {
+	if n <= 0 {
+		return 0
+	}
+	rest := a.Bytes - float64(n)*e.LayerBytes
+	return int(rest * float64(e.Layers) / e.TokenBytes / float64(n))
+}
+
+// delay returns the one-way delay between halls.
+func (e *Engine) delay(from, to string) time.Duration {
+	if from == to {
+		return sameHallDelay
+	}
+	for _, d := range e.Delays {
+		if d.From == from && d.To == to || d.From == to && d.To == from {
+			return d.Delay
+		}
+	}
+	return unknownHallDelay
+}
+
+const (
+	// sameHallDelay is the usual one-way delay within a hall, measured on the
+	// users' deployments.
+	sameHallDelay = 200 * time.Microsecond
+	// unknownHallDelay stands where a document is silent: a hall of the same
+	// region, with room.
+	unknownHallDelay = time.Millisecond
+)
+
+// routeTable finds the route of a request.
+type routeTable struct{ hosts map[string][]*Route }
+
+func newRouteTable(d *Document) routeTable {
+	t := routeTable{hosts: make(map[string][]*Route)}
+	for i := range d.Routes {
+		host := strings.ToLower(d.Routes[i].Host)
+		t.hosts[host] = append(t.hosts[host], &d.Routes[i])
+	}
+	for _, routes := range t.hosts {
+		slices.SortFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	return t
+}
+
+// find returns the route with the longest prefix of path.
+func (t routeTable) find(host, path string) (*Route, bool) {
+	for _, r := range t.hosts[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
--- /dev/null
+++ b/internal/relay/path.go
@@ -0,0 +1,140 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// This file picks the path of one request over model engines.
+//
+// Problem: engines hold ranges of layers; a path is any sequence of engines
+// whose ranges join from the first layer to the last. The request should end
+// soon, and no engine may run out of memory, for then it drops a request.
+//
+// Algorithm: the shortest path over layer positions. An engine is an edge from
+// its first layer to its last; its length is the time that it takes for this
+// request, as the cost model of the service tells: reading the prompt, and for
+// each token of the answer one step at the present load and the way to the next
+// engine. Engines without memory for the request are left out. Since ranges only
+// lead forward, one pass over the engines sorted by first layer finds it.
+//
+// Loads are what this VM has under way, which is exact, and what the others had
+// a moment ago. A little noise on the costs keeps VMs with the same picture from
+// choosing alike.
+//
+// Invariants: a path runs each layer once, in order; it holds no engine twice.
+
+const (
+	// memoryUse is the part of an engine's memory that requests are given; the
+	// rest is for answers that get longer than expected and for what other VMs
+	// have begun since they last told.
+	memoryUse = 0.9
+	// pathNoise is the spread of the random part of costs.
+	pathNoise = 0.05
+	// suspectCost multiplies the cost of engines under suspicion, which are used
+	// only where no path goes without them.
+	suspectCost = 4
+)
+
+// reach is the best way found to a layer position.
+type reach struct {
+	cost  time.Duration
+	last  *target
+	first *target
+	from  int
+	ok    bool
+}
+
+func (r *Router) choosePath(s *Service, a Ask, now time.Time) (Path, bool) {
+	for _, suspects := range []bool{false, true} {
+		engines := r.usable(s.Name, a, now, suspects)
+		if path, ok := r.shortest(s, a, engines, now); ok {
+			return path, true
+		}
+	}
+	return Path{}, false
+}
+
+func (r *Router) shortest(s *Service, a Ask, engines []*target, now time.Time) (Path, bool) {
+	e := s.Engine
+	slices.SortFunc(engines, func(x, y *target) int {
+		return cmp.Or(cmp.Compare(x.Layers.First, y.Layers.First), cmp.Compare(x.ID, y.ID))
+	})
+	reached := make([]reach, e.Layers+1)
+	reached[0].ok = true
+	for _, t := range engines {
+		r.extend(s, a, t, reached, now)
+	}
+	if !reached[e.Layers].ok {
+		return Path{}, false
+	}
+	return Path{Service: s.Name, Stages: stagesTo(reached, e.Layers), tokens: a.Prompt + a.Answer}, true
+}
+
+// extend tries a target as the next stage after the best way to its first layer.
+func (r *Router) extend(s *Service, a Ask, t *target, reached []reach, now time.Time) {
+	e := s.Engine
+	layers := t.Layers
+	if layers.Len() <= 0 || layers.Last > e.Layers || !reached[layers.First].ok {
+		return
+	}
+	kind, ok := e.accelerator(t.Accelerator)
+	if !ok || !r.hasRoom(s, kind, a, t, layers.First == 0) {
+		return
+	}
+	before := reached[layers.First]
+	cost := before.cost + r.stageCost(e, kind, a, t)
+	next := reach{last: t, first: before.first, from: layers.First, ok: true}
+	if before.last != nil {
+		cost += time.Duration(a.Answer+1) * e.delay(before.last.Hall, t.Hall)
+	} else {
+		next.first = t
+		cost += e.delay(r.settings.Hall, t.Hall)
+	}
+	if layers.Last == e.Layers {
+		cost += time.Duration(a.Answer) * e.delay(t.Hall, next.first.Hall)
+	}
+	if t.silent || now.Before(t.suspectUntil) {
+		cost *= suspectCost
+	}
+	next.cost = cost
+	if present := &reached[layers.Last]; !present.ok || cost < present.cost {
+		*present = next
+	}
+}
+
+// hasRoom reports whether a target has memory, and as the first stage a slot and
+// a connection, for one request more.
+func (r *Router) hasRoom(s *Service, kind Accelerator, a Ask, t *target, first bool) bool {
+	e := s.Engine
+	load := t.own.Plus(t.others)
+	if float64(load.Tokens+a.Prompt+a.Answer) > memoryUse*float64(e.tokens(kind, t.Layers.Len())) {
+		return false
+	}
+	return !first || load.Requests < e.Slots && t.own.Requests < r.connLimit(s)
+}
+
+// stageCost is the time that a target takes for the whole of a request.
+func (r *Router) stageCost(e *Engine, kind Accelerator, a Ask, t *target) time.Duration {
+	load := t.own.Plus(t.others)
+	share := float64(t.Layers.Len()) / float64(e.Layers)
+	step := float64(e.StepBase) + float64(e.StepPerRequest)*float64(load.Requests+1) +
+		float64(e.StepPerKilotoken)*float64(load.Tokens+a.Prompt)/1000
+	read := float64(time.Second) * float64(a.Prompt) / max(e.ReadPerSecond, 1) * kind.Read
+	cost := share * (read + float64(a.Answer)*step*kind.Pace)
+	cost *= 1 + t.failures*failurePenalty + pathNoise*r.rand.Float64()
+	return time.Duration(cost)
+}
+
+// stagesTo follows the best way to a position back to its beginning.
+func stagesTo(reached []reach, at int) []Stage {
+	var stages []Stage
+	for at > 0 {
+		t := reached[at].last
+		stages = append(stages, Stage{Target: t.ID, Address: t.Address, Layers: t.Layers})
+		at = reached[at].from
+	}
+	slices.Reverse(stages)
+	return stages
+}
--- /dev/null
+++ b/internal/relay/plan.go
@@ -0,0 +1,522 @@
+package relay
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// This file says which layers each model engine should hold.
+//
+// Problem: engines of unlike speed and memory are to hold a model that none of
+// them can hold alone. Weights and requests share an engine's memory, so layers
+// are traded against requests. What a request hands on at each layer border is
+// far more than fits the pipes between data halls at the users' load: one
+// crossing of a pipe for each request fills it at some 40 requests a second. A
+// path for a request may be put together from any engines whose ranges join, and
+// any engine may die.
+//
+// Algorithm: a hall that can hold the model by itself does. The fastest kinds of
+// the strongest hall that can hold the model make a chain, each engine with as
+// many layers as leave all engines of the chain room for about the same number of
+// requests. The ends of their ranges are the cuts, for all halls. In each hall the
+// engines then cover the segments between two cuts, in order, in groups
+// of the fewest engines that waste the least, once and again while engines are
+// left. Since all groups end at cuts, the loss of an engine is made up by a group
+// over the same layers, of its own hall or another, and all other engines of its
+// chain go on. Where no hall can hold the model, all halls are planned as one.
+//
+// An engine that comes later, empty, takes the range that the fewest can run,
+// between two ends that exist already. What works is not moved: every load takes
+// an engine away for seconds.
+//
+// Invariants: a range never has more layers than fit the engine's memory; ranges
+// that are held are never changed.
+//
+// Limits: the pipes are kept free as far as halls hold the model, and not
+// otherwise weighed.
+
+const (
+	// plannedRequests is the number of usual requests that an engine should have
+	// memory for. An engine of the users' fast chain runs about 100 at the peak;
+	// 90 is what the slowest kind still holds with 6 layers.
+	plannedRequests = 90
+	// fastSpread is how much slower than the fastest kind others may be and still
+	// share its chain: a stage four times as slow would hold the chain up.
+	fastSpread = 4.0
+	// groupLimit bounds the engines that cover one segment.
+	groupLimit = 6
+)
+
+// Assignment is what one engine should hold.
+type Assignment struct {
+	Target TargetID
+	Layers config.Range
+}
+
+// unit is an engine that the planner may use.
+type unit struct {
+	target Target
+	kind   Accelerator
+	// comfort is how many layers leave room for plannedRequests.
+	comfort int
+}
+
+// Plan returns what the engines without layers should hold. Targets are those
+// of one service that take work.
+func Plan(e *Engine, targets []Target) []Assignment {
+	var empty, holding []unit
+	for _, t := range targets {
+		kind, ok := e.accelerator(t.Accelerator)
+		if !ok || !t.Takes() {
+			continue
+		}
+		u := unit{target: t, kind: kind, comfort: e.comfort(kind)}
+		if t.Layers.Len() > 0 {
+			holding = append(holding, u)
+		} else {
+			empty = append(empty, u)
+		}
+	}
+	if len(holding) == 0 {
+		return e.planAnew(empty)
+	}
+	return e.planMore(empty, holding)
+}
+
+// comfort returns how many layers leave room for plannedRequests.
+func (e *Engine) comfort(a Accelerator) int {
+	want := plannedRequests * max(e.UsualPrompt+e.UsualAnswer, 1)
+	return e.layersFor(a, want)
+}
+
+// layersFor returns the most layers that leave memory for so many tokens.
+func (e *Engine) layersFor(a Accelerator, tokens int) int {
+	n := min(e.maxLayers(a), e.Layers)
+	for n > 0 && e.tokens(a, n) < tokens {
+		n--
+	}
+	return n
+}
+
+// planAnew plans for engines of which none holds anything.
+func (e *Engine) planAnew(units []unit) []Assignment {
+	slices.SortFunc(units, compareUnits)
+	halls, rest := e.halls(units)
+	if len(halls) == 0 {
+		return e.planAsOne(units)
+	}
+	chains, _ := e.chains(halls[0])
+	segments := segmentsOf(mergeSlow(chains[0], e.split(chains[0])))
+	var out []Assignment
+	for _, h := range halls {
+		assigned, left := e.cover(h, segments)
+		out = append(out, assigned...)
+		rest = append(rest, left...)
+	}
+	slices.SortFunc(rest, compareUnits)
+	assigned, _ := e.cover(rest, segments)
+	return append(out, assigned...)
+}
+
+// planAsOne plans without regard to halls.
+func (e *Engine) planAsOne(units []unit) []Assignment {
+	chains, rest := e.chains(units)
+	if len(chains) == 0 {
+		return nil
+	}
+	cuts := e.split(chains[0])
+	var out []Assignment
+	for _, chain := range chains {
+		out = append(out, assign(chain, 0, cuts)...)
+	}
+	assigned, _ := e.cover(rest, segmentsOf(cuts))
+	return append(out, assigned...)
+}
+
+// halls returns the engines of each hall that can hold the model with comfort,
+// the fastest hall first, and all other engines.
+func (e *Engine) halls(units []unit) (halls [][]unit, rest []unit) {
+	byHall := make(map[string][]unit)
+	for _, u := range units {
+		byHall[u.target.Hall] = append(byHall[u.target.Hall], u)
+	}
+	for _, name := range slices.Sorted(maps.Keys(byHall)) {
+		h := byHall[name]
+		size := 0
+		for _, u := range h {
+			size += u.comfort
+		}
+		if size >= e.Layers {
+			halls = append(halls, h)
+		} else {
+			rest = append(rest, h...)
+		}
+	}
+	slices.SortStableFunc(halls, func(a, b []unit) int { return cmp.Compare(a[0].kind.Pace, b[0].kind.Pace) })
+	return halls, rest
+}
+
+// compareUnits sorts by speed, then by hall, so that a chain changes halls as
+// seldom as it can, then by name.
+func compareUnits(a, b unit) int {
+	return cmp.Or(
+		cmp.Compare(a.kind.Pace, b.kind.Pace),
+		cmp.Compare(a.kind.Name, b.kind.Name),
+		cmp.Compare(a.target.Hall, b.target.Hall),
+		cmp.Compare(a.target.ID, b.target.ID),
+	)
+}
+
+// byKind groups sorted units by kind, in the same order.
+func byKind(units []unit) [][]unit {
+	var groups [][]unit
+	for i, u := range units {
+		if i == 0 || units[i-1].kind.Name != u.kind.Name {
+			groups = append(groups, nil)
+		}
+		last := len(groups) - 1
+		groups[last] = append(groups[last], u)
+	}
+	return groups
+}
+
+// chains makes as many like chains of the fastest kinds as there can be. It
+// takes slower kinds in only when the faster ones can't hold the model.
+func (e *Engine) chains(units []unit) (chains [][]unit, rest []unit) {
+	groups := byKind(units)
+	for n := 1; n <= len(groups); n++ {
+		fast := groups[:n]
+		next := n < len(groups) && groups[n][0].kind.Pace <= fastSpread*groups[0][0].kind.Pace
+		if next {
+			continue
+		}
+		if chains, rest := e.chainsOf(fast); len(chains) > 0 {
+			return chains, slices.Concat(rest, slices.Concat(groups[n:]...))
+		}
+	}
+	return e.tightChain(units)
+}
+
+// chainsOf makes the most chains with equally many engines of each kind.
+func (e *Engine) chainsOf(groups [][]unit) (chains [][]unit, rest []unit) {
+	total := 0
+	for _, g := range groups {
+		total += len(g) * g[0].comfort
+	}
+	for count := total / max(e.Layers, 1); count >= 1; count-- {
+		size := 0
+		for _, g := range groups {
+			size += len(g) / count * g[0].comfort
+		}
+		if size < e.Layers {
+			continue
+		}
+		return e.dealChains(groups, count)
+	}
+	return nil, nil
+}
+
+func (e *Engine) dealChains(groups [][]unit, count int) (chains [][]unit, rest []unit) {
+	chains = make([][]unit, count)
+	for _, g := range groups {
+		each := len(g) / count
+		for i := range chains {
+			chains[i] = append(chains[i], g[i*each:(i+1)*each]...)
+		}
+		rest = append(rest, g[count*each:]...)
+	}
+	return chains, rest
+}
+
+// tightChain makes one chain of all that there is, with less memory for
+// requests than is wanted, where no other can hold the model.
+func (e *Engine) tightChain(units []unit) (chains [][]unit, rest []unit) {
+	size := 0
+	for i, u := range units {
+		size += e.layersFor(u.kind, e.UsualPrompt+e.UsualAnswer)
+		if size >= e.Layers {
+			return [][]unit{units[:i+1]}, units[i+1:]
+		}
+	}
+	return nil, units
+}
+
+// split returns how many layers each engine of a chain holds, so that the one
+// with the least memory for requests has the most.
+func (e *Engine) split(chain []unit) []int {
+	low, high := 0, math.MaxInt32
+	for low < high {
+		middle := (low + high + 1) / 2
+		if sum(e.layersOf(chain, middle)) >= e.Layers {
+			low = middle
+		} else {
+			high = middle - 1
+		}
+	}
+	return e.trim(chain, e.layersOf(chain, low))
+}
+
+func (e *Engine) layersOf(chain []unit, tokens int) []int {
+	sizes := make([]int, len(chain))
+	for i, u := range chain {
+		sizes[i] = e.layersFor(u.kind, tokens)
+	}
+	return sizes
+}
+
+func sum(sizes []int) int {
+	total := 0
+	for _, n := range sizes {
+		total += n
+	}
+	return total
+}
+
+// trim takes surplus layers from the slowest stages.
+func (e *Engine) trim(chain []unit, sizes []int) []int {
+	for sum(sizes) > e.Layers {
+		slowest := 0
+		for i := range sizes {
+			if float64(sizes[i])*chain[i].kind.Pace > float64(sizes[slowest])*chain[slowest].kind.Pace {
+				slowest = i
+			}
+		}
+		sizes[slowest]--
+	}
+	return sizes
+}
+
+// assign gives engines consecutive ranges of the given sizes.
+func assign(units []unit, first int, sizes []int) []Assignment {
+	var out []Assignment
+	for i, u := range units {
+		if sizes[i] > 0 {
+			out = append(out, Assignment{Target: u.target.ID, Layers: config.Range{First: first, Last: first + sizes[i]}})
+		}
+		first += sizes[i]
+	}
+	return out
+}
+
+// mergeSlow takes the engines of a chain that are much slower than its fastest
+// one together: each hall covers their layers with whatever it has most of.
+func mergeSlow(chain []unit, sizes []int) []int {
+	var merged []int
+	slow := 0
+	for i, u := range chain {
+		if u.kind.Pace > fastSpread*chain[0].kind.Pace {
+			slow += sizes[i]
+		} else {
+			merged = append(merged, sizes[i])
+		}
+	}
+	return append(merged, slow)
+}
+
+func segmentsOf(sizes []int) []config.Range {
+	var segments []config.Range
+	first := 0
+	for _, n := range sizes {
+		if n > 0 {
+			segments = append(segments, config.Range{First: first, Last: first + n})
+		}
+		first += n
+	}
+	return segments
+}
+
+// cover covers the segments in rounds while engines are left.
+func (e *Engine) cover(units []unit, segments []config.Range) (out []Assignment, left []unit) {
+	for covered := true; covered; {
+		covered = false
+		for _, s := range segments {
+			group, rest, ok := e.group(units, s.Len())
+			if !ok {
+				continue
+			}
+			out = append(out, assign(group, s.First, e.splitFor(group, s.Len()))...)
+			units = rest
+			covered = true
+		}
+	}
+	return out, units
+}
+
+// splitFor splits n layers over a group as split does for the whole model.
+func (e *Engine) splitFor(group []unit, n int) []int {
+	part := *e
+	part.Layers = n
+	sizes := make([]int, len(group))
+	for i, u := range group {
+		sizes[i] = u.comfort
+	}
+	return part.trim(group, sizes)
+}
+
+// group picks the fewest engines that can cover n layers with comfort, and of
+// those the ones that waste the least.
+func (e *Engine) group(units []unit, n int) (group, rest []unit, ok bool) {
+	kinds := byKind(units)
+	best := groupChoice{waste: math.MaxInt, size: math.MaxInt}
+	best.search(kinds, make([]int, len(kinds)), 0, n)
+	if best.counts == nil {
+		return nil, units, false
+	}
+	for i, g := range kinds {
+		taken, left := pickNear(g, best.counts[i], group)
+		group = append(group, taken...)
+		rest = append(rest, left...)
+	}
+	return group, rest, true
+}
+
+// groupChoice is the best group found so far, as a number of engines by kind.
+type groupChoice struct {
+	counts []int
+	size   int
+	waste  int
+}
+
+func (c *groupChoice) search(kinds [][]unit, counts []int, i, missing int) {
+	size := sum(counts)
+	if missing <= 0 {
+		if size < c.size || size == c.size && -missing < c.waste {
+			*c = groupChoice{counts: slices.Clone(counts), size: size, waste: -missing}
+		}
+		return
+	}
+	if i == len(kinds) || size >= groupLimit {
+		return
+	}
+	comfort := kinds[i][0].comfort
+	for n := 0; n <= len(kinds[i]) && size+n <= groupLimit; n++ {
+		counts[i] = n
+		c.search(kinds, counts, i+1, missing-n*comfort)
+	}
+	counts[i] = 0
+}
+
+// pickNear takes n units, those of the hall of the group's last one first.
+func pickNear(units []unit, n int, group []unit) (taken, left []unit) {
+	hall := ""
+	if len(group) > 0 {
+		hall = group[len(group)-1].target.Hall
+	} else if len(units) > 0 {
+		hall = units[0].target.Hall
+	}
+	sorted := slices.Clone(units)
+	slices.SortStableFunc(sorted, func(a, b unit) int {
+		return cmp.Compare(awayFrom(a, hall), awayFrom(b, hall))
+	})
+	left = sorted[n:]
+	slices.SortFunc(left, compareUnits)
+	return sorted[:n], left
+}
+
+func awayFrom(u unit, hall string) int {
+	if u.target.Hall == hall {
+		return 0
+	}
+	return 1
+}
+
+// crossRate is the part of an engine's rate that it counts for in another hall:
+// little, since the pipes between halls bear few requests.
+const crossRate = 0.1
+
+// planMore gives engines that came later the ranges that the fewest in their hall
+// can run.
+func (e *Engine) planMore(empty, holding []unit) []Assignment {
+	slices.SortFunc(empty, compareUnits)
+	var out []Assignment
+	for _, u := range empty {
+		layers := weakest(e.coverage(holding, u.target.Hall), e.cutsFor(holding, u.target.Hall), u.comfort)
+		if layers.Len() == 0 {
+			continue
+		}
+		u.target.Layers = layers
+		holding = append(holding, u)
+		out = append(out, Assignment{Target: u.target.ID, Layers: layers})
+	}
+	return out
+}
+
+// cutsFor returns the ends of the ranges that a hall holds, sorted; those of all
+// halls where the hall lacks layers.
+func (e *Engine) cutsFor(holding []unit, hall string) []int {
+	ends := map[int]bool{0: true, e.Layers: true}
+	held := make([]bool, e.Layers)
+	for _, u := range holding {
+		if u.target.Hall != hall {
+			continue
+		}
+		layers := u.target.Layers
+		ends[layers.First], ends[layers.Last] = true, true
+		for i := layers.First; i < min(layers.Last, e.Layers); i++ {
+			held[i] = true
+		}
+	}
+	if slices.Contains(held, false) {
+		for _, u := range holding {
+			ends[u.target.Layers.First], ends[u.target.Layers.Last] = true, true
+		}
+	}
+	return slices.Sorted(maps.Keys(ends))
+}
+
+// coverage returns the rate at which each layer is run, as seen from a hall.
+func (e *Engine) coverage(holding []unit, hall string) []float64 {
+	rates := make([]float64, e.Layers)
+	for _, u := range holding {
+		weight := crossRate
+		if u.target.Hall == hall {
+			weight = 1
+		}
+		addRate(rates, u, weight)
+	}
+	return rates
+}
+
+// addRate adds the rate at which an engine runs its layers.
+func addRate(rates []float64, u unit, weight float64) {
+	layers := u.target.Layers
+	for i := layers.First; i < min(layers.Last, len(rates)); i++ {
+		rates[i] += weight / (u.kind.Pace * float64(layers.Len()))
+	}
+}
+
+// scarceFloor keeps a layer that nobody runs from counting without bound: it
+// stands for an engine a thousand times as slow as the fastest.
+const scarceFloor = 1e-3
+
+// weakest returns the range between two cuts, of at most limit layers, that
+// holds the most of what few can run: each layer counts the inverse of its
+// rate. Where a gap is longer than limit, the range is the gap's beginning.
+func weakest(coverage []float64, cuts []int, limit int) config.Range {
+	best := config.Range{}
+	most := 0.0
+	for i, first := range cuts {
+		for _, last := range cuts[i+1:] {
+			if last-first > limit && coverage[first] > 0 {
+				break
+			}
+			r := config.Range{First: first, Last: min(last, first+limit)}
+			if s := scarcity(coverage, r); s > most {
+				best, most = r, s
+			}
+		}
+	}
+	return best
+}
+
+func scarcity(coverage []float64, r config.Range) float64 {
+	total := 0.0
+	for _, rate := range coverage[r.First:r.Last] {
+		total += 1 / (rate + scarceFloor)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/relay/plan_test.go
@@ -0,0 +1,193 @@
+package relay_test
+
+import (
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// engine is a model of 80 layers that no engine can hold alone.
+func engine() *relay.Engine {
+	return &relay.Engine{
+		Slots: 192, Model: "m", Layers: 80, LayerBytes: 1750e6, TokenBytes: 590000,
+		StepBase: 850 * time.Microsecond, StepPerRequest: 3820, StepPerKilotoken: 5120,
+		ReadPerSecond: 196000, Load: 14 * time.Second, LoadsAtOnce: 6, UsualPrompt: 772, UsualAnswer: 172,
+		Accelerators: []relay.Accelerator{
+			{Name: "large", Bytes: 72000e6, Pace: 1.4, Read: 1},
+			{Name: "middle", Bytes: 36000e6, Pace: 3.1, Read: 3.2},
+			{Name: "small", Bytes: 21600e6, Pace: 16, Read: 8.2},
+			{Name: "tiny", Bytes: 14400e6, Pace: 15, Read: 15},
+		},
+	}
+}
+
+// layout counts engines by hall and kind.
+type layout map[string]map[string]int
+
+// today is the users' present fleet, and grown what it becomes.
+var (
+	today = layout{
+		"a": {"middle": 2, "small": 4, "tiny": 7},
+		"b": {"large": 1, "middle": 1, "small": 5, "tiny": 7},
+		"c": {"middle": 1, "small": 8, "tiny": 3},
+	}
+	grown = layout{
+		"a": {"middle": 4, "small": 11, "tiny": 18},
+		"b": {"large": 1, "middle": 2, "small": 13, "tiny": 17},
+		"c": {"large": 1, "middle": 2, "small": 20, "tiny": 9},
+	}
+)
+
+func engines(l layout) []relay.Target {
+	var targets []relay.Target
+	for _, hall := range slices.Sorted(maps.Keys(l)) {
+		for _, kind := range slices.Sorted(maps.Keys(l[hall])) {
+			for i := range l[hall][kind] {
+				targets = append(targets, relay.Target{
+					ID: relay.TargetID(fmt.Sprintf("%s-%s-%d", hall, kind, i)), Service: "s", Hall: hall,
+					Address: fmt.Sprintf("%s.%s.%d:80", hall, kind, i), Accelerator: kind, Slots: 192,
+				})
+			}
+		}
+	}
+	return targets
+}
+
+func inHall(targets []relay.Target, hall string) []relay.Target {
+	return slices.DeleteFunc(slices.Clone(targets), func(t relay.Target) bool { return t.Hall != hall })
+}
+
+func holding(targets []relay.Target, plan []relay.Assignment) []relay.Target {
+	held := make(map[relay.TargetID]config.Range)
+	for _, a := range plan {
+		held[a.Target] = a.Layers
+	}
+	out := make([]relay.Target, len(targets))
+	for i, t := range targets {
+		if l, ok := held[t.ID]; ok {
+			t.Layers = l
+		}
+		out[i] = t
+	}
+	return out
+}
+
+// covered counts, for each layer, the engines that hold it.
+func covered(targets []relay.Target) []int {
+	count := make([]int, 80)
+	for _, t := range targets {
+		for i := t.Layers.First; i < t.Layers.Last; i++ {
+			count[i]++
+		}
+	}
+	return count
+}
+
+func TestPlanCoversEveryLayerSeveralTimes(t *testing.T) {
+	tests := []struct {
+		name   string
+		layout layout
+		least  int
+	}{
+		{"today", today, 3},
+		{"grown", grown, 5},
+		{"slow ones alone", layout{"a": {"small": 20}}, 2},
+		{"barely enough", layout{"a": {"small": 7}}, 1},
+		{"one in each of many halls", layout{"a": {"large": 1}, "b": {"large": 1}, "c": {"large": 1}}, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			targets := engines(test.layout)
+			plan := relay.Plan(engine(), targets)
+			for layer, n := range covered(holding(targets, plan)) {
+				require.GreaterOrEqual(t, n, test.least, "layer %d", layer)
+			}
+			requireFits(t, targets, plan)
+		})
+	}
+}
+
+// The pipes between halls bear some 40 requests a second, so each hall that can
+// hold the model has to.
+func TestPlanGivesEachHallTheWholeModel(t *testing.T) {
+	for _, l := range []layout{today, grown} {
+		targets := engines(l)
+		held := holding(targets, relay.Plan(engine(), targets))
+		for hall := range l {
+			for layer, n := range covered(inHall(held, hall)) {
+				require.Positive(t, n, "hall %s, layer %d", hall, layer)
+			}
+		}
+	}
+}
+
+func requireFits(t *testing.T, targets []relay.Target, plan []relay.Assignment) {
+	t.Helper()
+	limit := map[string]int{"large": 41, "middle": 20, "small": 12, "tiny": 8}
+	kind := make(map[relay.TargetID]string)
+	for _, target := range targets {
+		kind[target.ID] = target.Accelerator
+	}
+	for _, a := range plan {
+		require.LessOrEqual(t, a.Layers.Len(), limit[kind[a.Target]])
+		require.Positive(t, a.Layers.Len())
+	}
+}
+
+func TestPlanDoesNotMoveWhatWorks(t *testing.T) {
+	targets := engines(today)
+	held := holding(targets, relay.Plan(engine(), targets))
+	for _, a := range relay.Plan(engine(), held) {
+		for _, target := range held {
+			if target.ID == a.Target {
+				require.Zero(t, target.Layers.Len())
+			}
+		}
+	}
+}
+
+// bestTime is the time of the fastest way through all layers within a hall, in
+// layers at pace 1.
+func bestTime(targets []relay.Target) float64 {
+	pace := map[string]float64{"large": 1.4, "middle": 3.1, "small": 16, "tiny": 15}
+	best := make([]float64, 81)
+	for i := range best[1:] {
+		best[i+1] = math.Inf(1)
+	}
+	for at := range 80 {
+		for _, t := range targets {
+			if t.Layers.First == at && t.Layers.Len() > 0 {
+				best[t.Layers.Last] = min(best[t.Layers.Last], best[at]+pace[t.Accelerator]*float64(t.Layers.Len()))
+			}
+		}
+	}
+	return best[80]
+}
+
+// A fast engine that comes back empty makes its hall as fast as it was.
+func TestPlanMakesUpForALostEngine(t *testing.T) {
+	targets := engines(today)
+	held := holding(targets, relay.Plan(engine(), targets))
+	for i, lost := range held {
+		if lost.Accelerator != "large" && lost.Accelerator != "middle" {
+			continue
+		}
+		again := slices.Clone(held)
+		again[i].ID += "-again"
+		again[i].Layers = config.Range{}
+		after := holding(again, relay.Plan(engine(), again))
+		require.LessOrEqual(t, bestTime(inHall(after, lost.Hall)), 1.1*bestTime(inHall(held, lost.Hall)), lost.ID)
+	}
+}
+
+func TestPlanWithTooFewEnginesPlacesNothing(t *testing.T) {
+	require.Empty(t, relay.Plan(engine(), engines(layout{"a": {"tiny": 3}})))
+}
--- /dev/null
+++ b/internal/relay/refusal.go
@@ -0,0 +1,52 @@
+package relay
+
+import (
+	"fmt"
+	"time"
+)
+
+// RefusalKind says why a request was not served.
+type RefusalKind int
+
+// The kinds of refusals. All but RefusedUnknownRun and RefusedTimeout say that
+// the request has not run and will not.
+const (
+	// RefusedNoDocument: this VM knows no configuration that it may act by.
+	RefusedNoDocument RefusalKind = iota
+	// RefusedNoRoute: no route leads to the path.
+	RefusedNoRoute
+	// RefusedKey: the key is missing or belongs to nobody.
+	RefusedKey
+	// RefusedTooLarge: the body is over the limit.
+	RefusedTooLarge
+	// RefusedNoRoom: no target has room, or none is known.
+	RefusedNoRoom
+	// RefusedNotTaken: targets were asked and none ran it.
+	RefusedNotTaken
+	// RefusedUnknownRun: it was sent, and whether it ran is not known.
+	RefusedUnknownRun
+	// RefusedTimeout: the route's time ran out while it was under way.
+	RefusedTimeout
+	// RefusedUnreadable: the request could not be read whole.
+	RefusedUnreadable
+)
+
+// String returns the kind's name.
+func (k RefusalKind) String() string {
+	return [...]string{"no document", "no route", "key", "too large", "no room", "not taken", "unknown run", "timeout", "unreadable"}[k]
+}
+
+// Refusal is a final answer that is not the one that was asked for.
+type Refusal struct {
+	Kind RefusalKind
+	// RetryAt is when to come back; zero where coming back is of no use.
+	RetryAt time.Time
+	// Reason is for the log and the caller.
+	Reason string
+}
+
+// Error implements error.
+func (r *Refusal) Error() string { return fmt.Sprintf("%s: %s", r.Kind, r.Reason) }
+
+// NotRun reports whether the refusal says that the request has not run.
+func (r *Refusal) NotRun() bool { return r.Kind != RefusedUnknownRun && r.Kind != RefusedTimeout }
--- /dev/null
+++ b/internal/relay/registry.go
@@ -0,0 +1,175 @@
+package relay
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// TargetID names one life of a target: it is new at each start.
+type TargetID string
+
+// Target is what a target says of itself.
+type Target struct {
+	ID          TargetID `cbor:"id"`
+	Service     string   `cbor:"service"`
+	Address     string   `cbor:"address"`
+	Hall        string   `cbor:"hall"`
+	Accelerator string   `cbor:"accelerator,omitempty"`
+	Slots       int      `cbor:"slots"`
+	// Call is the number of the message that said so; a higher one is newer.
+	Call uint64 `cbor:"call"`
+	// Leaving targets take no new work. Gone ones have signed off. Neither is
+	// ever taken back in one life.
+	Leaving bool `cbor:"leaving,omitempty"`
+	Gone    bool `cbor:"gone,omitempty"`
+	// Layers is what an engine holds. Loading says that it is carrying out an
+	// order.
+	Layers  config.Range `cbor:"layers"`
+	Loading bool         `cbor:"loading,omitempty"`
+}
+
+// Takes reports whether the target may be given new work.
+func (t Target) Takes() bool { return !t.Leaving && !t.Gone }
+
+// merge returns the newer of two words on the same life, with the marks that
+// are never taken back.
+func (t Target) merge(other Target) Target {
+	newer := t
+	if other.Call > t.Call {
+		newer = other
+		if newer.Address == "" {
+			// A word that only signs off says nothing else.
+			newer = t
+			newer.Call = other.Call
+		}
+	}
+	newer.Leaving = t.Leaving || other.Leaving
+	newer.Gone = t.Gone || other.Gone
+	return newer
+}
+
+// Registry holds the targets by life. The zero value is not usable.
+type Registry struct {
+	targets map[TargetID]entry
+	// change numbers what was taken, for those who follow the registry.
+	change uint64
+}
+
+type entry struct {
+	target Target
+	// heardAt is when the target last spoke to any VM, as far as is known here.
+	heardAt time.Time
+	// changed is the number of the change that last altered target.
+	changed uint64
+	// firstHand says that the target spoke to this VM last.
+	firstHand bool
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry { return &Registry{targets: make(map[TargetID]entry)} }
+
+// Hear takes a target's own word, and reports whether it says anything new.
+func (r *Registry) Hear(t Target, now time.Time) bool { return r.take(t, now, true) }
+
+// Learn takes what another VM was told, and reports whether it is new.
+func (r *Registry) Learn(t Target, now time.Time) bool { return r.take(t, now, false) }
+
+func (r *Registry) take(t Target, now time.Time, firstHand bool) bool {
+	present, known := r.targets[t.ID]
+	next := t
+	if known {
+		next = present.target.merge(t)
+	}
+	differs := !known || differs(present.target, next)
+	e := entry{target: next, heardAt: now, changed: present.changed, firstHand: firstHand}
+	if known && t.Call < present.target.Call {
+		e.heardAt = present.heardAt
+	}
+	if differs {
+		r.change++
+		e.changed = r.change
+	}
+	r.targets[t.ID] = e
+	return differs
+}
+
+// differs compares all but the number of the message.
+func differs(a, b Target) bool {
+	a.Call = b.Call
+	return a != b
+}
+
+// Alive notes that a target has spoken to another VM.
+func (r *Registry) Alive(id TargetID, call uint64, now time.Time) {
+	if e, ok := r.targets[id]; ok && call >= e.target.Call {
+		e.target.Call = call
+		e.heardAt = now
+		r.targets[id] = e
+	}
+}
+
+// Get returns the newest word on a target.
+func (r *Registry) Get(id TargetID) (Target, bool) {
+	e, ok := r.targets[id]
+	return e.target, ok
+}
+
+// Change returns the number of the newest change.
+func (r *Registry) Change() uint64 { return r.change }
+
+// Since returns the targets that changed after a change, sorted by name.
+func (r *Registry) Since(change uint64) []Target {
+	var targets []Target
+	for _, id := range r.ids() {
+		if e := r.targets[id]; e.changed > change {
+			targets = append(targets, e.target)
+		}
+	}
+	return targets
+}
+
+// Beat is a sign of life.
+type Beat struct {
+	ID   TargetID `cbor:"id"`
+	Call uint64   `cbor:"call"`
+}
+
+// BeatsSince returns who spoke to this very VM after a time.
+func (r *Registry) BeatsSince(after time.Time) []Beat {
+	var beats []Beat
+	for _, id := range r.ids() {
+		if e := r.targets[id]; e.firstHand && e.heardAt.After(after) {
+			beats = append(beats, Beat{ID: id, Call: e.target.Call})
+		}
+	}
+	return beats
+}
+
+// All returns every target, sorted by name.
+func (r *Registry) All() []Target { return r.Since(0) }
+
+// Silent returns the targets that have said nothing after a time and have not
+// signed off.
+func (r *Registry) Silent(after time.Time) []TargetID {
+	var silent []TargetID
+	for _, id := range r.ids() {
+		if e := r.targets[id]; !e.target.Gone && e.heardAt.Before(after) {
+			silent = append(silent, id)
+		}
+	}
+	return silent
+}
+
+// Forget drops the targets that have said nothing after a time.
+func (r *Registry) Forget(after time.Time) {
+	for id, e := range r.targets {
+		if e.heardAt.Before(after) {
+			delete(r.targets, id)
+		}
+	}
+}
+
+func (r *Registry) ids() []TargetID { return slices.Sorted(maps.Keys(r.targets)) }
--- /dev/null
+++ b/internal/relay/router.go
@@ -0,0 +1,406 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// Settings of a Router.
+type Settings struct {
+	// Hall is the data hall of this VM.
+	Hall   string
+	Budget BudgetTerms
+	Seed   uint64
+}
+
+// Work is what is under way at a target.
+type Work struct {
+	Requests int `cbor:"requests"`
+	Tokens   int `cbor:"tokens"`
+}
+
+// Plus returns the sum.
+func (w Work) Plus(o Work) Work { return Work{w.Requests + o.Requests, w.Tokens + o.Tokens} }
+
+// Stage is one target of a path, with the layers that it runs. A plain service
+// has one stage and no layers.
+type Stage struct {
+	Target  TargetID
+	Address string
+	Layers  config.Range
+}
+
+// Path is where one request goes.
+type Path struct {
+	Service string
+	Stages  []Stage
+	tokens  int
+}
+
+// First returns the stage that gets the request.
+func (p Path) First() Stage { return p.Stages[0] }
+
+// Passes reports whether the path runs over a target.
+func (p Path) Passes(id TargetID) bool {
+	return slices.ContainsFunc(p.Stages, func(s Stage) bool { return s.Target == id })
+}
+
+// At returns the stage at an address.
+func (p Path) At(address string) (Stage, bool) {
+	i := slices.IndexFunc(p.Stages, func(s Stage) bool { return s.Address == address })
+	if i < 0 {
+		return Stage{}, false
+	}
+	return p.Stages[i], true
+}
+
+// String returns the path for the log.
+func (p Path) String() string {
+	var parts []string
+	for _, s := range p.Stages {
+		parts = append(parts, fmt.Sprintf("%s%s", s.Address, s.Layers))
+	}
+	return strings.Join(parts, " ")
+}
+
+// Ask is what a path is wanted for.
+type Ask struct {
+	Route *Route
+	// Service is set where the request has been at one of its targets before.
+	Service string
+	// Prompt and Answer are the tokens of a stream, the answer's as expected.
+	Prompt, Answer int
+	// Avoid lists targets that have failed this request.
+	Avoid []TargetID
+}
+
+// target is what a Router knows of one target.
+type target struct {
+	Target
+	own    Work
+	others Work
+	// trouble grows with failures in a row.
+	trouble      int
+	suspectUntil time.Time
+	// silent says that the target has told no VM of late that it lives.
+	silent bool
+	// failures is a moving mean of recent results: 0 all well, 1 all failed.
+	failures float64
+}
+
+// Router picks paths and counts what is under way. It is not safe for use by
+// several goroutines at once.
+type Router struct {
+	settings Settings
+	rand     *rand.Rand
+	document *Document
+	table    routeTable
+	keys     map[string]*Organisation
+	services map[string]*Service
+	targets  map[TargetID]*target
+	members  map[string][]*target
+	budgets  map[string]*budget
+	vms      int
+}
+
+// NewRouter returns a Router without a document.
+func NewRouter(s Settings) *Router {
+	return &Router{
+		settings: s,
+		rand:     rand.New(rand.NewPCG(s.Seed, 1)),
+		targets:  make(map[TargetID]*target),
+		members:  make(map[string][]*target),
+		budgets:  make(map[string]*budget),
+		vms:      1,
+	}
+}
+
+// TakeDocument puts a document in force. An older one is dropped.
+func (r *Router) TakeDocument(d *Document) {
+	if r.document != nil && d.Version <= r.document.Version {
+		return
+	}
+	r.document = d
+	r.table = newRouteTable(d)
+	r.keys = make(map[string]*Organisation)
+	for i := range d.Organisations {
+		for _, k := range d.Organisations[i].Keys {
+			r.keys[k] = &d.Organisations[i]
+		}
+	}
+	r.services = make(map[string]*Service, len(d.Services))
+	for i := range d.Services {
+		r.services[d.Services[i].Name] = &d.Services[i]
+	}
+}
+
+// Document returns the document in force, or nil.
+func (r *Router) Document() *Document { return r.document }
+
+// TakeVMs takes the number of entry VMs. It never goes down: see budget.go.
+func (r *Router) TakeVMs(n int) { r.vms = max(r.vms, n) }
+
+// TakeTargets takes what targets have newly said.
+func (r *Router) TakeTargets(targets []Target) {
+	for _, t := range targets {
+		known, ok := r.targets[t.ID]
+		if !ok {
+			known = &target{Target: t}
+			r.targets[t.ID] = known
+			r.members[t.Service] = append(r.members[t.Service], known)
+			continue
+		}
+		known.Target = known.Target.merge(t)
+		if known.Gone && known.own.Requests == 0 {
+			r.drop(known)
+		}
+	}
+}
+
+func (r *Router) drop(t *target) {
+	delete(r.targets, t.ID)
+	r.members[t.Service] = slices.DeleteFunc(r.members[t.Service], func(o *target) bool { return o == t })
+}
+
+// TakeSilent takes the targets that tell nobody that they live.
+func (r *Router) TakeSilent(ids []TargetID) {
+	for _, t := range r.targets {
+		t.silent = slices.Contains(ids, t.ID)
+	}
+}
+
+// TakeOthers takes what other VMs have under way.
+func (r *Router) TakeOthers(work map[TargetID]Work) {
+	for id, t := range r.targets {
+		t.others = work[id]
+	}
+}
+
+// Own returns what this VM has under way.
+func (r *Router) Own() map[TargetID]Work {
+	own := make(map[TargetID]Work)
+	for id, t := range r.targets {
+		if t.own.Requests > 0 {
+			own[id] = t.own
+		}
+	}
+	return own
+}
+
+// Admit finds the route of a request and the organisation of its key.
+func (r *Router) Admit(host, path, key string, now time.Time) (*Route, *Organisation, *Refusal) {
+	if r.document == nil {
+		return nil, nil, &Refusal{Kind: RefusedNoDocument, RetryAt: r.soon(now), Reason: "this VM has no configuration yet"}
+	}
+	route, ok := r.table.find(host, path)
+	if !ok {
+		return nil, nil, &Refusal{Kind: RefusedNoRoute, Reason: "no route leads to this path"}
+	}
+	if route.Anonymous || len(r.document.Organisations) == 0 {
+		return route, nil, nil
+	}
+	org, ok := r.keys[key]
+	if !ok {
+		return nil, nil, &Refusal{Kind: RefusedKey, Reason: "the key belongs to nobody"}
+	}
+	return route, org, nil
+}
+
+// Count notes a new request of a service, which the repeats are measured by.
+func (r *Router) Count(service string, now time.Time) {
+	r.budget(service).requests.add(now, r.settings.Budget.Window)
+}
+
+// Repeat takes a repeat from the budget of a service.
+func (r *Router) Repeat(service string, now time.Time) bool {
+	return r.budget(service).spend(now, r.settings.Budget, r.vms)
+}
+
+func (r *Router) budget(service string) *budget {
+	b, ok := r.budgets[service]
+	if !ok {
+		b = &budget{}
+		r.budgets[service] = b
+	}
+	return b
+}
+
+// Choose picks a path and counts the request as under way on it. Each path is
+// given back with Release.
+func (r *Router) Choose(a Ask, now time.Time) (Path, *Refusal) {
+	name := a.Service
+	if name == "" {
+		name = r.draw(a.Route)
+	}
+	service, ok := r.services[name]
+	if !ok {
+		return Path{}, r.noRoom(now, "the service "+name+" is not in the configuration")
+	}
+	var path Path
+	if service.Engine != nil && service.Engine.Layers > 0 {
+		path, ok = r.choosePath(service, a, now)
+	} else {
+		path, ok = r.chooseTarget(service, a, now)
+	}
+	if !ok {
+		return Path{}, r.noRoom(now, "no target of "+name+" has room")
+	}
+	r.count(path, 1)
+	return path, nil
+}
+
+// Release gives a path back.
+func (r *Router) Release(p Path) { r.count(p, -1) }
+
+func (r *Router) count(p Path, sign int) {
+	for _, s := range p.Stages {
+		t, ok := r.targets[s.Target]
+		if !ok {
+			continue
+		}
+		t.own.Requests += sign
+		t.own.Tokens += sign * p.tokens
+		if t.Gone && t.own.Requests <= 0 {
+			r.drop(t)
+		}
+	}
+}
+
+// draw picks one of a route's services by weight.
+func (r *Router) draw(route *Route) string {
+	total := 0
+	for _, s := range route.Shares {
+		total += s.Weight
+	}
+	n := r.rand.IntN(max(total, 1))
+	for _, s := range route.Shares {
+		if n < s.Weight {
+			return s.Service
+		}
+		n -= s.Weight
+	}
+	return ""
+}
+
+const (
+	// returnSoon and returnSpread say when a refused caller comes back: a fast
+	// path ends some 20 requests in this time, and the spread keeps callers from
+	// returning together.
+	returnSoon   = 200 * time.Millisecond
+	returnSpread = 600 * time.Millisecond
+)
+
+func (r *Router) soon(now time.Time) time.Time {
+	return now.Add(returnSoon + time.Duration(r.rand.Int64N(int64(returnSpread))))
+}
+
+func (r *Router) noRoom(now time.Time, reason string) *Refusal {
+	return &Refusal{Kind: RefusedNoRoom, RetryAt: r.soon(now), Reason: reason}
+}
+
+const (
+	// suspectFirst is how long a target is left alone after one failure; each
+	// further one in a row doubles it up to suspectMost. A crashed runner is back
+	// after some 3 to 5 seconds in the users' record.
+	suspectFirst = 500 * time.Millisecond
+	suspectMost  = 4 * time.Second
+	// failureWeight is the weight of the newest result in the moving mean: ten
+	// results make up most of it.
+	failureWeight = 0.15
+)
+
+// Failed notes that a target did not do its part. Certain failures, such as a
+// refused connection, make it suspect at once.
+func (r *Router) Failed(id TargetID, certain bool, now time.Time) {
+	t, ok := r.targets[id]
+	if !ok {
+		return
+	}
+	t.failures += failureWeight * (1 - t.failures)
+	if !certain {
+		return
+	}
+	t.trouble++
+	pause := min(suspectFirst<<min(t.trouble-1, 4), suspectMost)
+	t.suspectUntil = now.Add(pause)
+}
+
+// Succeeded notes that a target did its part.
+func (r *Router) Succeeded(id TargetID) {
+	if t, ok := r.targets[id]; ok {
+		t.failures -= failureWeight * t.failures
+		t.trouble = 0
+		t.suspectUntil = time.Time{}
+	}
+}
+
+// Suspect reports whether a target is left alone at present.
+func (r *Router) Suspect(id TargetID, now time.Time) bool {
+	t, ok := r.targets[id]
+	return ok && (t.silent || now.Before(t.suspectUntil))
+}
+
+// usable returns the members of a service that a request may go to, those under
+// suspicion only where they are asked for.
+func (r *Router) usable(service string, a Ask, now time.Time, suspects bool) []*target {
+	var usable []*target
+	for _, t := range r.members[service] {
+		if !t.Takes() || slices.Contains(a.Avoid, t.ID) {
+			continue
+		}
+		if !suspects && (t.silent || now.Before(t.suspectUntil)) {
+			continue
+		}
+		usable = append(usable, t)
+	}
+	return usable
+}
+
+// connLimit is this VM's part of the connections that a target accepts.
+func (r *Router) connLimit(s *Service) int { return max(1, s.MaxConns/r.vms) }
+
+// ConnLimit returns this VM's part of the connections to each target of a service.
+func (r *Router) ConnLimit(service string) int {
+	if s, ok := r.services[service]; ok {
+		return r.connLimit(s)
+	}
+	return 1
+}
+
+const (
+	// failurePenalty makes a target that fails everything look as busy as one
+	// with so many requests.
+	failurePenalty = 20.0
+	// crossHall is the part of a request that another hall counts for: it decides
+	// between equals, since bytes between halls are priced.
+	crossHall = 0.3
+)
+
+// chooseTarget picks the target of a plain service with the least under way.
+func (r *Router) chooseTarget(s *Service, a Ask, now time.Time) (Path, bool) {
+	for _, suspects := range []bool{false, true} {
+		var best *target
+		least := 0.0
+		for _, t := range r.usable(s.Name, a, now, suspects) {
+			if t.own.Requests >= r.connLimit(s) {
+				continue
+			}
+			busy := float64(t.own.Requests+t.others.Requests) + failurePenalty*t.failures + r.rand.Float64()*crossHall
+			if t.Hall != r.settings.Hall {
+				busy += crossHall
+			}
+			if best == nil || busy < least {
+				best, least = t, busy
+			}
+		}
+		if best != nil {
+			return Path{Service: s.Name, Stages: []Stage{{Target: best.ID, Address: best.Address}}}, true
+		}
+	}
+	return Path{}, false
+}
--- a/internal/wire/dial.go
+++ b/internal/wire/dial.go
@@ -15,8 +15,14 @@
 	"storj.io/drpc/drpcwire"
 )
 
-// dialTime bounds the wait for a connection.
-const dialTime = 2 * time.Second
+const (
+	// dialTime bounds the wait for a connection: a lost opening packet is sent
+	// again after a second.
+	dialTime = 1500 * time.Millisecond
+	// unackedLimit is how long bytes to a peer may stay unacknowledged: one and a
+	// half elections, so that a VM that comes back from a cut is heard at once.
+	unackedLimit = 1500 * time.Millisecond
+)
 
 // Keys are the certificate and authority of mutual TLS. The zero value is
 // plain text.
@@ -76,7 +82,7 @@
 func (k Keys) Dial(ctx context.Context, address string) (*drpcconn.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTime)
 	defer cancel()
-	raw, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	raw, err := (&net.Dialer{Control: Unacked(unackedLimit)}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
