relay: changing halls costs what it does to the pipe

Cause: paths changed halls whenever a step was a little faster there, and the pipes between halls, which all share in turn, filled up: of 1,010 streams that changed halls 283 had a pause over 200 ms, of 719 that did not none. Change: a change of halls counts 30 times the time that it takes in the pipe.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -87,6 +87,11 @@
 	// begun says that the caller has got the head of an answer.
 	begun   bool
 	beganAt time.Time
+	// events counts what the caller got, and worstPause is the longest wait
+	// between two of them.
+	events     int
+	lastEvent  time.Time
+	worstPause time.Duration
 	// after is the id of the last event that the caller has.
 	after string
 	// kept is a failed answer that is given if no other target does better.
@@ -181,7 +186,7 @@
 	if !f.beganAt.IsZero() {
 		first = f.beganAt.Sub(f.call.Arrived).Milliseconds()
 	}
-	f.g.log.Info("request served", "request", f.call.ID, "first_ms", first, "took_ms", time.Since(f.call.Arrived).Milliseconds(),
+	f.g.log.Info("request served", "request", f.call.ID, "first_ms", first, "events", f.events, "worst_pause_ms", f.worstPause.Milliseconds(), "took_ms", time.Since(f.call.Arrived).Milliseconds(),
 		"tries", f.tries, "prompt", f.call.Prompt, "answer", f.call.Answer, "hint", f.call.Hint, "path", path.String())
 }
 
@@ -484,9 +489,7 @@
 		f.beganAt = time.Now()
 		f.g.meter.firstEvent(f.call.Arrived)
 	}
-	if id := lastEventID(whole); id != "" {
-		f.after = id
-	}
+	f.countEvents(whole)
 	if _, err := f.w.Write(whole); err != nil {
 		f.last = "caller left: " + err.Error()
 		panic(http.ErrAbortHandler)
@@ -495,6 +498,19 @@
 	return append([]byte(nil), data[end+len(eventEnd):]...)
 }
 
+// countEvents notes the events that are handed on.
+func (f *forwarding) countEvents(events []byte) {
+	if id := lastEventID(events); id != "" {
+		f.after = id
+	}
+	now := time.Now()
+	if f.events > 0 {
+		f.worstPause = max(f.worstPause, now.Sub(f.lastEvent))
+	}
+	f.events += bytes.Count(events, eventEnd)
+	f.lastEvent = now
+}
+
 // lastEventID returns the id of the last event that has one.
 func lastEventID(events []byte) string {
 	at := bytes.LastIndex(events, []byte("\nid:"))
--- a/internal/relay/document.go
+++ b/internal/relay/document.go
@@ -98,7 +98,12 @@
 	// Load is the time to load all layers.
 	Load time.Duration
 	// LoadsAtOnce is how many loads run before they slow each other down.
-	LoadsAtOnce  int
+	LoadsAtOnce int
+	// HandOnBytes is what one token takes from one engine to the next, and
+	// PipeBits the rate of a pipe between two halls, in bits a second, that all
+	// requests share.
+	HandOnBytes  float64
+	PipeBits     float64
 	UsualPrompt  int
 	UsualAnswer  int
 	Accelerators []Accelerator
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -32,6 +32,10 @@
 	memoryUse = 0.9
 	// pathNoise is the spread of the random part of costs.
 	pathNoise = 0.05
+	// pipeCaution multiplies the time that a request takes in a pipe between two
+	// halls. On a quiet day of the users, 0 of 719 requests that stayed in their
+	// hall had a late pause, and 283 of 1,010 that did not: pipes fill at once.
+	pipeCaution = 30
 	// suspectCost multiplies the cost of engines under suspicion, which are used
 	// only where no path goes without them.
 	suspectCost = 4
@@ -87,7 +91,7 @@
 	cost := before.cost + r.stageCost(e, kind, a, t)
 	next := reach{last: t, first: before.first, from: layers.First, ok: true}
 	if before.last != nil {
-		cost += time.Duration(a.Answer+1) * e.delay(before.last.Hall, t.Hall)
+		cost += time.Duration(a.Answer+1)*e.delay(before.last.Hall, t.Hall) + e.pipeCost(before.last, t, a)
 	} else {
 		next.first = t
 		cost += e.delay(r.settings.Hall, t.Hall)
@@ -127,6 +131,15 @@
 	return time.Duration(cost)
 }
 
+// pipeCost is what a change of halls counts for.
+func (e *Engine) pipeCost(from, to *target, a Ask) time.Duration {
+	if from.Hall == to.Hall || e.PipeBits <= 0 {
+		return 0
+	}
+	bits := float64(a.Prompt+a.Answer) * e.HandOnBytes * 8
+	return time.Duration(pipeCaution * bits / e.PipeBits * float64(time.Second))
+}
+
 // stagesTo follows the best way to a position back to its beginning.
 func stagesTo(reached []reach, at int) []Stage {
 	var stages []Stage
