relay: a full target is not a dead one; other VMs do as this one does

Change: a refusal keeps new requests away for 0.1 s and more, without suspicion; between two words on the other VMs they are taken to do as this one does; callers are told to come back in 0.8 to 3.5 s, for an outage lasts 3 to 7 s.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -243,6 +243,12 @@
 	g.meter.targetFailed()
 }
 
+func (g *Gateway) refusedBy(id relay.TargetID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.Refused(id, time.Now())
+}
+
 func (g *Gateway) succeeded(id relay.TargetID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -357,13 +363,11 @@
 func (f *forwarding) notRun(path relay.Path, v Verdict, answer *target.Answer) result {
 	drain(answer)
 	culprit := path.First()
-	certain := false
 	if s, ok := path.At(v.AtFault); ok {
 		culprit = s
-		certain = true
 	}
 	f.last = "target " + culprit.Address + " answered " + strconv.Itoa(answer.Status) + ", not run"
-	f.g.failed(culprit.Target, certain)
+	f.g.refusedBy(culprit.Target)
 	f.avoid = append(f.avoid, culprit.Target)
 	return resultNotRun
 }
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -112,7 +112,7 @@
 // a connection, for one request more.
 func (r *Router) hasRoom(s *Service, kind Accelerator, a Ask, t *target, first bool) bool {
 	e := s.Engine
-	load := t.own.Plus(t.others)
+	load := r.load(t)
 	if float64(load.Tokens+a.Prompt+a.Answer) > memoryUse*float64(e.tokens(kind, t.Layers.Len())) {
 		return false
 	}
@@ -121,7 +121,7 @@
 
 // stageCost is the time that a target takes for the whole of a request.
 func (r *Router) stageCost(e *Engine, kind Accelerator, a Ask, t *target) time.Duration {
-	load := t.own.Plus(t.others)
+	load := r.load(t)
 	share := float64(t.Layers.Len()) / float64(e.Layers)
 	step := float64(e.StepBase) + float64(e.StepPerRequest)*float64(load.Requests+1) +
 		float64(e.StepPerKilotoken)*float64(load.Tokens+a.Prompt)/1000
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -84,9 +84,13 @@
 	Target
 	own    Work
 	others Work
-	// trouble grows with failures in a row.
+	// trouble grows with failures in a row, and fullness with refusals in a row.
 	trouble      int
 	suspectUntil time.Time
+	fullness     int
+	fullUntil    time.Time
+	// ownTold is what this VM had under way when the others' work was told.
+	ownTold Work
 	// silent says that the target has told no VM of late that it lives.
 	silent bool
 	// failures is a moving mean of recent results: 0 all well, 1 all failed.
@@ -178,9 +182,26 @@
 func (r *Router) TakeOthers(work map[TargetID]Work) {
 	for id, t := range r.targets {
 		t.others = work[id]
+		t.ownTold = t.own
 	}
 }
 
+// herdMost bounds how many other VMs are taken to have done as this one did since
+// the last word on them: with more, one request of this VM's own would weigh too
+// much.
+const herdMost = 10
+
+// load is what is under way at a target, as far as is known or likely. The word
+// on the other VMs is up to half a second old; since then they have most likely
+// done what this VM did, above all when all turn away from a lost engine at once.
+func (r *Router) load(t *target) Work {
+	load := t.own.Plus(t.others)
+	herd := min(r.vms-1, herdMost)
+	load.Requests += herd * max(t.own.Requests-t.ownTold.Requests, 0)
+	load.Tokens += herd * max(t.own.Tokens-t.ownTold.Tokens, 0)
+	return load
+}
+
 // Own returns what this VM has under way.
 func (r *Router) Own() map[TargetID]Work {
 	own := make(map[TargetID]Work)
@@ -288,11 +309,11 @@
 }
 
 const (
-	// returnSoon and returnSpread say when a refused caller comes back: a fast
-	// path ends some 20 requests in this time, and the spread keeps callers from
-	// returning together.
-	returnSoon   = 200 * time.Millisecond
-	returnSpread = 600 * time.Millisecond
+	// returnSoon and returnSpread say when a refused caller comes back. Room is
+	// short for as long as an engine that died is away, some 3 to 7 s in the users'
+	// record, and most callers come back only once.
+	returnSoon   = 800 * time.Millisecond
+	returnSpread = 2700 * time.Millisecond
 )
 
 func (r *Router) soon(now time.Time) time.Time {
@@ -314,6 +335,23 @@
 	failureWeight = 0.15
 )
 
+const (
+	// fullFirst is how long a target that refused a request gets no other; each
+	// further refusal in a row doubles it up to fullMost. A place falls free every
+	// few hundredths of a second.
+	fullFirst = 100 * time.Millisecond
+	fullMost  = 800 * time.Millisecond
+)
+
+// Refused notes that a target did not take a request: it is full, or its layers
+// have changed. What it runs goes on, so that it is not suspect.
+func (r *Router) Refused(id TargetID, now time.Time) {
+	if t, ok := r.targets[id]; ok {
+		t.fullness++
+		t.fullUntil = now.Add(min(fullFirst<<min(t.fullness-1, 4), fullMost))
+	}
+}
+
 // Failed notes that a target did not do its part. Certain failures, such as a
 // refused connection, make it suspect at once.
 func (r *Router) Failed(id TargetID, certain bool, now time.Time) {
@@ -336,6 +374,8 @@
 		t.failures -= failureWeight * t.failures
 		t.trouble = 0
 		t.suspectUntil = time.Time{}
+		t.fullness = 0
+		t.fullUntil = time.Time{}
 	}
 }
 
@@ -350,7 +390,7 @@
 func (r *Router) usable(service string, a Ask, now time.Time, suspects bool) []*target {
 	var usable []*target
 	for _, t := range r.members[service] {
-		if !t.Takes() || slices.Contains(a.Avoid, t.ID) {
+		if !t.Takes() || now.Before(t.fullUntil) || slices.Contains(a.Avoid, t.ID) {
 			continue
 		}
 		if !suspects && (t.silent || now.Before(t.suspectUntil)) {
@@ -390,7 +430,7 @@
 			if t.own.Requests >= r.connLimit(s) {
 				continue
 			}
-			busy := float64(t.own.Requests+t.others.Requests) + failurePenalty*t.failures + r.rand.Float64()*crossHall
+			busy := float64(r.load(t).Requests) + failurePenalty*t.failures + r.rand.Float64()*crossHall
 			if t.Hall != r.settings.Hall {
 				busy += crossHall
 			}
