relay: a hall gets lost layers back from an engine that others stand in for

Room was kept for (hint + most)/2 = 300 tokens an answer, where 172 is usual. Change: the planner moves a redundant engine of the hall into the gap, one move a hall at a time; room is kept for prompt + 0.7 of the expected answer.

--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -131,13 +131,15 @@
 			continue
 		}
 		order, ordered := p.orders[t.ID]
-		if ordered && (t.Layers.Len() > 0 || !n.now.Before(order.until)) {
+		if ordered && (t.Layers == order.layers || !n.now.Before(order.until)) {
 			delete(p.orders, t.ID)
 			ordered = false
 		}
-		if ordered && t.Layers.Len() == 0 {
+		if ordered {
 			t.Layers = order.layers
+			t.Loading = true
 		}
+		t.Load = n.leading.fleet.work[t.ID].Tokens
 		holding = holding || t.Layers.Len() > 0
 		engines = append(engines, t)
 	}
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -211,7 +211,7 @@
 	defer g.mu.Unlock()
 	path, refusal := g.router.Choose(relay.Ask{
 		Route: f.route, Service: f.service, Avoid: f.avoid,
-		Prompt: f.call.Prompt, Answer: expectedAnswer(f.call),
+		Prompt: f.call.Prompt, Most: f.call.Answer, Hint: f.call.Hint,
 	}, now)
 	if refusal == nil && f.tries == 0 {
 		g.router.Count(path.Service, now)
@@ -219,15 +219,6 @@
 	return path, refusal
 }
 
-// expectedAnswer is the tokens that room is kept for: the caller's estimate is
-// right in the middle and often well off, but never over the most it asked for.
-func expectedAnswer(c *Call) int {
-	if c.Hint > 0 && c.Hint < c.Answer {
-		return (c.Hint + c.Answer) / 2
-	}
-	return c.Answer
-}
-
 func (g *Gateway) release(p relay.Path) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -73,7 +73,7 @@
 	if !reached[e.Layers].ok {
 		return Path{}, false
 	}
-	return Path{Service: s.Name, Stages: stagesTo(reached, e.Layers), tokens: a.Prompt + a.Answer}, true
+	return Path{Service: s.Name, Stages: stagesTo(reached, e.Layers), tokens: a.held()}, true
 }
 
 // extend tries a target as the next stage after the best way to its first layer.
@@ -91,13 +91,13 @@
 	cost := before.cost + r.stageCost(e, kind, a, t)
 	next := reach{last: t, first: before.first, from: layers.First, ok: true}
 	if before.last != nil {
-		cost += time.Duration(a.Answer+1)*e.delay(before.last.Hall, t.Hall) + e.pipeCost(before.last, t, a)
+		cost += time.Duration(a.answer+1)*e.delay(before.last.Hall, t.Hall) + e.pipeCost(before.last, t, a)
 	} else {
 		next.first = t
 		cost += e.delay(r.settings.Hall, t.Hall)
 	}
 	if layers.Last == e.Layers {
-		cost += time.Duration(a.Answer) * e.delay(t.Hall, next.first.Hall)
+		cost += time.Duration(a.answer) * e.delay(t.Hall, next.first.Hall)
 	}
 	if t.silent || now.Before(t.suspectUntil) {
 		cost *= suspectCost
@@ -113,7 +113,7 @@
 func (r *Router) hasRoom(s *Service, kind Accelerator, a Ask, t *target, first bool) bool {
 	e := s.Engine
 	load := r.load(t)
-	if float64(load.Tokens+a.Prompt+a.Answer) > memoryUse*float64(e.tokens(kind, t.Layers.Len())) {
+	if float64(load.Tokens+a.held()) > memoryUse*float64(e.tokens(kind, t.Layers.Len())) {
 		return false
 	}
 	return !first || load.Requests < e.Slots && t.own.Requests < r.connLimit(s)
@@ -126,7 +126,7 @@
 	step := float64(e.StepBase) + float64(e.StepPerRequest)*float64(load.Requests+1) +
 		float64(e.StepPerKilotoken)*float64(load.Tokens+a.Prompt)/1000
 	read := float64(time.Second) * float64(a.Prompt) / max(e.ReadPerSecond, 1) * kind.Read
-	cost := share * (read + float64(a.Answer)*step*kind.Pace)
+	cost := share * (read + float64(a.answer)*step*kind.Pace)
 	cost *= 1 + t.failures*failurePenalty + pathNoise*r.rand.Float64()
 	return time.Duration(cost)
 }
@@ -136,7 +136,7 @@
 	if from.Hall == to.Hall || e.PipeBits <= 0 {
 		return 0
 	}
-	bits := float64(a.Prompt+a.Answer) * e.HandOnBytes * 8
+	bits := float64(a.Prompt+a.answer) * e.HandOnBytes * 8
 	return time.Duration(pipeCaution * bits / e.PipeBits * float64(time.Second))
 }
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -33,8 +33,12 @@
 // between two ends that exist already. What works is not moved: every load takes
 // an engine away for seconds.
 //
-// Invariants: a range never has more layers than fit the engine's memory; ranges
-// that are held are never changed.
+// A hall that has lost layers, and could hold the model, gets them back from an
+// engine of its own that others can stand in for: the least busy one.
+//
+// Invariants: a range never has more layers than fit the engine's memory; a range
+// that is held is only changed when every layer of it is held in its hall by
+// another.
 //
 // Limits: the pipes are kept free as far as halls hold the model, and not
 // otherwise weighed.
@@ -63,6 +67,8 @@
 	kind   Accelerator
 	// comfort is how many layers leave room for plannedRequests.
 	comfort int
+	// fresh says that it has just been given its layers.
+	fresh bool
 }
 
 // Plan returns what the engines without layers should hold. Targets are those
@@ -84,7 +90,24 @@
 	if len(holding) == 0 {
 		return e.planAnew(empty)
 	}
-	return e.planMore(empty, holding)
+	more := e.planMore(empty, holding)
+	return append(more, e.repair(assumed(holding, empty, more))...)
+}
+
+// assumed returns the engines that hold layers once the assignments are carried
+// out.
+func assumed(holding, empty []unit, more []Assignment) []unit {
+	all := slices.Clone(holding)
+	for _, u := range empty {
+		for _, a := range more {
+			if a.Target == u.target.ID {
+				u.target.Layers = a.Layers
+				u.fresh = true
+				all = append(all, u)
+			}
+		}
+	}
+	return all
 }
 
 // comfort returns how many layers leave room for plannedRequests.
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -29,6 +29,9 @@
 	// order.
 	Layers  config.Range `cbor:"layers"`
 	Loading bool         `cbor:"loading,omitempty"`
+	// Load is what all VMs have under way at it, in tokens, where a planner needs
+	// it; targets do not say it themselves.
+	Load int `cbor:"-"`
 }
 
 // Takes reports whether the target may be given new work.
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -73,12 +73,41 @@
 	Route *Route
 	// Service is set where the request has been at one of its targets before.
 	Service string
-	// Prompt and Answer are the tokens of a stream, the answer's as expected.
-	Prompt, Answer int
+	// Prompt is the tokens of a stream's prompt, Most the bound on its answer's, and
+	// Hint the caller's estimate of them; 0 where it says nothing.
+	Prompt, Most, Hint int
 	// Avoid lists targets that have failed this request.
 	Avoid []TargetID
+	// answer is the expected length of the answer, in tokens.
+	answer int
 }
 
+const (
+	// hintWeight is the part of the caller's estimate in what is expected; the
+	// rest is the usual answer. The estimate is right in the middle and often well
+	// off, so that large ones are mostly too large.
+	hintWeight = 0.6
+	// heldShare is the part of an answer that is in memory on average, with some
+	// room: it grows from nothing to its whole length.
+	heldShare = 0.7
+)
+
+// expect returns the ask with the length of answer that is expected.
+func (a Ask) expect(e *Engine) Ask {
+	answer := e.UsualAnswer
+	if a.Hint > 0 {
+		answer = int(hintWeight*float64(a.Hint) + (1-hintWeight)*float64(e.UsualAnswer))
+	}
+	if a.Most > 0 {
+		answer = min(answer, a.Most)
+	}
+	a.answer = max(answer, 1)
+	return a
+}
+
+// held returns the tokens of memory that the request takes, on average.
+func (a Ask) held() int { return a.Prompt + int(heldShare*float64(a.answer)) }
+
 // target is what a Router knows of one target.
 type target struct {
 	Target
@@ -264,7 +293,7 @@
 	}
 	var path Path
 	if service.Engine != nil && service.Engine.Layers > 0 {
-		path, ok = r.choosePath(service, a, now)
+		path, ok = r.choosePath(service, a.expect(service.Engine), now)
 	} else {
 		path, ok = r.chooseTarget(service, a, now)
 	}
