relay: standby engines are kept free of requests

Change: an engine whose place another has counts twice, so that it is used only when that one is full.

--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
 )
 
 // This file picks the path of one request over model engines.
@@ -36,6 +38,10 @@
 	// halls. On a quiet day of the users, 0 of 719 requests that stayed in their
 	// hall had a late pause, and 283 of 1,010 that did not: pipes fill at once.
 	pipeCaution = 30
+	// standbyCost multiplies the cost of an engine whose place another has: it
+	// gets requests only when that one is full, so that it can be moved at once
+	// to where layers are lost. An engine with requests took 12 s to be free.
+	standbyCost = 2
 	// suspectCost multiplies the cost of engines under suspicion, which are used
 	// only where no path goes without them.
 	suspectCost = 4
@@ -67,8 +73,12 @@
 	})
 	reached := make([]reach, e.Layers+1)
 	reached[0].ok = true
+	first := make(map[place]bool)
 	for _, t := range engines {
-		r.extend(s, a, t, reached, now)
+		at := place{hall: t.Hall, layers: t.Layers}
+		if r.extend(s, a, t, first[at], reached, now) {
+			first[at] = true
+		}
 	}
 	if !reached[e.Layers].ok {
 		return Path{}, false
@@ -76,19 +86,31 @@
 	return Path{Service: s.Name, Stages: stagesTo(reached, e.Layers), tokens: a.held()}, true
 }
 
-// extend tries a target as the next stage after the best way to its first layer.
-func (r *Router) extend(s *Service, a Ask, t *target, reached []reach, now time.Time) {
+// place is a range of layers in a hall.
+type place struct {
+	hall   string
+	layers config.Range
+}
+
+// extend tries a target as the next stage after the best way to its first layer,
+// and reports whether it could be. A standby is a target whose place another one
+// with room has.
+func (r *Router) extend(s *Service, a Ask, t *target, standby bool, reached []reach, now time.Time) bool {
 	e := s.Engine
 	layers := t.Layers
 	if layers.Len() <= 0 || layers.Last > e.Layers || !reached[layers.First].ok {
-		return
+		return false
 	}
 	kind, ok := e.accelerator(t.Accelerator)
 	if !ok || !r.hasRoom(s, kind, a, t, layers.First == 0) {
-		return
+		return false
 	}
 	before := reached[layers.First]
-	cost := before.cost + r.stageCost(e, kind, a, t)
+	stage := r.stageCost(e, kind, a, t)
+	if standby {
+		stage *= standbyCost
+	}
+	cost := before.cost + stage
 	next := reach{last: t, first: before.first, from: layers.First, ok: true}
 	if before.last != nil {
 		cost += time.Duration(a.answer+1)*e.delay(before.last.Hall, t.Hall) + e.pipeCost(before.last, t, a)
@@ -106,6 +128,7 @@
 	if present := &reached[layers.Last]; !present.ok || cost < present.cost {
 		*present = next
 	}
+	return true
 }
 
 // hasRoom reports whether a target has memory, and as the first stage a slot and
