daemon, platform: callers learn of lost VMs sooner; a starting VM holds calls for its lease

Half of the VMs finding a target dead is told to all; a VM's share of paths that change halls is bounded by half of the pipes.

--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -128,6 +128,8 @@
 	Reports    []TargetReport `cbor:"reports,omitempty"`
 	// Work is what the entry VM has under way at registered targets.
 	Work map[relay.TargetID]relay.Work `cbor:"work,omitempty"`
+	// Dead are the targets that have failed it and done nothing since.
+	Dead []relay.TargetID `cbor:"dead,omitempty"`
 }
 
 // EntryView is what callers are told of one entry VM.
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -123,7 +123,7 @@
 func (n *Node) enginesOf(service string) (engines []relay.Target, holding bool) {
 	p := &n.leading.placing
 	silent := make(map[relay.TargetID]bool)
-	for _, id := range n.registry.targets.Silent(n.now.Add(-silentAfter)) {
+	for _, id := range n.leading.fleetNow(n).silent {
 		silent[id] = true
 	}
 	for _, t := range n.registry.targets.All() {
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -40,8 +40,12 @@
 	Taken bool
 }
 
-// WorkCounted is what this VM has under way at targets.
-type WorkCounted struct{ Work map[relay.TargetID]relay.Work }
+// WorkCounted is what this VM has under way at targets, and which of them have
+// failed it.
+type WorkCounted struct {
+	Work map[relay.TargetID]relay.Work
+	Dead []relay.TargetID
+}
 
 // SeedsRead are the control VMs that the settings name now.
 type SeedsRead struct{ VMs []VMName }
@@ -284,9 +288,11 @@
 // fleet is the sum over all entry VMs. It is made anew seldom, for each of
 // hundreds of leases a second carries it.
 type fleet struct {
-	at     time.Time
-	vms    int
-	work   map[relay.TargetID]relay.Work
+	at   time.Time
+	vms  int
+	work map[relay.TargetID]relay.Work
+	// silent are the targets that say nothing of late, or that half of the entry
+	// VMs find dead. Fewer may be cut off from them themselves.
 	silent []relay.TargetID
 }
 
@@ -298,6 +304,7 @@
 		return l.fleet
 	}
 	l.fleet = fleet{at: n.now, work: make(map[relay.TargetID]relay.Work)}
+	dead := make(map[relay.TargetID]int)
 	for _, lease := range l.leases {
 		if !n.now.Before(lease.until) {
 			continue
@@ -306,8 +313,17 @@
 		for id, w := range lease.renew.Work {
 			l.fleet.work[id] = l.fleet.work[id].Plus(w)
 		}
+		for _, id := range lease.renew.Dead {
+			dead[id]++
+		}
 	}
 	l.fleet.silent = n.registry.targets.Silent(n.now.Add(-silentAfter))
+	for id, vms := range dead {
+		if 2*vms >= l.fleet.vms && !slices.Contains(l.fleet.silent, id) {
+			l.fleet.silent = append(l.fleet.silent, id)
+		}
+	}
+	slices.Sort(l.fleet.silent)
 	return l.fleet
 }
 
--- a/internal/core/timing.go
+++ b/internal/core/timing.go
@@ -59,8 +59,8 @@
 }
 
 // listedRenewals is the number of renewals that an entry VM may miss before
-// callers are no longer sent to it: one lost message costs two.
-const listedRenewals = 4
+// callers are no longer sent to it: one lost message costs one.
+const listedRenewals = 3
 
 // listedFor is how long after its last renewal callers are sent to an entry VM.
 func (t Timing) listedFor() time.Duration { return min(listedRenewals*t.RenewEvery, t.LeaseTerm) }
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -110,6 +110,7 @@
 
 // Serve takes a call to its final answer.
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
+	g.awaitLease(ctx)
 	route, org, refusal := g.admit(call)
 	if refusal != nil {
 		g.refuse(w, call, refusal, nil)
@@ -134,6 +135,25 @@
 	f.run(ctx)
 }
 
+// startTime is how long a process may take until it has its first lease: an
+// election and one renewal.
+const startTime = 1500 * time.Millisecond
+
+// awaitLease holds a call of a process that has just started until it knows what
+// to do with it. After a loss of power all callers come back at once, most for the
+// last time, before the control VMs have a leader.
+func (g *Gateway) awaitLease(ctx context.Context) {
+	left := time.Until(g.started.Add(startTime))
+	if left <= 0 {
+		return
+	}
+	select {
+	case <-g.leased:
+	case <-time.After(left):
+	case <-ctx.Done():
+	}
+}
+
 func (g *Gateway) admit(call *Call) (*relay.Route, *relay.Organisation, *relay.Refusal) {
 	now := time.Now()
 	g.mu.Lock()
@@ -145,8 +165,12 @@
 }
 
 // comeBackElsewhere is when a caller that met a VM without a lease tries again:
-// it opens a new connection then, most likely to another VM.
-const comeBackElsewhere = 50 * time.Millisecond
+// it opens a new connection then, most likely to another VM. Where all of them
+// have none, an election ends within twice this time.
+const comeBackElsewhere = 500 * time.Millisecond
+
+// comeBackAtOnce is when a caller whose request no target took tries again.
+const comeBackAtOnce = 50 * time.Millisecond
 
 // run tries targets until the caller has its final answer.
 func (f *forwarding) run(ctx context.Context) {
@@ -211,7 +235,7 @@
 	defer g.mu.Unlock()
 	path, refusal := g.router.Choose(relay.Ask{
 		Route: f.route, Service: f.service, Avoid: f.avoid,
-		Prompt: f.call.Prompt, Most: f.call.Answer, Hint: f.call.Hint,
+		Prompt: f.call.Prompt, Most: f.call.Answer, Hint: f.call.Hint, Begun: f.begun,
 	}, now)
 	if refusal == nil && f.tries == 0 {
 		g.router.Count(path.Service, now)
@@ -247,7 +271,7 @@
 // mayRepeat returns why the request may not go to another target, or nil.
 func (f *forwarding) mayRepeat(r result) *relay.Refusal {
 	now := time.Now()
-	soon := now.Add(comeBackElsewhere)
+	soon := now.Add(comeBackAtOnce)
 	if r == resultBroken {
 		f.runs++
 		if f.route.Repeat == relay.RepeatNever {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -108,8 +108,12 @@
 
 	mu     sync.Mutex
 	router *relay.Router
-	// leaseUntil is when this VM's right to act by its document ends.
+	// leaseUntil is when this VM's right to act by its document ends. leased is
+	// closed when the first lease has come.
 	leaseUntil time.Time
+	leased     chan struct{}
+	firstLease sync.Once
+	started    time.Time
 
 	front    *http.Server
 	stopping atomic.Bool
@@ -120,7 +124,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, router: relay.NewRouter(p.Router)}
+	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, router: relay.NewRouter(p.Router), leased: make(chan struct{}), started: time.Now()}
 	g.exchanger = target.NewExchanger(meter.dialled)
 	g.probes.engines = p.Engines
 	g.probes.known = make(map[string]*probe)
@@ -285,7 +289,11 @@
 	g.router.TakeVMs(e.VMs)
 	g.router.TakeOthers(e.Others)
 	g.router.TakeSilent(e.Silent)
+	first := g.router.Document() != nil
 	g.mu.Unlock()
+	if first {
+		g.firstLease.Do(func() { close(g.leased) })
+	}
 	if regained {
 		g.log.Info("lease held", "until_in", time.Until(e.LeaseUntil).String(), "entry_vms", e.VMs)
 	}
@@ -314,9 +322,9 @@
 		case now := <-ticker.C:
 			g.exchanger.Sweep(now)
 			g.mu.Lock()
-			own := g.router.Own()
+			counted := core.WorkCounted{Work: g.router.Own(), Dead: g.router.Dead(now)}
 			g.mu.Unlock()
-			g.daemon.post(core.WorkCounted{Work: own})
+			g.daemon.post(counted)
 		case <-g.daemon.tomb.Dying():
 			return nil
 		}
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -83,7 +83,33 @@
 	if !reached[e.Layers].ok {
 		return Path{}, false
 	}
-	return Path{Service: s.Name, Stages: stagesTo(reached, e.Layers), tokens: a.held()}, true
+	stages, changes := stagesTo(reached, e.Layers)
+	if changes > 0 && !a.Begun && r.changing+changes > r.changesMost(e) {
+		return Path{}, false
+	}
+	return Path{Service: s.Name, Stages: stages, tokens: a.held(), changes: changes}, true
+}
+
+const (
+	// pipeUse is the part of the pipes that new requests may fill: in a full one
+	// each event of a stream waits behind the prompts of others.
+	pipeUse = 0.5
+	// usualTime is how long a request is under way on a path that changes halls,
+	// as measured on the users' days.
+	usualTime = 3 * time.Second
+	// pipesAtLeast is the number of pipes between the halls of a deployment of
+	// three halls, the smallest that has more than one.
+	pipesAtLeast = 3
+)
+
+// changesMost is this VM's part of the changes of halls that the pipes bear.
+func (r *Router) changesMost(e *Engine) int {
+	if e.PipeBits <= 0 {
+		return r.changing + len(r.targets)
+	}
+	bits := float64(e.UsualPrompt+e.UsualAnswer) * e.HandOnBytes * 8
+	most := pipesAtLeast * pipeUse * e.PipeBits / bits * usualTime.Seconds()
+	return max(int(most/float64(r.vms)), 1)
 }
 
 // place is a range of layers in a hall.
@@ -163,14 +189,19 @@
 	return time.Duration(pipeCaution * bits / e.PipeBits * float64(time.Second))
 }
 
-// stagesTo follows the best way to a position back to its beginning.
-func stagesTo(reached []reach, at int) []Stage {
-	var stages []Stage
+// stagesTo follows the best way to a position back to its beginning, and counts
+// the changes of halls on it.
+func stagesTo(reached []reach, at int) (stages []Stage, changes int) {
+	after := ""
 	for at > 0 {
 		t := reached[at].last
+		if after != "" && after != t.Hall {
+			changes++
+		}
+		after = t.Hall
 		stages = append(stages, Stage{Target: t.ID, Address: t.Address, Layers: t.Layers})
 		at = reached[at].from
 	}
 	slices.Reverse(stages)
-	return stages
+	return stages, changes
 }
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -40,6 +40,8 @@
 	Service string
 	Stages  []Stage
 	tokens  int
+	// changes counts the changes of halls.
+	changes int
 }
 
 // First returns the stage that gets the request.
@@ -78,6 +80,8 @@
 	Prompt, Most, Hint int
 	// Avoid lists targets that have failed this request.
 	Avoid []TargetID
+	// Begun says that the caller has a part of the answer already.
+	Begun bool
 	// answer is the expected length of the answer, in tokens.
 	answer int
 }
@@ -139,6 +143,8 @@
 	members  map[string][]*target
 	budgets  map[string]*budget
 	vms      int
+	// changing counts the changes of halls on the paths under way.
+	changing int
 }
 
 // NewRouter returns a Router without a document.
@@ -308,6 +314,7 @@
 func (r *Router) Release(p Path) { r.count(p, -1) }
 
 func (r *Router) count(p Path, sign int) {
+	r.changing += sign * p.changes
 	for _, s := range p.Stages {
 		t, ok := r.targets[s.Target]
 		if !ok {
@@ -414,6 +421,19 @@
 	return ok && (t.silent || now.Before(t.suspectUntil))
 }
 
+// Dead returns the targets that have certainly failed this VM, and have done
+// nothing since.
+func (r *Router) Dead(now time.Time) []TargetID {
+	var dead []TargetID
+	for id, t := range r.targets {
+		if t.trouble > 0 && now.Before(t.suspectUntil) {
+			dead = append(dead, id)
+		}
+	}
+	slices.Sort(dead)
+	return dead
+}
+
 // usable returns the members of a service that a request may go to, those under
 // suspicion only where they are asked for.
 func (r *Router) usable(service string, a Ask, now time.Time, suspects bool) []*target {
