relay: fast engines take what they hold with comfort; standbys by what a hall needs

Change: cuts after the comfort of the fast engines; an engine is a standby only when its hall has more of each of its layers than chains; two requests more are chance.

--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/spoolbank/spoolbank/internal/core/config"
 )
 
 // This file picks the path of one request over model engines.
@@ -38,9 +36,9 @@
 	// halls. On a quiet day of the users, 0 of 719 requests that stayed in their
 	// hall had a late pause, and 283 of 1,010 that did not: pipes fill at once.
 	pipeCaution = 30
-	// standbyCost multiplies the cost of an engine whose place another has: it
-	// gets requests only when that one is full, so that it can be moved at once
-	// to where layers are lost. An engine with requests took 12 s to be free.
+	// standbyCost multiplies the cost of a standby: it gets requests only when
+	// others are full, so that it can be moved at once to where layers are lost. An
+	// engine with requests took 12 s to be free.
 	standbyCost = 2
 	// suspectCost multiplies the cost of engines under suspicion, which are used
 	// only where no path goes without them.
@@ -73,12 +71,9 @@
 	})
 	reached := make([]reach, e.Layers+1)
 	reached[0].ok = true
-	first := make(map[place]bool)
+	r.findStandbys(s)
 	for _, t := range engines {
-		at := place{hall: t.Hall, layers: t.Layers}
-		if r.extend(s, a, t, first[at], reached, now) {
-			first[at] = true
-		}
+		r.extend(s, a, t, reached, now)
 	}
 	if !reached[e.Layers].ok {
 		return Path{}, false
@@ -112,28 +107,20 @@
 	return max(int(most/float64(r.vms)), 1)
 }
 
-// place is a range of layers in a hall.
-type place struct {
-	hall   string
-	layers config.Range
-}
-
-// extend tries a target as the next stage after the best way to its first layer,
-// and reports whether it could be. A standby is a target whose place another one
-// with room has.
-func (r *Router) extend(s *Service, a Ask, t *target, standby bool, reached []reach, now time.Time) bool {
+// extend tries a target as the next stage after the best way to its first layer.
+func (r *Router) extend(s *Service, a Ask, t *target, reached []reach, now time.Time) {
 	e := s.Engine
 	layers := t.Layers
 	if layers.Len() <= 0 || layers.Last > e.Layers || !reached[layers.First].ok {
-		return false
+		return
 	}
 	kind, ok := e.accelerator(t.Accelerator)
 	if !ok || !r.hasRoom(s, kind, a, t, layers.First == 0) {
-		return false
+		return
 	}
 	before := reached[layers.First]
 	stage := r.stageCost(e, kind, a, t)
-	if standby {
+	if t.standby {
 		stage *= standbyCost
 	}
 	cost := before.cost + stage
@@ -154,7 +141,6 @@
 	if present := &reached[layers.Last]; !present.ok || cost < present.cost {
 		*present = next
 	}
-	return true
 }
 
 // hasRoom reports whether a target has memory, and as the first stage a slot and
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -19,10 +19,10 @@
 // path for a request may be put together from any engines whose ranges join, and
 // any engine may die.
 //
-// Algorithm: a hall that can hold the model by itself does. The fastest kinds of
-// the strongest hall that can hold the model make a chain, each engine with as
-// many layers as leave all engines of the chain room for about the same number of
-// requests. The ends of their ranges are the cuts, for all halls. In each hall the
+// Algorithm: a hall that can hold the model by itself does. The fast engines of
+// the fastest such hall take as many layers as leave them room for plannedRequests,
+// one after the other, and all slower ones together the rest. The ends of these
+// segments are the cuts, for all halls. In each hall the
 // engines then cover the segments between two cuts, in order, in groups
 // of the fewest engines that waste the least, once and again while engines are
 // left. Since all groups end at cuts, the loss of an engine is made up by a group
@@ -132,8 +132,7 @@
 	if len(halls) == 0 {
 		return e.planAsOne(units)
 	}
-	chains, _ := e.chains(halls[0])
-	segments := segmentsOf(mergeSlow(chains[0], e.split(chains[0])))
+	segments := segmentsOf(e.cutsAfter(halls[0]))
 	var out []Assignment
 	for _, h := range halls {
 		assigned, left := e.cover(h, segments)
@@ -325,19 +324,26 @@
 	return out
 }
 
-// mergeSlow takes the engines of a chain that are much slower than its fastest
-// one together: each hall covers their layers with whatever it has most of.
-func mergeSlow(chain []unit, sizes []int) []int {
-	var merged []int
-	slow := 0
-	for i, u := range chain {
-		if u.kind.Pace > fastSpread*chain[0].kind.Pace {
-			slow += sizes[i]
-		} else {
-			merged = append(merged, sizes[i])
-		}
+// cutsAfter returns the sizes of the segments that a hall's engines suggest: one
+// for each fast engine, as many layers as it holds with comfort, and one for all
+// layers that are left to slower ones. Where the fast engines can hold the model,
+// they split it.
+func (e *Engine) cutsAfter(hall []unit) []int {
+	fast := 0
+	total := 0
+	for fast < len(hall) && hall[fast].kind.Pace <= fastSpread*hall[0].kind.Pace {
+		total += hall[fast].comfort
+		fast++
+	}
+	if total >= e.Layers {
+		chains, _ := e.chains(hall[:fast])
+		return e.split(chains[0])
+	}
+	var sizes []int
+	for _, u := range hall[:fast] {
+		sizes = append(sizes, u.comfort)
 	}
-	return append(merged, slow)
+	return append(sizes, e.Layers-total)
 }
 
 func segmentsOf(sizes []int) []config.Range {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -126,6 +126,8 @@
 	ownTold Work
 	// silent says that the target has told no VM of late that it lives.
 	silent bool
+	// standby says that its hall does not need it at present.
+	standby bool
 	// failures is a moving mean of recent results: 0 all well, 1 all failed.
 	failures float64
 }
@@ -143,6 +145,8 @@
 	members  map[string][]*target
 	budgets  map[string]*budget
 	vms      int
+	// moved says that what targets hold may have changed since standbys were found.
+	moved bool
 	// changing counts the changes of halls on the paths under way.
 	changing int
 }
@@ -165,6 +169,7 @@
 		return
 	}
 	r.document = d
+	r.moved = true
 	r.table = newRouteTable(d)
 	r.keys = make(map[string]*Organisation)
 	for i := range d.Organisations {
@@ -186,6 +191,7 @@
 
 // TakeTargets takes what targets have newly said.
 func (r *Router) TakeTargets(targets []Target) {
+	r.moved = true
 	for _, t := range targets {
 		known, ok := r.targets[t.ID]
 		if !ok {
@@ -209,7 +215,9 @@
 // TakeSilent takes the targets that tell nobody that they live.
 func (r *Router) TakeSilent(ids []TargetID) {
 	for _, t := range r.targets {
-		t.silent = slices.Contains(ids, t.ID)
+		silent := slices.Contains(ids, t.ID)
+		r.moved = r.moved || silent != t.silent
+		t.silent = silent
 	}
 }
 
@@ -221,19 +229,28 @@
 	}
 }
 
-// herdMost bounds how many other VMs are taken to have done as this one did since
-// the last word on them: with more, one request of this VM's own would weigh too
-// much.
-const herdMost = 10
+const (
+	// herdMost bounds how many other VMs are taken to have done as this one did
+	// since the last word on them: with more, one request of this VM's own would
+	// weigh too much.
+	herdMost = 10
+	// herdUsual is how many requests more than before are chance: a VM of the users'
+	// begins and ends about two between two words.
+	herdUsual = 2
+)
 
 // load is what is under way at a target, as far as is known or likely. The word
 // on the other VMs is up to half a second old; since then they have most likely
 // done what this VM did, above all when all turn away from a lost engine at once.
 func (r *Router) load(t *target) Work {
 	load := t.own.Plus(t.others)
+	more := t.own.Requests - t.ownTold.Requests - herdUsual
+	if more <= 0 {
+		return load
+	}
 	herd := min(r.vms-1, herdMost)
-	load.Requests += herd * max(t.own.Requests-t.ownTold.Requests, 0)
-	load.Tokens += herd * max(t.own.Tokens-t.ownTold.Tokens, 0)
+	load.Requests += herd * more
+	load.Tokens += herd * more * t.own.Tokens / t.own.Requests
 	return load
 }
 
