relay: the hall of a request is drawn, and the wait behind prompts weighs

Ruled out: too little capacity (no refusal), a saturated reading rate (66 %). Change: each hall's best path is drawn with a probability that falls with the square of its cost; paths that change halls only where no hall has one; prompts that are not read yet and crowded engines weigh.

--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -280,8 +280,7 @@
 	g.Silent = f.silent
 	g.Others = make(map[relay.TargetID]relay.Work, len(f.work))
 	for id, w := range f.work {
-		own := to.renew.Work[id]
-		g.Others[id] = relay.Work{Requests: max(w.Requests-own.Requests, 0), Tokens: max(w.Tokens-own.Tokens, 0)}
+		g.Others[id] = w.Minus(to.renew.Work[id])
 	}
 }
 
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -87,6 +87,8 @@
 	// begun says that the caller has got the head of an answer.
 	begun   bool
 	beganAt time.Time
+	// read says that the prompt has been read on the present path.
+	read bool
 	// events counts what the caller got, and worstPause is the longest wait
 	// between two of them.
 	events     int
@@ -182,8 +184,9 @@
 		}
 		f.service = path.Service
 		f.lastPath = path
+		f.read = false
 		r := f.try(ctx, path)
-		f.g.release(path)
+		f.g.release(path, f.read)
 		f.tries++
 		if r == resultDone {
 			f.served(path)
@@ -243,10 +246,21 @@
 	return path, refusal
 }
 
-func (g *Gateway) release(p relay.Path) {
+func (g *Gateway) release(p relay.Path, begun bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.router.Release(p)
+	g.router.Release(p, begun)
+}
+
+// promptRead notes that the present path's answer has begun.
+func (f *forwarding) promptRead() {
+	if f.read {
+		return
+	}
+	f.read = true
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	f.g.router.Begun(f.lastPath)
 }
 
 func (g *Gateway) failed(id relay.TargetID, certain bool) {
@@ -472,6 +486,7 @@
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			watch.heard = time.Now()
+			f.promptRead()
 			pending = f.handOn(answer, append(pending, buffer[:n]...))
 		}
 		switch {
--- a/internal/relay/document.go
+++ b/internal/relay/document.go
@@ -95,6 +95,10 @@
 	// ReadPerSecond is the number of prompt tokens read in a second over all
 	// layers at a reading factor of 1.
 	ReadPerSecond float64
+	// Chunk bounds the prompt tokens that an engine reads in one pass, and Stride is
+	// the steps that a pass with writers plays.
+	Chunk  int
+	Stride int
 	// Load is the time to load all layers.
 	Load time.Duration
 	// LoadsAtOnce is how many loads run before they slow each other down.
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -20,8 +22,8 @@
 // lead forward, one pass over the engines sorted by first layer finds it.
 //
 // Loads are what this VM has under way, which is exact, and what the others had
-// a moment ago. A little noise on the costs keeps VMs with the same picture from
-// choosing alike.
+// a moment ago. The hall is drawn at random, so that VMs with the same picture do
+// not choose alike.
 //
 // Invariants: a path runs each layer once, in order; it holds no engine twice.
 
@@ -30,6 +32,13 @@
 	// rest is for answers that get longer than expected and for what other VMs
 	// have begun since they last told.
 	memoryUse = 0.9
+	// crowd is how much a full engine counts above an empty one. An answer is in
+	// time by its first event and its pauses, not by its end, so that slow engines
+	// serve as well as fast ones until prompts queue up in front of those.
+	crowd = 3
+	// unreadWeight is how much the wait behind prompts counts above the rest of a
+	// request's time: it is what makes a first event late, and the rest does not.
+	unreadWeight = 4
 	// pathNoise is the spread of the random part of costs.
 	pathNoise = 0.05
 	// pipeCaution multiplies the time that a request takes in a pipe between two
@@ -40,6 +49,9 @@
 	// others are full, so that it can be moved at once to where layers are lost. An
 	// engine with requests took 12 s to be free.
 	standbyCost = 2
+	// hallBias is how strongly cheap halls are preferred: with 2, one at half the
+	// cost of another gets four times as many requests.
+	hallBias = 2
 	// suspectCost multiplies the cost of engines under suspicion, which are used
 	// only where no path goes without them.
 	suspectCost = 4
@@ -55,34 +67,67 @@
 }
 
 func (r *Router) choosePath(s *Service, a Ask, now time.Time) (Path, bool) {
+	r.findStandbys(s)
 	for _, suspects := range []bool{false, true} {
 		engines := r.usable(s.Name, a, now, suspects)
-		if path, ok := r.shortest(s, a, engines, now); ok {
+		slices.SortFunc(engines, func(x, y *target) int {
+			return cmp.Or(cmp.Compare(x.Layers.First, y.Layers.First), cmp.Compare(x.ID, y.ID))
+		})
+		if path, ok := r.inOneHall(s, a, engines, now); ok {
+			return path, true
+		}
+		if path, _, ok := r.shortest(s, a, engines, now); ok {
 			return path, true
 		}
 	}
 	return Path{}, false
 }
 
-func (r *Router) shortest(s *Service, a Ask, engines []*target, now time.Time) (Path, bool) {
+// inOneHall draws among the best paths that stay in one hall: each with a
+// probability that falls with its cost. Were the best one always taken, all VMs
+// would take the same one until the next word on their loads, 0.4 s later: on the
+// users' grown fleet halls filled up in turn, for a second each.
+func (r *Router) inOneHall(s *Service, a Ask, engines []*target, now time.Time) (Path, bool) {
+	byHall := make(map[string][]*target)
+	for _, t := range engines {
+		byHall[t.Hall] = append(byHall[t.Hall], t)
+	}
+	var best Path
+	found := false
+	least := 0.0
+	for _, hall := range slices.Sorted(maps.Keys(byHall)) {
+		path, cost, ok := r.shortest(s, a, byHall[hall], now)
+		if !ok {
+			continue
+		}
+		// The least of costs that are each multiplied by a power of an
+		// exponential variate falls on one with a probability proportional to
+		// its cost to the power of -hallBias.
+		drawn := float64(cost) * math.Pow(r.rand.ExpFloat64(), 1/hallBias)
+		if !found || drawn < least {
+			best, least, found = path, drawn, true
+		}
+	}
+	return best, found
+}
+
+// shortest returns the path of the least cost over engines that are sorted by
+// their first layer.
+func (r *Router) shortest(s *Service, a Ask, engines []*target, now time.Time) (Path, time.Duration, bool) {
 	e := s.Engine
-	slices.SortFunc(engines, func(x, y *target) int {
-		return cmp.Or(cmp.Compare(x.Layers.First, y.Layers.First), cmp.Compare(x.ID, y.ID))
-	})
 	reached := make([]reach, e.Layers+1)
 	reached[0].ok = true
-	r.findStandbys(s)
 	for _, t := range engines {
 		r.extend(s, a, t, reached, now)
 	}
 	if !reached[e.Layers].ok {
-		return Path{}, false
+		return Path{}, 0, false
 	}
 	stages, changes := stagesTo(reached, e.Layers)
 	if changes > 0 && !a.Begun && r.changing+changes > r.changesMost(e) {
-		return Path{}, false
+		return Path{}, 0, false
 	}
-	return Path{Service: s.Name, Stages: stages, tokens: a.held(), changes: changes}, true
+	return Path{Service: s.Name, Stages: stages, tokens: a.held(), prompt: a.Prompt, changes: changes}, reached[e.Layers].cost, true
 }
 
 const (
@@ -162,10 +207,20 @@
 		float64(e.StepPerKilotoken)*float64(load.Tokens+a.Prompt)/1000
 	read := float64(time.Second) * float64(a.Prompt) / max(e.ReadPerSecond, 1) * kind.Read
 	cost := share * (read + float64(a.answer)*step*kind.Pace)
-	cost *= 1 + t.failures*failurePenalty + pathNoise*r.rand.Float64()
+	use := float64(load.Tokens+a.held()) / float64(max(e.tokens(kind, t.Layers.Len()), 1))
+	cost += unreadWeight * float64(load.Unread) / e.readRate(kind, load, share)
+	cost *= 1 + crowd*use*use + t.failures*failurePenalty + pathNoise*r.rand.Float64()
 	return time.Duration(cost)
 }
 
+// readRate is the prompt tokens that an engine reads in a nanosecond beside its
+// writers: at most a chunk in each pass over all of them.
+func (e *Engine) readRate(kind Accelerator, load Work, share float64) float64 {
+	step := float64(e.StepBase) + float64(e.StepPerRequest)*float64(load.Requests) + float64(e.StepPerKilotoken)*float64(load.Tokens)/1000
+	pass := share * (float64(e.Stride)*step*kind.Pace + float64(time.Second)*float64(e.Chunk)/max(e.ReadPerSecond, 1)*kind.Read)
+	return float64(max(e.Chunk, 1)) / max(pass, 1)
+}
+
 // pipeCost is what a change of halls counts for.
 func (e *Engine) pipeCost(from, to *target, a Ask) time.Duration {
 	if from.Hall == to.Hall || e.PipeBits <= 0 {
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -19,7 +19,7 @@
 	return &relay.Engine{
 		Slots: 192, Model: "m", Layers: 80, LayerBytes: 1750e6, TokenBytes: 590000,
 		StepBase: 850 * time.Microsecond, StepPerRequest: 3820, StepPerKilotoken: 5120,
-		ReadPerSecond: 196000, HandOnBytes: 29500, PipeBits: 9e9, Load: 14 * time.Second, LoadsAtOnce: 6, UsualPrompt: 772, UsualAnswer: 172,
+		ReadPerSecond: 196000, Chunk: 512, Stride: 2, HandOnBytes: 29500, PipeBits: 9e9, Load: 14 * time.Second, LoadsAtOnce: 6, UsualPrompt: 772, UsualAnswer: 172,
 		Accelerators: []relay.Accelerator{
 			{Name: "large", Bytes: 72000e6, Pace: 1.4, Read: 1},
 			{Name: "middle", Bytes: 36000e6, Pace: 3.1, Read: 3.2},
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -21,11 +21,25 @@
 // Work is what is under way at a target.
 type Work struct {
 	Requests int `cbor:"requests"`
-	Tokens   int `cbor:"tokens"`
+	// Tokens is the memory that the requests take.
+	Tokens int `cbor:"tokens"`
+	// Unread is the tokens of prompts whose answer has not begun.
+	Unread int `cbor:"unread"`
 }
 
 // Plus returns the sum.
-func (w Work) Plus(o Work) Work { return Work{w.Requests + o.Requests, w.Tokens + o.Tokens} }
+func (w Work) Plus(o Work) Work {
+	return Work{Requests: w.Requests + o.Requests, Tokens: w.Tokens + o.Tokens, Unread: w.Unread + o.Unread}
+}
+
+// Minus returns the difference, at least nothing.
+func (w Work) Minus(o Work) Work {
+	return Work{
+		Requests: max(w.Requests-o.Requests, 0),
+		Tokens:   max(w.Tokens-o.Tokens, 0),
+		Unread:   max(w.Unread-o.Unread, 0),
+	}
+}
 
 // Stage is one target of a path, with the layers that it runs. A plain service
 // has one stage and no layers.
@@ -40,6 +54,8 @@
 	Service string
 	Stages  []Stage
 	tokens  int
+	// prompt is the tokens that are to be read before the answer begins.
+	prompt int
 	// changes counts the changes of halls.
 	changes int
 }
@@ -324,11 +340,28 @@
 		return Path{}, r.noRoom(now, "no target of "+name+" has room")
 	}
 	r.count(path, 1)
+	for _, s := range path.Stages {
+		r.targets[s.Target].own.Unread += path.prompt
+	}
 	return path, nil
 }
 
-// Release gives a path back.
-func (r *Router) Release(p Path) { r.count(p, -1) }
+// Begun notes that the answer on a path has begun: its prompt has been read.
+func (r *Router) Begun(p Path) {
+	for _, s := range p.Stages {
+		if t, ok := r.targets[s.Target]; ok {
+			t.own.Unread -= p.prompt
+		}
+	}
+}
+
+// Release gives a path back. Begun says that Begun was called for it.
+func (r *Router) Release(p Path, begun bool) {
+	if !begun {
+		r.Begun(p)
+	}
+	r.count(p, -1)
+}
 
 func (r *Router) count(p Path, sign int) {
 	r.changing += sign * p.changes
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -13,6 +13,10 @@
 
 // newRouter returns a Router of hall "a" over today's engines, placed as planned.
 func newRouter(targets []relay.Target) (*relay.Router, *relay.Route) {
+	return newRouterWithSeed(targets, 1)
+}
+
+func newRouterWithSeed(targets []relay.Target, seed uint64) (*relay.Router, *relay.Route) {
 	document := &relay.Document{
 		Version:  1,
 		Services: []relay.Service{{Name: "s", MaxConns: 1000, Engine: engine()}},
@@ -21,7 +25,7 @@
 			Shares: []relay.Share{{Service: "s", Weight: 1}},
 		}},
 	}
-	r := relay.NewRouter(relay.Settings{Hall: "a", Seed: 1, Budget: relay.BudgetTerms{Share: 0.2, Fixed: 200, Window: 10 * time.Second}})
+	r := relay.NewRouter(relay.Settings{Hall: "a", Seed: seed, Budget: relay.BudgetTerms{Share: 0.2, Fixed: 200, Window: 10 * time.Second}})
 	r.TakeDocument(document)
 	r.TakeTargets(holding(targets, relay.Plan(engine(), targets)))
 	return r, &document.Routes[0]
@@ -61,6 +65,7 @@
 	r, route := newRouter(engines(today))
 	for range 150 {
 		path := choose(t, r, ask(route), start)
+		r.Begun(path)
 		requireWhole(t, path)
 		require.Len(t, hallsOf(path), 1)
 	}
@@ -83,7 +88,7 @@
 func TestReleasedPathsGiveTheirRoomBack(t *testing.T) {
 	r, route := newRouter(engines(today))
 	for range 2000 {
-		r.Release(choose(t, r, ask(route), start))
+		r.Release(choose(t, r, ask(route), start), false)
 	}
 	require.Empty(t, r.Own())
 }
@@ -99,7 +104,7 @@
 	seen := false
 	for range 200 {
 		path := choose(t, r, ask(route), later)
-		r.Release(path)
+		r.Release(path, false)
 		seen = seen || path.Passes(full)
 	}
 	require.True(t, seen)
@@ -156,3 +161,41 @@
 	require.Greater(t, granted, 20)
 	require.True(t, r.Repeat("s", start.Add(11*time.Second)))
 }
+
+// On the grown fleet all VMs took the same hall until the next word on their
+// loads: halls filled up in turn, and first events came a second late.
+func TestVMsWithTheSamePictureSpreadOverHalls(t *testing.T) {
+	used := make(map[byte]int)
+	for vm := range 60 {
+		r, route := newRouterWithSeed(engines(today), uint64(vm))
+		used[choose(t, r, ask(route), start).Stages[0].Target[0]]++
+	}
+	require.Len(t, used, 3)
+	for hall, n := range used {
+		require.Less(t, n, 45, "hall %c", hall)
+	}
+}
+
+// A prompt that waits makes the next first event late, long before memory is full.
+func TestUnreadPromptsWeighUntilTheyAreRead(t *testing.T) {
+	r, route := newRouter(engines(today))
+	paths := make([]relay.Path, 0, 40)
+	for range 40 {
+		paths = append(paths, choose(t, r, ask(route), start))
+	}
+	unread := 0
+	for _, w := range r.Own() {
+		unread += w.Unread
+	}
+	require.Positive(t, unread)
+	for _, p := range paths {
+		r.Begun(p)
+	}
+	for id, w := range r.Own() {
+		require.Zero(t, w.Unread, id)
+	}
+	for _, p := range paths {
+		r.Release(p, true)
+	}
+	require.Empty(t, r.Own())
+}
