--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -37,7 +37,7 @@
 // ObjectName implements Named.
 func (v VM) ObjectName() string { return v.Name }
 
-// Target is a back end: a model engine, or one runner of a plain service.
+// Target is a model engine, or one runner of a plain service.
 type Target struct {
 	Name    string `json:"name" cbor:"name"`
 	Address string `json:"address" cbor:"address"`
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -51,7 +51,7 @@
 	standbyCost = 2
 	// hallBias is how strongly cheap halls are preferred: with 2, one at half the
 	// cost of another gets four times as many requests.
-	hallBias = 2
+	hallBias = 2.0
 	// suspectCost multiplies the cost of engines under suspicion, which are used
 	// only where no path goes without them.
 	suspectCost = 4
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -20,7 +20,7 @@
 // watchTime bounds a look at a target.
 const watchTime = time.Second
 
-// Client speaks to back ends and to the platform.
+// Client speaks to targets and to the platform.
 type Client struct {
 	http *http.Client
 	runs *runLinks
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -1,4 +1,4 @@
-// Package target is the protocol of the back ends, as docs/TARGETS.md fixes
+// Package target is the protocol of the targets, as docs/TARGETS.md fixes
 // it: JSON over HTTP. It holds the messages and the client that a daemon uses.
 package target
 
