daemon: a starting VM holds calls until it knows targets

Change: calls of the first 2 s wait until the VM has a lease and knows targets for all services; TestARouterIsInformedOnceItKnowsTargetsForAll.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -112,7 +112,7 @@
 
 // Serve takes a call to its final answer.
 func (g *Gateway) Serve(ctx context.Context, w http.ResponseWriter, call *Call) {
-	g.awaitLease(ctx)
+	g.awaitStart(ctx)
 	route, org, refusal := g.admit(call)
 	if refusal != nil {
 		g.refuse(w, call, refusal, nil)
@@ -137,20 +137,20 @@
 	f.run(ctx)
 }
 
-// startTime is how long a process may take until it has its first lease: an
-// election and one renewal.
-const startTime = 1500 * time.Millisecond
+// startTime is how long a process may take until it knows what to do with a call:
+// an election, a renewal and one beat of the targets.
+const startTime = 2 * time.Second
 
-// awaitLease holds a call of a process that has just started until it knows what
-// to do with it. After a loss of power all callers come back at once, most for the
-// last time, before the control VMs have a leader.
-func (g *Gateway) awaitLease(ctx context.Context) {
+// awaitStart holds a call of a process that has just started until it has a lease
+// and knows targets. After a loss of power all callers come back at once, most for
+// the last time, before the control VMs have a leader and have heard the targets.
+func (g *Gateway) awaitStart(ctx context.Context) {
 	left := time.Until(g.started.Add(startTime))
 	if left <= 0 {
 		return
 	}
 	select {
-	case <-g.leased:
+	case <-g.informed:
 	case <-time.After(left):
 	case <-ctx.Done():
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -108,12 +108,13 @@
 
 	mu     sync.Mutex
 	router *relay.Router
-	// leaseUntil is when this VM's right to act by its document ends. leased is
-	// closed when the first lease has come.
+	// leaseUntil is when this VM's right to act by its document ends.
 	leaseUntil time.Time
-	leased     chan struct{}
-	firstLease sync.Once
-	started    time.Time
+	// informed is closed when this VM first has a lease and knows targets for all
+	// services.
+	informed     chan struct{}
+	informedOnce sync.Once
+	started      time.Time
 
 	front    *http.Server
 	stopping atomic.Bool
@@ -124,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, router: relay.NewRouter(p.Router), leased: make(chan struct{}), started: time.Now()}
+	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, router: relay.NewRouter(p.Router), informed: make(chan struct{}), started: time.Now()}
 	g.exchanger = target.NewExchanger(meter.dialled)
 	g.probes.engines = p.Engines
 	g.probes.known = make(map[string]*probe)
@@ -264,6 +265,7 @@
 		g.mu.Lock()
 		g.router.TakeTargets(e.Targets)
 		g.mu.Unlock()
+		g.checkInformed()
 		for _, t := range e.Targets {
 			g.log.Info("target learned", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving, "gone", t.Gone, "layers", t.Layers.String(), "call", t.Call)
 		}
@@ -289,16 +291,24 @@
 	g.router.TakeVMs(e.VMs)
 	g.router.TakeOthers(e.Others)
 	g.router.TakeSilent(e.Silent)
-	first := g.router.Document() != nil
 	g.mu.Unlock()
-	if first {
-		g.firstLease.Do(func() { close(g.leased) })
-	}
+	g.checkInformed()
 	if regained {
 		g.log.Info("lease held", "until_in", time.Until(e.LeaseUntil).String(), "entry_vms", e.VMs)
 	}
 }
 
+// checkInformed ends the wait of calls that came before this VM knew what to do
+// with them.
+func (g *Gateway) checkInformed() {
+	g.mu.Lock()
+	informed := time.Now().Before(g.leaseUntil) && g.router.Informed()
+	g.mu.Unlock()
+	if informed {
+		g.informedOnce.Do(func() { close(g.informed) })
+	}
+}
+
 func (g *Gateway) order(o core.OrderLayers) {
 	outcome := core.OrderRefused
 	if time.Now().Before(o.NotAfter) {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -270,6 +270,34 @@
 	return load
 }
 
+// Informed reports whether the Router knows a document, and for each of its
+// services targets that can serve it.
+func (r *Router) Informed() bool {
+	if r.document == nil {
+		return false
+	}
+	for _, s := range r.document.Services {
+		if !r.covered(&s) {
+			return false
+		}
+	}
+	return true
+}
+
+// covered reports whether a service has a target, or engines for each layer.
+func (r *Router) covered(s *Service) bool {
+	if s.Engine == nil || s.Engine.Layers <= 0 {
+		return slices.ContainsFunc(r.members[s.Name], func(t *target) bool { return t.Takes() })
+	}
+	counts := make([]int, s.Engine.Layers)
+	for _, t := range r.members[s.Name] {
+		if t.Takes() && t.Layers.Len() > 0 && t.Layers.Last <= s.Engine.Layers {
+			hold(counts, t.Layers)
+		}
+	}
+	return slices.Min(counts) > 0
+}
+
 // Own returns what this VM has under way.
 func (r *Router) Own() map[TargetID]Work {
 	own := make(map[TargetID]Work)
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -199,3 +199,18 @@
 	}
 	require.Empty(t, r.Own())
 }
+
+// After a loss of power a VM had its lease before it had heard of any target, and
+// refused all callers for want of room.
+func TestARouterIsInformedOnceItKnowsTargetsForAll(t *testing.T) {
+	targets := engines(today)
+	held := holding(targets, relay.Plan(engine(), targets))
+	r := relay.NewRouter(relay.Settings{Hall: "a", Budget: relay.BudgetTerms{Window: time.Second}})
+	require.False(t, r.Informed())
+	r.TakeDocument(&relay.Document{Version: 1, Services: []relay.Service{{Name: "s", Engine: engine()}, {Name: "plain"}}})
+	require.False(t, r.Informed())
+	r.TakeTargets(held)
+	require.False(t, r.Informed())
+	r.TakeTargets([]relay.Target{{ID: "p", Service: "plain", Address: "x"}})
+	require.True(t, r.Informed())
+}
