relay, core: engines that move and silent ones get nothing

Change: the leader tells all VMs which engines have orders under way; these and silent ones are not used at all, rather than last.

--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -163,7 +163,9 @@
 	// that tell no VM that they live. VMs counts the entry VMs.
 	Others map[relay.TargetID]relay.Work `cbor:"others,omitempty"`
 	Silent []relay.TargetID              `cbor:"silent,omitempty"`
-	VMs    int                           `cbor:"vms,omitempty"`
+	// Moving are the engines that were ordered to hold other layers.
+	Moving []relay.TargetID `cbor:"moving,omitempty"`
+	VMs    int              `cbor:"vms,omitempty"`
 }
 
 // Delta is one accepted change of the configuration.
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -60,8 +60,11 @@
 	VMs        int
 	// Others is what other VMs have under way at targets.
 	Others map[relay.TargetID]relay.Work
-	// Silent are the targets that tell no VM that they live.
+	// Silent are the targets that tell no VM that they live, or that half of the
+	// entry VMs find dead.
 	Silent []relay.TargetID
+	// Moving are the engines that were ordered to hold other layers.
+	Moving []relay.TargetID
 }
 
 func (TargetSpoke) isEvent() {}
@@ -278,6 +281,7 @@
 	f := n.leading.fleetNow(n)
 	g.VMs = f.vms
 	g.Silent = f.silent
+	g.Moving = f.moving
 	g.Others = make(map[relay.TargetID]relay.Work, len(f.work))
 	for id, w := range f.work {
 		g.Others[id] = w.Minus(to.renew.Work[id])
@@ -293,6 +297,8 @@
 	// silent are the targets that say nothing of late, or that half of the entry
 	// VMs find dead. Fewer may be cut off from them themselves.
 	silent []relay.TargetID
+	// moving are the engines whose orders are not seen to be carried out.
+	moving []relay.TargetID
 }
 
 // fleetEvery is the age at which the sum is made anew.
@@ -323,6 +329,7 @@
 		}
 	}
 	slices.Sort(l.fleet.silent)
+	l.fleet.moving = slices.Sorted(maps.Keys(l.placing.orders))
 	return l.fleet
 }
 
@@ -332,5 +339,5 @@
 		return
 	}
 	n.entry.controls = g.Control
-	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, Silent: g.Silent})
+	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, Silent: g.Silent, Moving: g.Moving})
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -291,6 +291,7 @@
 	g.router.TakeVMs(e.VMs)
 	g.router.TakeOthers(e.Others)
 	g.router.TakeSilent(e.Silent)
+	g.router.TakeMoving(e.Moving)
 	g.mu.Unlock()
 	g.checkInformed()
 	if regained {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -140,8 +140,10 @@
 	fullUntil    time.Time
 	// ownTold is what this VM had under way when the others' work was told.
 	ownTold Work
-	// silent says that the target has told no VM of late that it lives.
+	// silent says that the target has told no VM of late that it lives, or that
+	// half of the VMs find it dead; moving that it was ordered to hold other layers.
 	silent bool
+	moving bool
 	// standby says that its hall does not need it at present.
 	standby bool
 	// failures is a moving mean of recent results: 0 all well, 1 all failed.
@@ -237,6 +239,14 @@
 	}
 }
 
+// TakeMoving takes the engines that were ordered to hold other layers than they
+// say: they take nothing new for those that they give up.
+func (r *Router) TakeMoving(ids []TargetID) {
+	for _, t := range r.targets {
+		t.moving = slices.Contains(ids, t.ID)
+	}
+}
+
 // TakeOthers takes what other VMs have under way.
 func (r *Router) TakeOthers(work map[TargetID]Work) {
 	for id, t := range r.targets {
@@ -512,15 +522,15 @@
 	return dead
 }
 
-// usable returns the members of a service that a request may go to, those under
-// suspicion only where they are asked for.
+// usable returns the members of a service that a request may go to, those that
+// this VM alone suspects only where they are asked for.
 func (r *Router) usable(service string, a Ask, now time.Time, suspects bool) []*target {
 	var usable []*target
 	for _, t := range r.members[service] {
-		if !t.Takes() || now.Before(t.fullUntil) || slices.Contains(a.Avoid, t.ID) {
+		if !t.Takes() || t.silent || t.moving || now.Before(t.fullUntil) || slices.Contains(a.Avoid, t.ID) {
 			continue
 		}
-		if !suspects && (t.silent || now.Before(t.suspectUntil)) {
+		if !suspects && now.Before(t.suspectUntil) {
 			continue
 		}
 		usable = append(usable, t)
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -214,3 +214,20 @@
 	r.TakeTargets([]relay.Target{{ID: "p", Service: "plain", Address: "x"}})
 	require.True(t, r.Informed())
 }
+
+// An engine that gives its layers up says for many seconds that it holds them, and
+// refuses what comes for them: on a grown day 150 requests a second met two such.
+func TestMovingAndSilentEnginesGetNothing(t *testing.T) {
+	r, route := newRouter(engines(today))
+	moving := choose(t, r, ask(route), start).First().Target
+	r.TakeMoving([]relay.TargetID{moving})
+	silent := choose(t, r, ask(route), start).First().Target
+	r.TakeSilent([]relay.TargetID{silent})
+	for range 50 {
+		path := choose(t, r, ask(route), start)
+		require.False(t, path.Passes(moving))
+		require.False(t, path.Passes(silent))
+	}
+	require.False(t, r.Suspect(moving, start))
+	require.True(t, r.Suspect(silent, start))
+}
