core, relay: what VMs find dead and well is told; successors silence the dead

Change: VMs tell what they found dead or well in the last 2 s, and twice as many dead as well are believed; of two lives at one address the one that fell silent first is out after 1.5 s; a repeated word is no sign of life.

--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -128,8 +128,10 @@
 	Reports    []TargetReport `cbor:"reports,omitempty"`
 	// Work is what the entry VM has under way at registered targets.
 	Work map[relay.TargetID]relay.Work `cbor:"work,omitempty"`
-	// Dead are the targets that have failed it and done nothing since.
+	// Dead are the targets that have lately failed it and done nothing since, Well
+	// those that have done their part.
 	Dead []relay.TargetID `cbor:"dead,omitempty"`
+	Well []relay.TargetID `cbor:"well,omitempty"`
 }
 
 // EntryView is what callers are told of one entry VM.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -126,7 +126,7 @@
 		n.targetSpoke(ev)
 	case WorkCounted:
 		n.entry.work = ev.Work
-		n.entry.dead = ev.Dead
+		n.entry.dead, n.entry.well = ev.Dead, ev.Well
 	case LayersOrdered:
 		n.layersOrdered(ev)
 	case SeedsRead:
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -40,11 +40,12 @@
 	Taken bool
 }
 
-// WorkCounted is what this VM has under way at targets, and which of them have
-// failed it.
+// WorkCounted is what this VM has under way at targets, and which of them it has
+// lately found dead or well.
 type WorkCounted struct {
 	Work map[relay.TargetID]relay.Work
 	Dead []relay.TargetID
+	Well []relay.TargetID
 }
 
 // SeedsRead are the control VMs that the settings name now.
@@ -60,8 +61,8 @@
 	VMs        int
 	// Others is what other VMs have under way at targets.
 	Others map[relay.TargetID]relay.Work
-	// Silent are the targets that tell no VM that they live, or that half of the
-	// entry VMs find dead.
+	// Silent are the targets that tell no VM that they live, or that far more entry
+	// VMs find dead than well.
 	Silent []relay.TargetID
 	// Moving are the engines that were ordered to hold other layers.
 	Moving []relay.TargetID
@@ -103,6 +104,14 @@
 	// silentAfter is the silence after which a target counts as lost: two beats of
 	// 1.2 s and a half, so that one late beat does no harm.
 	silentAfter = 3 * time.Second
+	// replacedAfter is that silence where another target has its address: a beat and
+	// a quarter.
+	replacedAfter = 1500 * time.Millisecond
+	// deadAtLeast is the number of entry VMs that must find a target dead, and
+	// deadRatio how many must for each that finds it well. VMs that are cut off from
+	// targets find all of them dead, and are fewer than the others.
+	deadAtLeast = 2
+	deadRatio   = 2
 	// deafAfter is the silence of the leader after which a control VM takes no
 	// word: an election ends within it.
 	deafAfter = 1500 * time.Millisecond
@@ -294,8 +303,8 @@
 	at   time.Time
 	vms  int
 	work map[relay.TargetID]relay.Work
-	// silent are the targets that say nothing of late, or that half of the entry
-	// VMs find dead. Fewer may be cut off from them themselves.
+	// silent are the targets that say nothing of late, or that far more entry VMs
+	// find dead than well.
 	silent []relay.TargetID
 	// moving are the engines whose orders are not seen to be carried out.
 	moving []relay.TargetID
@@ -310,6 +319,7 @@
 	}
 	l.fleet = fleet{at: n.now, work: make(map[relay.TargetID]relay.Work)}
 	dead := make(map[relay.TargetID]int)
+	well := make(map[relay.TargetID]int)
 	for _, lease := range l.leases {
 		if !n.now.Before(lease.until) {
 			continue
@@ -321,10 +331,14 @@
 		for _, id := range lease.renew.Dead {
 			dead[id]++
 		}
+		for _, id := range lease.renew.Well {
+			well[id]++
+		}
 	}
-	l.fleet.silent = n.registry.targets.Silent(n.now.Add(-silentAfter))
+	l.fleet.silent = n.registry.targets.Silent(n.now.Add(-silentAfter), n.now.Add(-replacedAfter))
 	for id, vms := range dead {
-		if 2*vms >= l.fleet.vms && !slices.Contains(l.fleet.silent, id) {
+		certain := vms >= deadAtLeast && vms >= deadRatio*well[id]
+		if certain && !slices.Contains(l.fleet.silent, id) {
 			l.fleet.silent = append(l.fleet.silent, id)
 		}
 	}
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -33,8 +33,8 @@
 	decoded decoded
 	// work is what this VM has under way at registered targets.
 	work map[relay.TargetID]relay.Work
-	// dead are the targets that have failed this VM.
-	dead []relay.TargetID
+	// dead and well are the targets that this VM has lately found so.
+	dead, well []relay.TargetID
 	// controls are the members of the control state, as the last lease said.
 	controls    []VMName
 	view        []EntryView
@@ -156,6 +156,7 @@
 		Reports:     n.reports(),
 		Work:        n.entry.work,
 		Dead:        n.entry.dead,
+		Well:        n.entry.well,
 	}})
 }
 
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -279,7 +279,7 @@
 func (g *Gateway) succeeded(id relay.TargetID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.router.Succeeded(id)
+	g.router.Succeeded(id, time.Now())
 }
 
 // mayRepeat returns why the request may not go to another target, or nil.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -333,7 +333,8 @@
 		case now := <-ticker.C:
 			g.exchanger.Sweep(now)
 			g.mu.Lock()
-			counted := core.WorkCounted{Work: g.router.Own(), Dead: g.router.Dead(now)}
+			counted := core.WorkCounted{Work: g.router.Own()}
+			counted.Dead, counted.Well = g.router.Findings(now)
 			g.mu.Unlock()
 			g.daemon.post(counted)
 		case <-g.daemon.tomb.Dying():
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -88,7 +88,7 @@
 	}
 	differs := !known || differs(present.target, next)
 	e := entry{target: next, heardAt: now, changed: present.changed, firstHand: firstHand}
-	if known && t.Call < present.target.Call {
+	if known && t.Call <= present.target.Call {
 		e.heardAt = present.heardAt
 	}
 	if differs {
@@ -107,7 +107,7 @@
 
 // Alive notes that a target has spoken to another VM.
 func (r *Registry) Alive(id TargetID, call uint64, now time.Time) {
-	if e, ok := r.targets[id]; ok && call >= e.target.Call {
+	if e, ok := r.targets[id]; ok && call > e.target.Call {
 		e.target.Call = call
 		e.heardAt = now
 		r.targets[id] = e
@@ -155,11 +155,21 @@
 func (r *Registry) All() []Target { return r.Since(0) }
 
 // Silent returns the targets that have said nothing after a time and have not
-// signed off.
-func (r *Registry) Silent(after time.Time) []TargetID {
+// signed off. Where another life at the same address has spoken since, less silence
+// is enough: an address has one target at a time, and words of one that died may
+// still come late.
+func (r *Registry) Silent(after, replacedAfter time.Time) []TargetID {
+	newest := make(map[string]time.Time)
+	for _, e := range r.targets {
+		if e.heardAt.After(newest[e.target.Address]) {
+			newest[e.target.Address] = e.heardAt
+		}
+	}
 	var silent []TargetID
 	for _, id := range r.ids() {
-		if e := r.targets[id]; !e.target.Gone && e.heardAt.Before(after) {
+		e := r.targets[id]
+		replaced := e.heardAt.Before(replacedAfter) && e.heardAt.Before(newest[e.target.Address])
+		if !e.target.Gone && (replaced || e.heardAt.Before(after)) {
 			silent = append(silent, id)
 		}
 	}
--- /dev/null
+++ b/internal/relay/registry_test.go
@@ -0,0 +1,79 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+func word(id relay.TargetID, call uint64) relay.Target {
+	return relay.Target{ID: id, Service: "s", Address: "10.0.0.1:80", Call: call}
+}
+
+func TestLeavingIsNeverTakenBack(t *testing.T) {
+	r := relay.NewRegistry()
+	leaving := word("i-1", 5)
+	leaving.Leaving = true
+	require.True(t, r.Hear(leaving, start))
+	require.False(t, r.Hear(word("i-1", 4), start))
+	r.Hear(word("i-1", 9), start)
+	held, _ := r.Get("i-1")
+	require.True(t, held.Leaving)
+	require.False(t, held.Takes())
+}
+
+func TestLateWordsChangeNothing(t *testing.T) {
+	r := relay.NewRegistry()
+	newer := word("i-1", 7)
+	newer.Layers = config.Range{First: 0, Last: 9}
+	r.Hear(newer, start)
+	require.False(t, r.Hear(word("i-1", 3), start.Add(time.Second)))
+	held, _ := r.Get("i-1")
+	require.Equal(t, newer.Layers, held.Layers)
+}
+
+func TestSigningOffKeepsWhatWasSaid(t *testing.T) {
+	r := relay.NewRegistry()
+	r.Hear(word("i-1", 3), start)
+	r.Hear(relay.Target{ID: "i-1", Call: 1 << 62, Leaving: true, Gone: true}, start)
+	held, _ := r.Get("i-1")
+	require.True(t, held.Gone)
+	require.Equal(t, "s", held.Service)
+}
+
+// A dead engine's late words kept it in use for seconds after its successor had
+// begun at the same address: 60 requests a second were refused with 421.
+func TestSuccessorsSilenceTheDead(t *testing.T) {
+	r := relay.NewRegistry()
+	r.Hear(word("old", 30), start)
+	r.Hear(word("new", 1), start.Add(time.Second))
+	now := start.Add(2 * time.Second)
+	require.Equal(t, []relay.TargetID{"old"}, r.Silent(now.Add(-3*time.Second), now.Add(-1500*time.Millisecond)))
+	require.Empty(t, r.Silent(start.Add(-time.Second), start.Add(-time.Second)))
+}
+
+// What another VM tells again is no new sign of life.
+func TestRepeatedWordsAreNoSignsOfLife(t *testing.T) {
+	r := relay.NewRegistry()
+	r.Hear(word("i-1", 3), start)
+	r.Learn(word("i-1", 3), start.Add(5*time.Second))
+	r.Alive("i-1", 3, start.Add(5*time.Second))
+	require.Len(t, r.Silent(start.Add(time.Second), start), 1)
+	r.Alive("i-1", 4, start.Add(5*time.Second))
+	require.Empty(t, r.Silent(start.Add(time.Second), start))
+}
+
+func TestFollowersGetWhatChanged(t *testing.T) {
+	r := relay.NewRegistry()
+	r.Hear(word("i-1", 1), start)
+	first := r.Change()
+	r.Hear(word("i-1", 2), start)
+	require.Empty(t, r.Since(first))
+	r.Hear(word("i-2", 1), start)
+	require.Len(t, r.Since(first), 1)
+	require.Len(t, r.All(), 2)
+}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -138,6 +138,9 @@
 	suspectUntil time.Time
 	fullness     int
 	fullUntil    time.Time
+	// failedAt is when it last failed for certain, zero once it has done its part.
+	failedAt    time.Time
+	succeededAt time.Time
 	// ownTold is what this VM had under way when the others' work was told.
 	ownTold Work
 	// silent says that the target has told no VM of late that it lives, or that
@@ -473,6 +476,9 @@
 	if t, ok := r.targets[id]; ok {
 		t.fullness++
 		t.fullUntil = now.Add(min(fullFirst<<min(t.fullness-1, 4), fullMost))
+		if t.fullness >= refusalsDead {
+			t.failedAt = now
+		}
 	}
 }
 
@@ -488,13 +494,16 @@
 		return
 	}
 	t.trouble++
+	t.failedAt = now
 	pause := min(suspectFirst<<min(t.trouble-1, 4), suspectMost)
 	t.suspectUntil = now.Add(pause)
 }
 
 // Succeeded notes that a target did its part.
-func (r *Router) Succeeded(id TargetID) {
+func (r *Router) Succeeded(id TargetID, now time.Time) {
 	if t, ok := r.targets[id]; ok {
+		t.failedAt = time.Time{}
+		t.succeededAt = now
 		t.failures -= failureWeight * t.failures
 		t.trouble = 0
 		t.suspectUntil = time.Time{}
@@ -509,17 +518,29 @@
 	return ok && (t.silent || now.Before(t.suspectUntil))
 }
 
-// Dead returns the targets that have certainly failed this VM, and have done
-// nothing since.
-func (r *Router) Dead(now time.Time) []TargetID {
-	var dead []TargetID
+const (
+	// findingsKept is how long a VM tells what it found of a target: a VM of the
+	// grown fleet meets each engine about once in this time.
+	findingsKept = 2 * time.Second
+	// refusalsDead is the refusals in a row after which an engine counts as dead: one
+	// that is full runs requests, which end well in between.
+	refusalsDead = 3
+)
+
+// Findings returns the targets that this VM has lately found dead and done nothing
+// since, and those that have done their part since they last failed.
+func (r *Router) Findings(now time.Time) (dead, well []TargetID) {
 	for id, t := range r.targets {
-		if t.trouble > 0 && now.Before(t.suspectUntil) {
+		switch {
+		case now.Before(t.failedAt.Add(findingsKept)):
 			dead = append(dead, id)
+		case now.Before(t.succeededAt.Add(findingsKept)):
+			well = append(well, id)
 		}
 	}
 	slices.Sort(dead)
-	return dead
+	slices.Sort(well)
+	return dead, well
 }
 
 // usable returns the members of a service that a request may go to, those that
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -120,7 +120,7 @@
 		requireWhole(t, path)
 		require.False(t, path.Passes(dead))
 	}
-	r.Succeeded(dead)
+	r.Succeeded(dead, start)
 	require.False(t, r.Suspect(dead, start))
 }
 
@@ -231,3 +231,22 @@
 	require.False(t, r.Suspect(moving, start))
 	require.True(t, r.Suspect(silent, start))
 }
+
+func TestFindingsTellDeadFromWell(t *testing.T) {
+	r, route := newRouter(engines(today))
+	path := choose(t, r, ask(route), start)
+	bad, good := path.Stages[0].Target, path.Stages[1].Target
+	r.Failed(bad, true, start)
+	r.Succeeded(good, start)
+	dead, well := r.Findings(start.Add(time.Second))
+	require.Equal(t, []relay.TargetID{bad}, dead)
+	require.Equal(t, []relay.TargetID{good}, well)
+	r.Succeeded(bad, start.Add(time.Second))
+	dead, _ = r.Findings(start.Add(time.Second))
+	require.Empty(t, dead)
+	for range 3 {
+		r.Refused(good, start.Add(time.Second))
+	}
+	dead, _ = r.Findings(start.Add(time.Second))
+	require.Equal(t, []relay.TargetID{good}, dead)
+}
