relay: the budget of repeats goes to begun streams first, and less to young processes

Change: requests that have not begun use at most 0.6 of a VM's budget; a process has 0.3 of the fixed part at its start and the whole after a window; 0.95 instead of 0.8 of the bound is used.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -301,7 +301,7 @@
 	}
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
-	if !f.g.router.Repeat(f.service, now) {
+	if !f.g.router.Repeat(f.service, f.begun, now) {
 		notTaken.Reason += "; the budget of repeats is used up"
 		return notTaken
 	}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -13,7 +13,14 @@
 const (
 	// budgetCaution is the part of the bound that is used: the rest covers VMs
 	// that have just joined and are not known everywhere.
-	budgetCaution = 0.8
+	budgetCaution = 0.95
+	// notBegunShare is the part of a VM's budget for requests whose callers have got
+	// nothing yet: they can be told to come back, and a stream in the middle can't.
+	notBegunShare = 0.6
+	// youngShare is the part of the fixed number that a process has at its start; it
+	// grows to the whole within a window. What the process before it on this VM has
+	// spent is not known.
+	youngShare = 0.3
 	// budgetBuckets divides the window; a bucket leaves it as a whole.
 	budgetBuckets = 20
 )
@@ -60,8 +67,12 @@
 }
 
 // spend takes one repeat, if the budget has it.
-func (b *budget) spend(now time.Time, t BudgetTerms, vms int) bool {
-	allowed := budgetCaution * (t.Share*float64(b.requests.total(now, t.Window)) + t.Fixed/float64(max(vms, 1)))
+func (b *budget) spend(now time.Time, t BudgetTerms, vms int, age time.Duration, begun bool) bool {
+	grown := min(max(float64(age)/float64(t.Window), youngShare), 1)
+	allowed := budgetCaution * (t.Share*float64(b.requests.total(now, t.Window)) + grown*t.Fixed/float64(max(vms, 1)))
+	if !begun {
+		allowed *= notBegunShare
+	}
 	if float64(b.repeats.total(now, t.Window)+1) > allowed {
 		return false
 	}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -15,7 +15,9 @@
 	// Hall is the data hall of this VM.
 	Hall   string
 	Budget BudgetTerms
-	Seed   uint64
+	// Started is when the process began.
+	Started time.Time
+	Seed    uint64
 }
 
 // Work is what is under way at a target.
@@ -346,9 +348,10 @@
 	r.budget(service).requests.add(now, r.settings.Budget.Window)
 }
 
-// Repeat takes a repeat from the budget of a service.
-func (r *Router) Repeat(service string, now time.Time) bool {
-	return r.budget(service).spend(now, r.settings.Budget, r.vms)
+// Repeat takes a repeat from the budget of a service. Begun says that the caller
+// has a part of its answer.
+func (r *Router) Repeat(service string, begun bool, now time.Time) bool {
+	return r.budget(service).spend(now, r.settings.Budget, r.vms, now.Sub(r.settings.Started), begun)
 }
 
 func (r *Router) budget(service string) *budget {
