core, relay: less between halls: own hall first, changes of work only

Change: leases tell the work that has changed by a tenth or 2 requests, and all of it each 3 s; entry VMs ask for news each 1.5 s (changes are pushed); the most frequent values are sent without field names; other halls than a VM's own count twice.

--- a/internal/core/identity.go
+++ b/internal/core/identity.go
@@ -15,6 +15,8 @@
 
 // ReplicaID is the identity of one replica of the control state.
 type ReplicaID struct {
+	// The fields are sent without their names: these values are sent most.
+	_           struct{}    `cbor:",toarray"`
 	VM          VMName      `cbor:"vm"`
 	Incarnation Incarnation `cbor:"incarnation"`
 }
--- a/internal/core/leading.go
+++ b/internal/core/leading.go
@@ -60,6 +60,10 @@
 	renew    Renew
 	// renewedAt is when the holder last asked.
 	renewedAt time.Time
+	// told is the work at targets that the holder was told of, and wholeAt when it is
+	// told of all again.
+	told    map[relay.TargetID]relay.Work
+	wholeAt time.Time
 }
 
 // sighting is a report of a target with the time at which it came.
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -9,6 +9,8 @@
 
 // Envelope is a message between two processes of one deployment.
 type Envelope struct {
+	// The fields are sent without their names: these values are sent most.
+	_ struct{} `cbor:",toarray"`
 	// Cluster is the identity that bootstrap drew. It is empty until a VM has
 	// learned it; a message of another cluster is dropped.
 	Cluster string    `cbor:"cluster"`
@@ -97,8 +99,10 @@
 
 // EntryAddress is where one entry VM is reached.
 type EntryAddress struct {
-	VM   VMName `cbor:"vm" json:"vm"`
-	Hall string `cbor:"hall" json:"hall"`
+	// The fields are sent without their names: these values are sent most.
+	_    struct{} `cbor:",toarray"`
+	VM   VMName   `cbor:"vm" json:"vm"`
+	Hall string   `cbor:"hall" json:"hall"`
 	// Callers is the address for callers, Peers the one for the system.
 	Callers string `cbor:"callers" json:"callers"`
 	Peers   string `cbor:"peers" json:"peers"`
@@ -164,7 +168,9 @@
 	// Others is what all other entry VMs have under way, and Silent the targets
 	// that tell no VM that they live. VMs counts the entry VMs.
 	Others map[relay.TargetID]relay.Work `cbor:"others,omitempty"`
-	Silent []relay.TargetID              `cbor:"silent,omitempty"`
+	// OthersWhole says that targets missing in Others have none.
+	OthersWhole bool             `cbor:"others_whole,omitempty"`
+	Silent      []relay.TargetID `cbor:"silent,omitempty"`
 	// Moving are the engines that were ordered to hold other layers.
 	Moving []relay.TargetID `cbor:"moving,omitempty"`
 	VMs    int              `cbor:"vms,omitempty"`
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -59,8 +59,10 @@
 	// LeaseUntil is when this VM's right to act by its document ends.
 	LeaseUntil time.Time
 	VMs        int
-	// Others is what other VMs have under way at targets.
-	Others map[relay.TargetID]relay.Work
+	// Others is what other VMs have under way at targets: of all of them, or of those
+	// where it has changed much.
+	Others      map[relay.TargetID]relay.Work
+	OthersWhole bool
 	// Silent are the targets that tell no VM that they live, or that far more entry
 	// VMs find dead than well.
 	Silent []relay.TargetID
@@ -94,8 +96,11 @@
 }
 
 const (
-	// followEvery is the interval between two asks; a change is pushed at once.
-	followEvery = 500 * time.Millisecond
+	// followEvery is the interval between two asks of an entry VM, and beatsEvery of
+	// a control VM, which brings signs of life; a change is pushed at once. An ask
+	// that is lost delays a change by as much, of the 2 s that it may take.
+	followEvery = 1500 * time.Millisecond
+	beatsEvery  = 500 * time.Millisecond
 	// followLife is how long a follower that has not asked again is pushed to.
 	followLife = 4 * followEvery
 	// forgetAfter is the silence after which a target is dropped: far longer than
@@ -195,6 +200,9 @@
 	}
 	if !n.now.Before(n.registry.followAt) {
 		n.registry.followAt = n.now.Add(followEvery)
+		if n.settings.Control {
+			n.registry.followAt = n.now.Add(beatsEvery)
+		}
 		for _, vm := range n.controlVMs() {
 			if vm != n.settings.Self.VM {
 				at := n.registry.followed[vm]
@@ -282,21 +290,55 @@
 	}
 }
 
+const (
+	// wholeEvery is the interval at which a lease carries the work of all targets;
+	// in between it carries what has changed much. It bounds how long a lost message
+	// leaves a wrong picture.
+	wholeEvery = 3 * time.Second
+	// workStep is the change of requests at a target that is told at once, and
+	// workShare that as a part of what there was.
+	workStep  = 2
+	workShare = 0.1
+)
+
 // addFleet adds to a lease what the leader knows of all entry VMs and targets.
 func (n *Node) addFleet(to *lease, g *Grant) {
-	for _, m := range n.replica.members.Members {
-		g.Control = append(g.Control, m.ID.VM)
-	}
 	f := n.leading.fleetNow(n)
 	g.VMs = f.vms
 	g.Silent = f.silent
 	g.Moving = f.moving
-	g.Others = make(map[relay.TargetID]relay.Work, len(f.work))
+	if !n.now.Before(to.wholeAt) {
+		to.wholeAt = n.now.Add(wholeEvery)
+		to.told = make(map[relay.TargetID]relay.Work)
+		g.OthersWhole = true
+		for _, m := range n.replica.members.Members {
+			g.Control = append(g.Control, m.ID.VM)
+		}
+	}
+	g.Others = make(map[relay.TargetID]relay.Work)
 	for id, w := range f.work {
-		g.Others[id] = w.Minus(to.renew.Work[id])
+		to.tell(id, w.Minus(to.renew.Work[id]), g)
+	}
+	for id := range to.told {
+		if _, ok := f.work[id]; !ok {
+			to.tell(id, relay.Work{}, g)
+		}
 	}
 }
 
+// tell adds the work of a target to a lease if it differs much from what the holder
+// was told last.
+func (l *lease) tell(id relay.TargetID, w relay.Work, g *Grant) {
+	told, known := l.told[id]
+	step := max(workStep, int(workShare*float64(told.Requests)))
+	change := w.Requests - told.Requests
+	if known && max(change, -change) < step && (w.Requests > 0 || told.Requests == 0) {
+		return
+	}
+	l.told[id] = w
+	g.Others[id] = w
+}
+
 // fleet is the sum over all entry VMs. It is made anew seldom, for each of
 // hundreds of leases a second carries it.
 type fleet struct {
@@ -352,6 +394,8 @@
 	if !n.followsTargets() {
 		return
 	}
-	n.entry.controls = g.Control
-	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, Silent: g.Silent, Moving: g.Moving})
+	if len(g.Control) > 0 {
+		n.entry.controls = g.Control
+	}
+	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, OthersWhole: g.OthersWhole, Silent: g.Silent, Moving: g.Moving})
 }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -289,7 +289,7 @@
 	regained := now.After(g.leaseUntil)
 	g.leaseUntil = e.LeaseUntil
 	g.router.TakeVMs(e.VMs)
-	g.router.TakeOthers(e.Others)
+	g.router.TakeOthers(e.Others, e.OthersWhole)
 	g.router.TakeSilent(e.Silent)
 	g.router.TakeMoving(e.Moving)
 	g.mu.Unlock()
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -52,6 +52,9 @@
 	// hallBias is how strongly cheap halls are preferred: with 2, one at half the
 	// cost of another gets four times as many requests.
 	hallBias = 2.0
+	// awayCost multiplies the cost of other halls than the VM's own: the events of an
+	// answer then cross between halls, at 8 KB a request.
+	awayCost = 2.0
 	// suspectCost multiplies the cost of engines under suspicion, which are used
 	// only where no path goes without them.
 	suspectCost = 4
@@ -104,6 +107,9 @@
 		// exponential variate falls on one with a probability proportional to
 		// its cost to the power of -hallBias.
 		drawn := float64(cost) * math.Pow(r.rand.ExpFloat64(), 1/hallBias)
+		if hall != r.settings.Hall {
+			drawn *= awayCost
+		}
 		if !found || drawn < least {
 			best, least, found = path, drawn, true
 		}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -22,7 +22,9 @@
 
 // Work is what is under way at a target.
 type Work struct {
-	Requests int `cbor:"requests"`
+	// The fields are sent without their names: these values are sent most.
+	_        struct{} `cbor:",toarray"`
+	Requests int      `cbor:"requests"`
 	// Tokens is the memory that the requests take.
 	Tokens int `cbor:"tokens"`
 	// Unread is the tokens of prompts whose answer has not begun.
@@ -252,10 +254,13 @@
 	}
 }
 
-// TakeOthers takes what other VMs have under way.
-func (r *Router) TakeOthers(work map[TargetID]Work) {
+// TakeOthers takes what other VMs have under way. Whole says that targets that are
+// missing have none; otherwise they have about what they had.
+func (r *Router) TakeOthers(work map[TargetID]Work, whole bool) {
 	for id, t := range r.targets {
-		t.others = work[id]
+		if w, ok := work[id]; ok || whole {
+			t.others = w
+		}
 		t.ownTold = t.own
 	}
 }
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -128,7 +128,7 @@
 func TestOtherVMsAreTakenToDoAsThisOneDoes(t *testing.T) {
 	r, route := newRouter(engines(today))
 	r.TakeVMs(11)
-	r.TakeOthers(nil)
+	r.TakeOthers(nil, true)
 	used := make(map[byte]int)
 	for range 18 {
 		used[choose(t, r, ask(route), start).Stages[0].Target[0]]++
