--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -233,7 +233,7 @@
 	n.replicaSynced()
 }
 
-// stop begins a planned stop: see docs/OPERATING.md.
+// stop begins a planned stop: see docs/OPERATIONS.md.
 func (n *Node) stop() {
 	if n.stopping {
 		return
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -290,13 +290,22 @@
 // newConn draws an identity for a connection.
 func (d *Daemon) newConn() core.ConnID { return core.ConnID(d.lastID.Add(1)) }
 
-// shutdownTime bounds the wait for connections when the process ends.
-const shutdownTime = 2 * time.Second
+const (
+	// shutdownTime bounds the wait for connections when the process ends.
+	shutdownTime = 2 * time.Second
+	// shutdownTimeOnPlatform is that where the grace time is used up by then: what
+	// is left are looks at readiness and the directory.
+	shutdownTimeOnPlatform = 100 * time.Millisecond
+)
 
 func (d *Daemon) serveHTTP(server *http.Server, l net.Listener) error {
 	d.tomb.Go(func() error {
 		<-d.tomb.Dying()
-		ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+		limit := shutdownTime
+		if d.platform != nil {
+			limit = shutdownTimeOnPlatform
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
 		defer cancel()
 		if err := server.Shutdown(ctx); err != nil {
 			return server.Close()
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -354,6 +354,10 @@
 		request.Silent = watch.waitOn
 	}
 	answer, err := f.g.exchanger.Do(ctx, first.Address, request)
+	if errors.Is(err, target.ErrStale) && ctx.Err() == nil && f.mayAskAgain() {
+		request.Fresh = true
+		answer, err = f.g.exchanger.Do(ctx, first.Address, request)
+	}
 	if err != nil {
 		return f.broken(ctx, path, watch, err)
 	}
@@ -368,6 +372,15 @@
 	return f.whole(ctx, path, watch, answer)
 }
 
+// mayAskAgain reports whether a request whose kept connection was gone may be sent
+// on a new one. A forgotten connection brings nothing to its target; one that broke
+// at this moment may have, so that it counts as a repeat.
+func (f *forwarding) mayAskAgain() bool {
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	return f.route.Repeat != relay.RepeatNever && f.g.router.Repeat(f.service, true, time.Now())
+}
+
 // broken takes an exchange that came to no whole answer.
 func (f *forwarding) broken(ctx context.Context, path relay.Path, watch *watcher, err error) result {
 	f.last = err.Error()
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -18,7 +18,7 @@
 	"github.com/spoolbank/spoolbank/internal/core"
 )
 
-// metrics counts by OpenTelemetry. docs/OPERATING.md lists the names.
+// metrics counts by OpenTelemetry. docs/OPERATIONS.md lists the names.
 type metrics struct {
 	registry *prometheus.Registry
 	meter    metric.Meter
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -32,6 +32,11 @@
 // ErrNotSent is the kind of errors for requests of which no byte was sent.
 var ErrNotSent = errors.New("not sent")
 
+// ErrStale is the kind of errors for requests on a kept connection that broke before
+// a byte of the answer: targets forget idle connections without notice, and the next
+// thing sent on one is reset.
+var ErrStale = errors.New("kept connection is gone")
+
 // ErrSilent is the kind of errors for answers that were given up in a pause.
 var ErrSilent = errors.New("target is silent")
 
@@ -119,7 +124,9 @@
 	until   time.Time
 	request *Request
 	reused  bool
-	written chan error
+	// answered says that bytes came since the request was sent.
+	answered bool
+	written  chan error
 }
 
 // Read waits for bytes; in each pause it asks whether to go on.
@@ -127,12 +134,15 @@
 	for {
 		r := l.request
 		if r == nil || r.Patience <= 0 {
-			return l.Conn.Read(p)
+			n, err := l.Conn.Read(p)
+			l.answered = l.answered || n > 0
+			return n, err
 		}
 		if err := l.Conn.SetReadDeadline(time.Now().Add(r.Patience)); err != nil {
 			return 0, err
 		}
 		n, err := l.Conn.Read(p)
+		l.answered = l.answered || n > 0
 		var late net.Error
 		if n > 0 || !errors.As(err, &late) || !late.Timeout() {
 			return n, err
@@ -151,11 +161,15 @@
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	l.request = r
+	l.answered = false
 	stop := context.AfterFunc(ctx, func() { l.Conn.Close() })
 	answer, err := l.exchange(r)
 	if err != nil {
 		stop()
 		l.Conn.Close()
+		if l.reused && !l.answered && !errors.Is(err, ErrSilent) {
+			err = fmt.Errorf("%w: %w", ErrStale, err)
+		}
 		return nil, err
 	}
 	answer.ended = stop
--- a/internal/target/exchange_test.go
+++ b/internal/target/exchange_test.go
@@ -174,3 +174,17 @@
 	_, err := exchange(t, target.NewExchanger(func() {}), s.address, false)
 	require.ErrorIs(t, err, target.ErrSilent)
 }
+
+// On a grown day streams were given up because a target had forgotten the kept
+// connection that they were resumed on.
+func TestForgottenConnectionsAreToldApart(t *testing.T) {
+	s := newScripted(t, answerTo("1", "ok"), "reset", answerTo("1", "ok"))
+	x := target.NewExchanger(func() {})
+	_, err := exchange(t, x, s.address, false)
+	require.NoError(t, err)
+	_, err = exchange(t, x, s.address, false)
+	require.ErrorIs(t, err, target.ErrStale)
+	body, err := exchange(t, x, s.address, true)
+	require.NoError(t, err)
+	require.Equal(t, "ok", body)
+}
