daemon: requests that ask for too much are told so; logs count what they drop

Change: each is refused with what to do; 413 for the body; log lines that find the buffer full are dropped, counted and never block.

--- a/internal/core/refusal.go
+++ b/internal/core/refusal.go
@@ -14,6 +14,7 @@
 	RefusedPipeline    RefusalKind = "unknown_pipeline"
 	RefusedService     RefusalKind = "unknown_service"
 	RefusedRequest     RefusalKind = "invalid_request"
+	RefusedTooLarge    RefusalKind = "too_large"
 	RefusedNoLease     RefusalKind = "entry_without_lease"
 	RefusedLeaving     RefusalKind = "entry_leaving"
 	RefusedLimit       RefusalKind = "organisation_limit"
--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -211,7 +212,13 @@
 
 func (c *callers) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.daemon.settings.Limits.BodyBytes))
-	if err != nil {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		writeRefusal(w, "", core.Refusal{Kind: core.RefusedTooLarge, Ran: core.RanNo,
+			Reason: fmt.Sprintf("the body is over the limit of %d bytes", tooLarge.Limit), Remedy: "send less, or ask the operators for a higher limits.body_bytes"}, 0)
+		return nil, false
+	case err != nil:
 		badRequest(w, fmt.Sprintf("the body can't be read: %v", err))
 		return nil, false
 	}
@@ -347,6 +354,8 @@
 		return http.StatusNotFound
 	case core.RefusedRequest:
 		return http.StatusBadRequest
+	case core.RefusedTooLarge:
+		return http.StatusRequestEntityTooLarge
 	case core.RefusedLimit, core.RefusedOverload:
 		return http.StatusTooManyRequests
 	case core.RefusedDeadline:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -241,7 +241,7 @@
 var errStopped = errors.New("stopped as planned")
 
 func (d *Daemon) start() error {
-	d.log.Info("daemon starts", "vm", d.settings.Name, "hall", d.settings.Hall, "roles", d.settings.Roles)
+	d.log.Info("daemon starts", "name", d.settings.Name, "hall", d.settings.Hall, "roles", d.settings.Roles)
 	d.tomb.Go(d.loop)
 	d.tomb.Go(d.tickLoop)
 	if d.folder != nil {
--- a/internal/daemon/logs.go
+++ b/internal/daemon/logs.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
@@ -67,6 +68,9 @@
 	s.buffer = nil
 	s.armed = false
 	s.mu.Unlock()
+	if n := s.dropped.Swap(0); n > 0 {
+		lines = fmt.Appendf(lines, `{"level":"info","msg":"log lines dropped","lines":%d}`+"\n", n)
+	}
 	// There is nowhere left to report that the log itself can't be written.
 	_, _ = s.out.Write(lines)
 }
--- /dev/null
+++ b/internal/daemon/logs_test.go
@@ -0,0 +1,38 @@
+package daemon_test
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/daemon"
+)
+
+// gate is a writer that blocks while it is shut.
+type gate struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.Write(p)
+}
+
+// A reader that stops must not hold up requests, and what is lost is counted.
+func TestLogsNeverBlockAndCountWhatIsDropped(t *testing.T) {
+	out := &gate{}
+	out.mu.Lock()
+	log, flush := daemon.NewLogger(out)
+	line := strings.Repeat("x", 1000)
+	for range 1000 {
+		log.Info(line)
+	}
+	out.mu.Unlock()
+	flush()
+	require.Contains(t, out.text.String(), `"msg":"log lines dropped"`)
+}
--- a/internal/daemon/openai.go
+++ b/internal/daemon/openai.go
@@ -26,10 +26,33 @@
 	Model     string        `json:"model"`
 	Prompt    string        `json:"prompt"`
 	Messages  []chatMessage `json:"messages"`
-	MaxTokens int           `json:"max_tokens"`
+	MaxTokens *int          `json:"max_tokens"`
 	// MaxCompletionTokens is the newer name of MaxTokens in chats.
-	MaxCompletionTokens int  `json:"max_completion_tokens"`
+	MaxCompletionTokens *int `json:"max_completion_tokens"`
 	Stream              bool `json:"stream"`
+	// N, Stop and StreamOptions are not offered; unsupported says so.
+	N             *int            `json:"n"`
+	Stop          json.RawMessage `json:"stop"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// unsupported names what the request asks for and can't have: an answer that left
+// it out without a word would be wrong.
+func (q completionRequest) unsupported() string {
+	stop := string(q.Stop)
+	switch {
+	case q.MaxTokens != nil && *q.MaxTokens <= 0, q.MaxCompletionTokens != nil && *q.MaxCompletionTokens <= 0:
+		return "max_tokens is at least 1"
+	case q.N != nil && *q.N != 1:
+		return "n is not offered but for 1; send the request several times"
+	case stop != "" && stop != "null" && stop != "[]":
+		return "stop is not offered; cut the answer where it is shown"
+	case q.StreamOptions.IncludeUsage:
+		return "stream_options.include_usage is not offered; count the events"
+	}
+	return ""
 }
 
 type chatMessage struct {
@@ -91,10 +114,10 @@
 
 func (q completionRequest) maxTokens() int {
 	switch {
-	case q.MaxCompletionTokens > 0:
-		return q.MaxCompletionTokens
-	case q.MaxTokens > 0:
-		return q.MaxTokens
+	case q.MaxCompletionTokens != nil:
+		return *q.MaxCompletionTokens
+	case q.MaxTokens != nil:
+		return *q.MaxTokens
 	}
 	return defaultMaxTokens
 }
@@ -109,6 +132,10 @@
 		badRequest(w, fmt.Sprintf("the body is no JSON of a completion: %v", err))
 		return
 	}
+	if reason := q.unsupported(); reason != "" {
+		badRequest(w, reason)
+		return
+	}
 	prompt := s.promptOf(q)
 	if prompt == "" {
 		badRequest(w, "the request has no prompt or messages")
