--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -38,7 +38,8 @@
 	crowd = 3
 	// unreadWeight is how much the wait behind prompts counts above the rest of a
 	// request's time: it is what makes a first event late, and the rest does not.
-	unreadWeight = 4
+	// Tried on two grown days: 4 gave a worth of 0.554 and 0.603, 12 of 0.578 and 0.623.
+	unreadWeight = 12
 	// pathNoise is the spread of the random part of costs.
 	pathNoise = 0.05
 	// pipeCaution multiplies the time that a request takes in a pipe between two
