--- /dev/null
+++ b/internal/daemon/events.go
@@ -0,0 +1,104 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
+	"github.com/spoolbank/spoolbank/internal/target"
+)
+
+// promptRead notes that the present path's answer has begun.
+func (f *forwarding) promptRead() {
+	if f.read {
+		return
+	}
+	f.read = true
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	f.g.router.Begun(f.lastPath)
+}
+
+// stream hands on events as they come, whole ones only.
+func (f *forwarding) stream(ctx context.Context, path relay.Path, watch *watcher, answer *target.Answer) result {
+	var pending []byte
+	buffer := make([]byte, eventBuffer)
+	for {
+		n, err := answer.Read(buffer)
+		if n > 0 {
+			watch.heard = time.Now()
+			f.promptRead()
+			pending = f.handOn(answer, append(pending, buffer[:n]...))
+		}
+		switch {
+		case err == nil:
+			continue
+		case errors.Is(err, io.EOF) && len(pending) == 0 && f.begun:
+			for _, s := range path.Stages {
+				f.g.succeeded(s.Target)
+			}
+			return resultDone
+		case errors.Is(err, io.EOF):
+			err = io.ErrUnexpectedEOF
+		}
+		return f.broken(ctx, path, watch, err)
+	}
+}
+
+// eventEnd ends each event.
+var eventEnd = []byte("\n\n")
+
+// handOn writes the whole events of data to the caller, and returns the rest.
+func (f *forwarding) handOn(answer *target.Answer, data []byte) []byte {
+	end := bytes.LastIndex(data, eventEnd)
+	if end < 0 {
+		return data
+	}
+	whole := data[:end+len(eventEnd)]
+	if !f.begun {
+		copyHeader(f.w.Header(), answer.Header)
+		f.w.WriteHeader(answer.Status)
+		f.begun = true
+		f.beganAt = time.Now()
+		f.g.meter.firstEvent(f.call.Arrived)
+	}
+	f.countEvents(whole)
+	if _, err := f.w.Write(whole); err != nil {
+		f.last = "caller left: " + err.Error()
+		panic(http.ErrAbortHandler)
+	}
+	f.flush()
+	return append([]byte(nil), data[end+len(eventEnd):]...)
+}
+
+// countEvents notes the events that are handed on.
+func (f *forwarding) countEvents(events []byte) {
+	if id := lastEventID(events); id != "" {
+		f.after = id
+	}
+	now := time.Now()
+	if f.events > 0 {
+		f.worstPause = max(f.worstPause, now.Sub(f.lastEvent))
+	}
+	f.events += bytes.Count(events, eventEnd)
+	f.lastEvent = now
+}
+
+// lastEventID returns the id of the last event that has one.
+func lastEventID(events []byte) string {
+	at := bytes.LastIndex(events, []byte("\nid:"))
+	switch {
+	case at >= 0:
+		events = events[at+len("\nid:"):]
+	case bytes.HasPrefix(events, []byte("id:")):
+		events = events[len("id:"):]
+	default:
+		return ""
+	}
+	line, _, _ := bytes.Cut(events, []byte("\n"))
+	return string(bytes.TrimSpace(line))
+}
--- /dev/null
+++ b/internal/relay/cover.go
@@ -0,0 +1,106 @@
+package relay
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// This file covers segments of layers with groups of engines.
+
+// cover covers the segments in rounds while engines are left.
+func (e *Engine) cover(units []unit, segments []config.Range) (out []Assignment, left []unit) {
+	for covered := true; covered; {
+		covered = false
+		for _, s := range segments {
+			group, rest, ok := e.group(units, s.Len())
+			if !ok {
+				continue
+			}
+			out = append(out, assign(group, s.First, e.splitFor(group, s.Len()))...)
+			units = rest
+			covered = true
+		}
+	}
+	return out, units
+}
+
+// splitFor splits n layers over a group as split does for the whole model.
+func (e *Engine) splitFor(group []unit, n int) []int {
+	part := *e
+	part.Layers = n
+	sizes := make([]int, len(group))
+	for i, u := range group {
+		sizes[i] = u.comfort
+	}
+	return part.trim(group, sizes)
+}
+
+// group picks the fewest engines that can cover n layers with comfort, and of
+// those the ones that waste the least.
+func (e *Engine) group(units []unit, n int) (group, rest []unit, ok bool) {
+	kinds := byKind(units)
+	best := groupChoice{waste: math.MaxInt, size: math.MaxInt}
+	best.search(kinds, make([]int, len(kinds)), 0, n)
+	if best.counts == nil {
+		return nil, units, false
+	}
+	for i, g := range kinds {
+		taken, left := pickNear(g, best.counts[i], group)
+		group = append(group, taken...)
+		rest = append(rest, left...)
+	}
+	return group, rest, true
+}
+
+// groupChoice is the best group found so far, as a number of engines by kind.
+type groupChoice struct {
+	counts []int
+	size   int
+	waste  int
+}
+
+func (c *groupChoice) search(kinds [][]unit, counts []int, i, missing int) {
+	size := sum(counts)
+	if missing <= 0 {
+		if size < c.size || size == c.size && -missing < c.waste {
+			*c = groupChoice{counts: slices.Clone(counts), size: size, waste: -missing}
+		}
+		return
+	}
+	if i == len(kinds) || size >= groupLimit {
+		return
+	}
+	comfort := kinds[i][0].comfort
+	for n := 0; n <= len(kinds[i]) && size+n <= groupLimit; n++ {
+		counts[i] = n
+		c.search(kinds, counts, i+1, missing-n*comfort)
+	}
+	counts[i] = 0
+}
+
+// pickNear takes n units, those of the hall of the group's last one first.
+func pickNear(units []unit, n int, group []unit) (taken, left []unit) {
+	hall := ""
+	if len(group) > 0 {
+		hall = group[len(group)-1].target.Hall
+	} else if len(units) > 0 {
+		hall = units[0].target.Hall
+	}
+	sorted := slices.Clone(units)
+	slices.SortStableFunc(sorted, func(a, b unit) int {
+		return cmp.Compare(awayFrom(a, hall), awayFrom(b, hall))
+	})
+	left = sorted[n:]
+	slices.SortFunc(left, compareUnits)
+	return sorted[:n], left
+}
+
+func awayFrom(u unit, hall string) int {
+	if u.target.Hall == hall {
+		return 0
+	}
+	return 1
+}
