relay: each engine service has its standbys

Cause (read): standbys were found for whichever service was asked first; with a second engine service, as another deployment may have, its spare engines filled with requests. TestEachServiceHasItsStandbys failed. Change: what was found is noted by service.

--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -128,8 +128,9 @@
 	members  map[string][]*target
 	budgets  map[string]*budget
 	vms      int
-	// moved says that what targets hold may have changed since standbys were found.
-	moved bool
+	// marked holds the services whose standbys were found since what targets hold may
+	// last have changed.
+	marked map[string]bool
 	// changing counts the changes of halls on the paths under way.
 	changing int
 }
@@ -142,6 +143,7 @@
 		targets:  make(map[TargetID]*target),
 		members:  make(map[string][]*target),
 		budgets:  make(map[string]*budget),
+		marked:   make(map[string]bool),
 		vms:      1,
 	}
 }
@@ -152,7 +154,7 @@
 		return
 	}
 	r.document = d
-	r.moved = true
+	clear(r.marked)
 	r.table = newRouteTable(d)
 	r.keys = make(map[string]*Organisation)
 	for i := range d.Organisations {
@@ -174,7 +176,7 @@
 
 // TakeTargets takes what targets have newly said.
 func (r *Router) TakeTargets(targets []Target) {
-	r.moved = true
+	clear(r.marked)
 	for _, t := range targets {
 		known, ok := r.targets[t.ID]
 		if !ok {
@@ -199,7 +201,9 @@
 func (r *Router) TakeSilent(ids []TargetID) {
 	for _, t := range r.targets {
 		silent := slices.Contains(ids, t.ID)
-		r.moved = r.moved || silent != t.silent
+		if silent != t.silent {
+			clear(r.marked)
+		}
 		t.silent = silent
 	}
 }
--- a/internal/relay/standby.go
+++ b/internal/relay/standby.go
@@ -11,10 +11,10 @@
 // its scarcest layer n times runs n chains; an engine is a standby when n faster
 // ones hold each of its layers. It is done again when what targets hold changes.
 func (r *Router) findStandbys(s *Service) {
-	if !r.moved {
+	if r.marked[s.Name] {
 		return
 	}
-	r.moved = false
+	r.marked[s.Name] = true
 	halls := make(map[string][]*target)
 	for _, t := range r.members[s.Name] {
 		t.standby = false
