--- a/internal/core/document.go
+++ b/internal/core/document.go
@@ -64,8 +64,7 @@
 	if !n.settings.Control || !n.holdsLease() || !n.replica.committedOwnTerm() {
 		return false
 	}
-	formed := len(n.replica.voters()) >= n.settings.Voters
-	return formed || n.machine.Config.Document.Version > 0
+	return n.machine.Config.Document.Version > 0 || n.formed()
 }
 
 func (n *Node) documentAsked(a DocumentAsked) {
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -167,7 +167,7 @@
 	r.joinAt = n.now.Add(n.settings.Timing.ElectionMin)
 	for _, vm := range n.controlVMs() {
 		if vm != r.id.VM {
-			n.send(vm, Message{Join: &Join{}})
+			n.send(vm, Message{Join: &Join{Volatile: n.settings.Volatile}})
 		}
 	}
 }
--- /dev/null
+++ b/internal/core/forming_test.go
@@ -0,0 +1,75 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+)
+
+func joinOf(vm core.VMName, volatile bool) core.Received {
+	return core.Received{Envelope: core.Envelope{
+		From: core.ReplicaID{VM: vm, Incarnation: 7}, To: "c1", Body: core.Message{Join: &core.Join{Volatile: volatile}},
+	}}
+}
+
+// asked returns the VMs that a Node had begin the cluster.
+func asked(effects []core.Effect) []core.VMName {
+	var vms []core.VMName
+	for _, effect := range effects {
+		if send, ok := effect.(core.Send); ok && send.Envelope.Body.Begin != nil {
+			vms = append(vms, send.Envelope.To)
+		}
+	}
+	return vms
+}
+
+// On a deployment whose first seed had no disk, no cluster ever formed.
+func TestASeedWithoutADiskHasOneOtherBegin(t *testing.T) {
+	now := time.Unix(100, 0)
+	settings := core.Settings{
+		Self: core.ReplicaID{VM: "c1", Incarnation: 1}, Control: true, Volatile: true, Delegates: true,
+		ControlVMs: []core.VMName{"c1"}, Voters: 3, SnapshotEvery: 100, Timing: core.DefaultTiming(), Seed: 3,
+	}
+	n := core.New(settings, core.Recovered{}, now)
+	require.Empty(t, asked(n.Step(now, joinOf("c2", true))))
+	require.Equal(t, []core.VMName{"c3"}, asked(n.Step(now, joinOf("c3", false))))
+	require.Empty(t, asked(n.Step(now, joinOf("c4", false))))
+	require.Equal(t, []core.VMName{"c3"}, asked(n.Step(now, joinOf("c3", false))))
+}
+
+func TestTheAskedOneBeginsOnce(t *testing.T) {
+	now := time.Unix(100, 0)
+	settings := core.Settings{
+		Self: core.ReplicaID{VM: "c3", Incarnation: 7}, Control: true,
+		ControlVMs: []core.VMName{"c1"}, Voters: 1, SnapshotEvery: 100, Timing: core.DefaultTiming(), Seed: 3,
+	}
+	n := core.New(settings, core.Recovered{}, now)
+	begin := core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: "c1", Incarnation: 1}, To: "c3", Body: core.Message{Begin: &core.Begin{}}}}
+	saved := 0
+	for range 2 {
+		for _, effect := range n.Step(now, begin) {
+			if _, ok := effect.(core.SaveSnapshot); ok {
+				saved++
+			}
+		}
+	}
+	require.Equal(t, 1, saved)
+	n.Step(now, core.Persisted{Sequence: 1})
+	lead(n, now)
+	require.Equal(t, "leader", n.Status().Role)
+}
+
+// A member without a disk follows the log and never gets a vote.
+func TestMembersWithoutADiskGetNoVote(t *testing.T) {
+	now := time.Unix(100, 0)
+	n := controlNode(nil, now)
+	now = lead(n, now)
+	n.Step(now, joinOf("c9", true))
+	now = lead(n, now)
+	for _, m := range n.Status().Members {
+		require.Equal(t, m.ID.VM == "c1", m.Voter)
+	}
+}
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -7,6 +7,8 @@
 type Member struct {
 	ID    ReplicaID `cbor:"id"`
 	Voter bool      `cbor:"voter"`
+	// Volatile members have no disk and never get a vote.
+	Volatile bool `cbor:"volatile,omitempty"`
 }
 
 // Membership is an immutable list of members, sorted by identity.
@@ -113,7 +115,7 @@
 // it does only when the folder of id is gone.
 func (n *Node) reborn(id ReplicaID) bool {
 	for _, m := range n.replica.members.Members {
-		if m.ID.VM == id.VM && m.ID != id && !m.Voter && n.isCaughtUp(m.ID) {
+		if m.ID.VM == id.VM && m.ID != id && !m.Voter && !m.Volatile && n.isCaughtUp(m.ID) {
 			return true
 		}
 	}
@@ -129,7 +131,7 @@
 
 func (n *Node) caughtUpLearner() (ReplicaID, bool) {
 	for _, m := range n.replica.members.Members {
-		if !m.Voter && n.isCaughtUp(m.ID) {
+		if !m.Voter && !m.Volatile && n.isCaughtUp(m.ID) {
 			return m.ID, true
 		}
 	}
@@ -159,9 +161,10 @@
 // joinAsked takes a replica in as a learner.
 func (n *Node) joinAsked(from ReplicaID, j Join) {
 	r := &n.replica
+	n.delegateTo(from, j)
 	if r.role != Leader {
 		if j.For.IsZero() && r.leader.VM != "" && r.leader.VM != r.id.VM {
-			n.send(r.leader.VM, Message{Join: &Join{For: from}})
+			n.send(r.leader.VM, Message{Join: &Join{For: from, Volatile: j.Volatile}})
 		}
 		return
 	}
@@ -175,7 +178,7 @@
 		return
 	}
 	n.note("learner joins", from.String())
-	n.proposeMembers(r.members.With(Member{ID: from}))
+	n.proposeMembers(r.members.With(Member{ID: from, Volatile: j.Volatile}))
 }
 
 func (n *Node) proposeMembers(m Membership) { n.propose(Entry{Members: &m}) }
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -41,6 +41,7 @@
 	FindReply   *FindReply     `cbor:"find_reply,omitempty"`
 	Follow      *Follow        `cbor:"follow,omitempty"`
 	TargetNews  *TargetNews    `cbor:"target_news,omitempty"`
+	Begin       *Begin         `cbor:"begin,omitempty"`
 }
 
 // Vote asks for a vote, or, with Pre, whether one would be given.
@@ -95,6 +96,8 @@
 // passes it on, and names in For the replica that asked.
 type Join struct {
 	For ReplicaID `cbor:"for"`
+	// Volatile says that the replica has no disk.
+	Volatile bool `cbor:"volatile,omitempty"`
 }
 
 // EntryAddress is where one entry VM is reached.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -28,6 +28,12 @@
 	// Seed feeds the Node's own random numbers, and names this life of the
 	// process to those who follow its registry.
 	Seed uint64
+	// Volatile says that a control VM has no disk: it follows the log and speaks for
+	// it, and never gets a vote.
+	Volatile bool
+	// Delegates says that this VM would begin the cluster and has no disk: it has
+	// another one do so; see forming.go.
+	Delegates bool
 	// DecodeDocument reads a document; nil where the deployment has none. It must
 	// depend on nothing but the text.
 	DecodeDocument func(source []byte) (*relay.Document, error)
@@ -56,6 +62,8 @@
 	leading  leading
 	entry    entry
 	registry registry
+	// delegate is the replica that this VM had begin the cluster.
+	delegate ReplicaID
 	stopping bool
 	stopped  bool
 }
--- a/internal/core/replication.go
+++ b/internal/core/replication.go
@@ -37,6 +37,8 @@
 		n.installAsked(from, *b.Install)
 	case b.TimeoutNow != nil:
 		n.timeoutNow(*b.TimeoutNow)
+	case b.Begin != nil:
+		n.form()
 	case b.Join != nil:
 		n.joinAsked(from, *b.Join)
 	case b.Renew != nil:
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -126,8 +126,13 @@
 	return err
 }
 
+// isVolatile reports whether a control VM keeps its state in memory only.
+func (d *Daemon) isVolatile() bool {
+	return d.platform != nil && d.settings.HasRole(settings.RoleControl) && d.settings.Data == ""
+}
+
 func (d *Daemon) openState() (core.Recovered, error) {
-	if !d.settings.HasRole(settings.RoleControl) {
+	if !d.settings.HasRole(settings.RoleControl) || d.isVolatile() {
 		d.folder = nil
 		return core.Recovered{}, nil
 	}
@@ -189,6 +194,8 @@
 	}
 	return core.Settings{
 		DecodeDocument: decode,
+		Volatile:       d.isVolatile(),
+		Delegates:      d.platform != nil && d.platform.Delegates,
 		Self:           self,
 		Cluster:        cluster,
 		Address:        core.EntryAddress{VM: self.VM, Hall: s.Hall, Callers: s.Listen.Callers, Peers: s.Listen.Peers},
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -60,8 +60,20 @@
 	d.tomb.Kill(errStopped)
 }
 
+// keepInMemory answers for a control VM without a disk, which never has a vote: what
+// it has is as durable as it will be. The loop must not wait for itself.
+func (d *Daemon) keepInMemory(effect core.Effect) {
+	switch e := effect.(type) {
+	case core.Persist:
+		go d.post(core.Persisted{Sequence: e.Sequence})
+	case core.SaveSnapshot:
+		go d.post(core.Persisted{Sequence: e.Sequence})
+	}
+}
+
 func (d *Daemon) toDisk(effect core.Effect) {
 	if d.folder == nil {
+		d.keepInMemory(effect)
 		return
 	}
 	select {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -29,6 +29,8 @@
 	Engines Engines
 	// Router holds the settings of this VM's router.
 	Router relay.Settings
+	// Delegates says that this VM is to begin the cluster and has no disk.
+	Delegates bool
 	// Accept is how long after the beginning of a planned stop callers are still
 	// taken, and Grace how long after it what is in progress is cut.
 	Accept time.Duration
