--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -112,6 +112,8 @@
 	router *relay.Router
 	// leaseUntil is when this VM's right to act by its document ends.
 	leaseUntil time.Time
+	// leaseHeld says which of the lines "lease held" and "lease lost" was last.
+	leaseHeld bool
 	// informed is closed when this VM first has a lease and knows targets for all
 	// services.
 	informed     chan struct{}
@@ -286,9 +288,9 @@
 }
 
 func (g *Gateway) takeFleet(e core.FleetLearned) {
-	now := time.Now()
 	g.mu.Lock()
-	regained := now.After(g.leaseUntil)
+	regained := !g.leaseHeld
+	g.leaseHeld = true
 	g.leaseUntil = e.LeaseUntil
 	g.router.TakeVMs(e.VMs)
 	g.router.TakeOthers(e.Others, e.OthersWhole)
@@ -335,9 +337,14 @@
 		case now := <-ticker.C:
 			g.exchanger.Sweep(now)
 			g.mu.Lock()
+			lost := g.leaseHeld && now.After(g.leaseUntil)
+			g.leaseHeld = g.leaseHeld && !lost
 			counted := core.WorkCounted{Work: g.router.Own()}
 			counted.Dead, counted.Well = g.router.Findings(now)
 			g.mu.Unlock()
+			if lost {
+				g.log.Info("lease lost: no leader is heard, callers are refused", "own_targets", len(counted.Work))
+			}
 			g.daemon.post(counted)
 		case <-g.daemon.tomb.Dying():
 			return nil
