--- a/internal/core/forming_test.go
+++ b/internal/core/forming_test.go
@@ -62,14 +62,48 @@
 	require.Equal(t, "leader", n.Status().Role)
 }
 
-// A member without a disk follows the log and never gets a vote.
+// followed steps a leader for a while, beginning with an event, and answers what it
+// appends at c9.
+func followed(n *core.Node, now time.Time, first core.Event) {
+	queue := []core.Event{first}
+	for step := 0; step < 4000; step++ {
+		if len(queue) == 0 {
+			now = now.Add(20 * time.Millisecond)
+			queue = append(queue, core.Tick{})
+		}
+		event := queue[0]
+		queue = queue[1:]
+		for _, effect := range n.Step(now, event) {
+			switch e := effect.(type) {
+			case core.Persist:
+				queue = append(queue, core.Persisted{Sequence: e.Sequence})
+			case core.Send:
+				if a := e.Envelope.Body.Append; a != nil && e.Envelope.To == "c9" {
+					queue = append(queue, core.Received{Envelope: core.Envelope{
+						From: core.ReplicaID{VM: "c9", Incarnation: 7}, To: "c1", Body: core.Message{AppendReply: &core.AppendReply{
+							Term: a.Term, Match: a.PrevIndex + core.Index(len(a.Entries)), Round: a.Round,
+						}},
+					}})
+				}
+			}
+		}
+	}
+}
+
+// A member without a disk follows the log and never gets a vote; one with a disk does.
 func TestMembersWithoutADiskGetNoVote(t *testing.T) {
-	now := time.Unix(100, 0)
-	n := controlNode(nil, now)
-	now = lead(n, now)
-	n.Step(now, joinOf("c9", true))
-	now = lead(n, now)
-	for _, m := range n.Status().Members {
-		require.Equal(t, m.ID.VM == "c1", m.Voter)
+	for _, volatile := range []bool{true, false} {
+		now := time.Unix(100, 0)
+		self := core.ReplicaID{VM: "c1", Incarnation: 1}
+		n := core.New(core.Settings{
+			Self: self, Cluster: "c", Control: true, ControlVMs: []core.VMName{"c1"}, Voters: 3, SnapshotEvery: 100,
+			Timing: core.DefaultTiming(), Seed: 3,
+		}, core.Recovered{Snapshot: core.Snapshot{Index: 1, Term: 1, Members: core.NewMembership(self)}}, now)
+		now = lead(n, now)
+		followed(n, now, joinOf("c9", volatile))
+		require.Len(t, n.Status().Members, 2)
+		for _, m := range n.Status().Members {
+			require.Equal(t, m.ID.VM == "c1" || !volatile, m.Voter, "volatile %v", volatile)
+		}
 	}
 }
