relay: memory for requests is planned alike for all kinds

Ruled out: the prompts' reading (no late first events before the refusals) and the slots of first engines (those that refused were mostly later stages). Change: what the kind with the least memory has left beside its layers is what all kinds are to have.

--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 
 	"github.com/spoolbank/spoolbank/internal/core/config"
@@ -43,10 +44,13 @@
 // otherwise weighed.
 
 const (
-	// plannedRequests is the number of usual requests that an engine should have
+	// plannedRequests is the least number of usual requests that an engine should have
 	// memory for. An engine of the users' fast chain runs about 100 at the peak;
-	// 90 is what the slowest kind still holds with 6 layers.
+	// 90 is what the slowest kind still holds with 6 layers. See wanted for the most.
 	plannedRequests = 90
+	// likeEnough is the part of the wanted memory with which an engine still counts as
+	// one that has it: a layer less for a rounded token would be wasted.
+	likeEnough = 0.98
 	// fastSpread is how much slower than the fastest kind others may be and still
 	// share its chain: a stage four times as slow would hold the chain up.
 	fastSpread = 4.0
@@ -109,10 +113,26 @@
 	return all
 }
 
-// comfort returns how many layers leave room for plannedRequests.
-func (e *Engine) comfort(a Accelerator) int {
-	want := plannedRequests * max(e.UsualPrompt+e.UsualAnswer, 1)
-	return e.layersFor(a, want)
+// comfort returns how many layers leave room for the requests of a chain.
+func (e *Engine) comfort(a Accelerator) int { return e.layersFor(a, e.wanted()) }
+
+// wanted returns the memory for requests that each engine should have, in tokens. A
+// chain runs as many requests as its fullest engine has memory for. The kind with the
+// least memory can't be divided finely: what it has left beside the most layers that
+// leave room for plannedRequests, all others should have too. On the users' grown fleet
+// it has left 140, while kinds that were planned for 90 refused every tenth request.
+func (e *Engine) wanted() int {
+	usual := max(e.UsualPrompt+e.UsualAnswer, 1)
+	least := plannedRequests * usual
+	want := least
+	smallest := math.Inf(1)
+	for _, a := range e.Accelerators {
+		if n := e.layersFor(a, least); n > 0 && a.Bytes < smallest {
+			smallest = a.Bytes
+			want = int(likeEnough * float64(e.tokens(a, n)))
+		}
+	}
+	return min(max(want, least), max(e.Slots*usual, least))
 }
 
 // layersFor returns the most layers that leave memory for so many tokens.
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -115,6 +115,29 @@
 	}
 }
 
+// On the users' grown fleet a token takes two thirds of the memory of today. The slow
+// kinds had room for 140 requests then, and the fast ones that share a path with them
+// refused what came after 93.
+func TestPlanGivesAllKindsLikeMemoryForRequests(t *testing.T) {
+	e := engine()
+	e.TokenBytes = 393000
+	targets := engines(grown)
+	kinds := make(map[relay.TargetID]relay.Accelerator)
+	for _, target := range targets {
+		for _, a := range e.Accelerators {
+			if a.Name == target.Accelerator {
+				kinds[target.ID] = a
+			}
+		}
+	}
+	for _, a := range relay.Plan(e, targets) {
+		bytes := kinds[a.Target].Bytes - float64(a.Layers.Len())*e.LayerBytes
+		tokens := bytes / e.TokenBytes * float64(e.Layers) / float64(a.Layers.Len())
+		requests := tokens / float64(e.UsualPrompt+e.UsualAnswer)
+		require.GreaterOrEqual(t, requests, 135.0, "%s %s", a.Target, a.Layers)
+	}
+}
+
 // The pipes between halls bear some 40 requests a second, so each hall that can
 // hold the model has to.
 func TestPlanGivesEachHallTheWholeModel(t *testing.T) {
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -65,7 +66,8 @@
 	target Target
 	// heardAt is when the target last spoke to any VM, as far as is known here.
 	heardAt time.Time
-	// changed is the number of the change that last altered target.
+	// changed is the number of the change that last altered target, or made this VM
+	// the one that it speaks to.
 	changed uint64
 	// firstHand says that the target spoke to this VM last.
 	firstHand bool
@@ -74,7 +76,7 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry { return &Registry{targets: make(map[TargetID]entry)} }
 
-// Hear takes a target's own word, and reports whether it says anything new.
+// Hear takes a target's own word, and reports whether followers are to be told of it.
 func (r *Registry) Hear(t Target, now time.Time) bool { return r.take(t, now, true) }
 
 // Learn takes what another VM was told, and reports whether it is new.
@@ -88,15 +90,20 @@
 	}
 	differs := !known || differs(present.target, next)
 	e := entry{target: next, heardAt: now, changed: present.changed, firstHand: firstHand}
-	if known && t.Call <= present.target.Call {
+	late := known && t.Call <= present.target.Call
+	if late {
 		e.heardAt = present.heardAt
+		e.firstHand = present.firstHand || firstHand && differs
 	}
-	if differs {
+	// A target that turns to this VM is told of again, also where it says nothing new:
+	// the VM that it spoke to before may have died with its last word.
+	turned := firstHand && !present.firstHand && !late
+	if differs || turned {
 		r.change++
 		e.changed = r.change
 	}
 	r.targets[t.ID] = e
-	return differs
+	return differs || turned
 }
 
 // differs compares all but the number of the message.
@@ -110,6 +117,7 @@
 	if e, ok := r.targets[id]; ok && call > e.target.Call {
 		e.target.Call = call
 		e.heardAt = now
+		e.firstHand = false
 		r.targets[id] = e
 	}
 }
@@ -125,12 +133,23 @@
 
 // Since returns the targets that changed after a change, sorted by name.
 func (r *Registry) Since(change uint64) []Target {
+	return r.find(func(e entry) bool { return e.changed > change })
+}
+
+// OwnSince returns those of them that speak to this very VM.
+func (r *Registry) OwnSince(change uint64) []Target {
+	return r.find(func(e entry) bool { return e.changed > change && e.firstHand })
+}
+
+// find returns the targets that a condition holds for, sorted by name.
+func (r *Registry) find(wanted func(entry) bool) []Target {
 	var targets []Target
-	for _, id := range r.ids() {
-		if e := r.targets[id]; e.changed > change {
+	for _, e := range r.targets {
+		if wanted(e) {
 			targets = append(targets, e.target)
 		}
 	}
+	slices.SortFunc(targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	return targets
 }
 
