core: news of targets that were lost are asked for again

Cause: found by a new property test over random histories (three control VMs, two entry VMs, four targets, lost messages, restarts): a follower took the position of each news that came, also where a push before it was lost with its link, and never asked for that. A target's word, that it leaves among them, could then be missing at one entry VM until the target said something else.

--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -100,9 +100,10 @@
 	OwnOnly bool `cbor:"own_only,omitempty"`
 }
 
-// TargetNews brings changes of a registry.
+// TargetNews brings the changes of a registry after After, up to Upto.
 type TargetNews struct {
 	Life    uint64         `cbor:"life"`
+	After   uint64         `cbor:"after,omitempty"`
 	Upto    uint64         `cbor:"upto"`
 	Targets []relay.Target `cbor:"targets,omitempty"`
 	Beats   []relay.Beat   `cbor:"beats,omitempty"`
@@ -167,6 +168,14 @@
 	after uint64
 }
 
+// afterIn returns the last change that is known of a life.
+func (p position) afterIn(life uint64) uint64 {
+	if p.life != life {
+		return 0
+	}
+	return p.after
+}
+
 // follower is a VM that is pushed to.
 type follower struct {
 	after   uint64
@@ -360,6 +369,7 @@
 // tell sends a follower news that bring it to the newest change.
 func (n *Node) tell(vm VMName, f *follower, news TargetNews) {
 	news.Life = n.settings.Seed
+	news.After = f.after
 	news.Upto = n.registry.targets.Change()
 	if f.beats {
 		news.Beats = n.registry.targets.BeatsSince(f.beatsAt)
@@ -371,7 +381,11 @@
 
 // newsTaken takes what a control VM has heard.
 func (n *Node) newsTaken(from VMName, news TargetNews) {
-	n.registry.followed[from] = position{life: news.Life, after: news.Upto}
+	at := n.registry.followed[from]
+	if news.After == 0 || news.Life == at.life && news.After <= at.after {
+		// Otherwise news before these were lost, and are asked for again.
+		n.registry.followed[from] = position{life: news.Life, after: max(news.Upto, at.afterIn(news.Life))}
+	}
 	n.registry.whole = n.registry.whole || news.Whole
 	var learned []relay.Target
 	for _, t := range news.Targets {
