--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -44,6 +44,9 @@
 		{"an address that nobody can reach", strings.Replace(whole, "127.0.0.1:1", "0.0.0.0:1", 1), []string{
 			`4:25: "0.0.0.0:1" stands for all addresses; give the IP number that others reach this VM by`,
 		}},
+		{"memory that nothing can run in", strings.Replace(whole, `"tls"`, `"limits": {"memory_mb": 8}, "tls"`, 1), []string{
+			`6:27: memory_mb is 0 for no limit, or at least 32`,
+		}},
 		{"all that is missing", `{}`, []string{
 			"1:1: control.vms is required; list each control VM with its address for peers",
 			"1:1: hall is required; name the VM's data hall",
