--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -150,8 +150,8 @@
 	followed map[VMName]position
 	followAt time.Time
 	forgetAt time.Time
-	// wholeFrom counts the control VMs that were asked for all that they know, until one
-	// has answered (whole).
+	// wholeFrom picks, by its remainder, the control VM that is asked for all that it
+	// knows; whole says that one has answered.
 	wholeFrom int
 	whole     bool
 	// news says that followers are to be told of changes at the next push: thousands of
@@ -280,8 +280,8 @@
 	}
 }
 
-// follow asks all other control VMs for what is new, and until one has told all that it
-// knows one of them in turn for that.
+// follow asks all other control VMs for what is new. Until one of them has told all that
+// it knows, one after the other is asked for that.
 func (n *Node) follow() {
 	r := &n.registry
 	others := slices.DeleteFunc(n.controlVMs(), func(vm VMName) bool { return vm == n.settings.Self.VM })
@@ -348,7 +348,8 @@
 	return vms
 }
 
-// push sends what is new to all who follow. Most of them have the same.
+// push sends what is new to all who follow. Most of them are at the same change, so that
+// what is new is looked up once for each change.
 func (n *Node) push() {
 	news := make(map[uint64][]relay.Target)
 	for _, vm := range slices.Sorted(maps.Keys(n.registry.followers)) {
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -209,9 +209,9 @@
 	return !first || load.Requests < e.Slots && t.own.Requests < r.connLimit(s)
 }
 
-// fits reports whether a request fits into what is left of a target's memory. Where the
-// others are taken to do as this VM does, a room for a part of them is drawn for: of 76
-// VMs with room for 50 requests 50 should find it.
+// fits reports whether a request fits into what is left of a target's memory. A VM that
+// takes all others to do as it does admits at random: where 76 VMs have a request each
+// and there is room for 50, each admits its own with a probability of 50 in 76.
 func (r *Router) fits(tokens, room float64) bool {
 	if r.othersKnown {
 		return tokens <= room
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -250,8 +250,8 @@
 // on the other VMs is up to half a second old; since then they have most likely
 // done what this VM did, above all when all turn away from a lost engine at once.
 //
-// A VM that has been told nothing yet has most likely started with all others, and takes
-// them to have begun as much as it has.
+// A VM that has been told nothing yet has most likely started together with all others:
+// it takes each of them to have as much under way as it has itself.
 func (r *Router) load(t *target) Work {
 	if !r.othersKnown {
 		return t.own.Times(r.vms)
