core: a change on its way to an entry VM is not sent again

The leader sent 5.3 MB/s: after 1,480 routes were added each change is some 60 KB, 76 holders ask for their lease every 0.3 s, and each ask of one that has not got the change yet was answered with it again, so that its link of 100 Mbit/s carried nothing else and reads took over a second. Ruled out: memory (118 MB of 147) and processor time (4 % of a core) of the leader. Change: what was sent to a holder counts as on its way for 1 s; a lease that goes without it can't be used by a holder that has not got it. Test: TestAChangeOnItsWayIsNotSentAgain, red before.

--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -53,12 +53,15 @@
 		Revision: c.Revision,
 		Cluster:  n.cluster,
 	}
-	deltas, ok := n.leading.deltas.since(l.revision, c.Revision)
-	if ok {
+	base := n.baseOf(l)
+	if deltas, ok := n.leading.deltas.since(base, c.Revision); ok {
 		g.Deltas = deltas
 	} else {
 		g.State = &c
 	}
+	if base < c.Revision {
+		l.sent, l.sentAt = c.Revision, n.now
+	}
 	if !n.now.Before(n.leading.viewFrom) {
 		n.leading.view.since(l.renew.ViewVersion, &g)
 	}
@@ -69,6 +72,22 @@
 	n.deliver(l.holder.VM, Message{Grant: &g})
 }
 
+// resendAfter is how long changes that were sent to a holder count as on their way. On the
+// users' grown fleet a change of 1,700 routes takes 0.5 s to 76 holders, who ask three
+// times a second: each ask was answered with the change again, until the leader's link
+// carried nothing else.
+const resendAfter = time.Second
+
+// baseOf returns the revision from which a holder is brought to the newest: its own, or
+// what was sent to it a moment ago. If that was lost, the holder can't use the lease, and
+// is sent all again after resendAfter.
+func (n *Node) baseOf(l *lease) config.Revision {
+	if n.now.Before(l.sentAt.Add(resendAfter)) {
+		return max(l.revision, l.sent)
+	}
+	return l.revision
+}
+
 func (n *Node) isLeaving(l *lease) bool {
 	vm, _ := n.machine.Config.VMs.Get(string(l.holder.VM))
 	return l.renew.Leaving || vm.Drain || n.leading.platform[string(l.holder.VM)]
--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -50,22 +50,24 @@
 }
 
 // tick lets time pass for a control VM, on a disk that takes no time.
-func tick(n *core.Node, now time.Time) {
-	synced := uint64(0)
-	for _, effect := range n.Step(now, core.Tick{}) {
-		if p, ok := effect.(core.Persist); ok {
-			synced = p.Sequence
-		}
-	}
+func tick(n *core.Node, now time.Time) { settle(n, now, n.Step(now, core.Tick{})) }
+
+// settle syncs what effects persist, and what comes of that.
+func settle(n *core.Node, now time.Time, effects []core.Effect) {
+	synced := lastPersist(effects)
 	for synced > 0 {
-		next := uint64(0)
-		for _, effect := range n.Step(now, core.Persisted{Sequence: synced}) {
-			if p, ok := effect.(core.Persist); ok {
-				next = p.Sequence
-			}
+		synced = lastPersist(n.Step(now, core.Persisted{Sequence: synced}))
+	}
+}
+
+func lastPersist(effects []core.Effect) uint64 {
+	last := uint64(0)
+	for _, effect := range effects {
+		if p, ok := effect.(core.Persist); ok {
+			last = p.Sequence
 		}
-		synced = next
 	}
+	return last
 }
 
 func TestTargetsThatLeaveAreSavedAtOnce(t *testing.T) {
--- a/internal/core/leading.go
+++ b/internal/core/leading.go
@@ -60,7 +60,10 @@
 	// drift included.
 	until    time.Time
 	revision config.Revision
-	renew    Renew
+	// sent is the revision that the holder was last sent changes to, at sentAt.
+	sent   config.Revision
+	sentAt time.Time
+	renew  Renew
 	// renewedAt is when the holder last asked.
 	renewedAt time.Time
 	// controlsAt is when the holder is next told of the control VMs.
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
 	"github.com/spoolbank/spoolbank/internal/relay"
 	"github.com/spoolbank/spoolbank/internal/wire"
 )
@@ -235,3 +237,16 @@
 	}
 	t.Fatal("no lease")
 }
+
+// A change of 1,700 routes was sent again for each ask of each of 76 VMs, and nobody could
+// read the configuration for 4 s.
+func TestAChangeOnItsWayIsNotSentAgain(t *testing.T) {
+	f := newFleet(t)
+	f.renew("e1", false)
+	put := core.DocumentPut{Conn: 7, Document: config.Document{Version: 3, Source: bytes.Repeat([]byte("x"), 60<<10)}}
+	settle(f.node, f.now, f.node.Step(f.now, put))
+	const whole = 60 << 10
+	require.Less(t, f.renew("e1", true), whole, "it was pushed when it was accepted, and is on its way")
+	f.now = f.now.Add(time.Second)
+	require.Greater(t, f.renew("e1", true), whole, "it may have been lost")
+}
