--- a/internal/daemon/logs_test.go
+++ b/internal/daemon/logs_test.go
@@ -23,6 +23,13 @@
 	return g.text.Write(p)
 }
 
+// String returns what was written so far. The log's timer may write at any time.
+func (g *gate) String() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.String()
+}
+
 // A reader that stops must not hold up requests, and what is lost is counted.
 func TestLogsNeverBlockAndCountWhatIsDropped(t *testing.T) {
 	out := &gate{}
@@ -34,5 +41,5 @@
 	}
 	out.mu.Unlock()
 	flush()
-	require.Contains(t, out.text.String(), `"msg":"log lines dropped"`)
+	require.Contains(t, out.String(), `"msg":"log lines dropped"`)
 }
