--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -134,7 +134,7 @@
 	deadAtLeast = 2
 	deadRatio   = 2
 	// pushCost is the wait between two pushes for each follower. Encoding and sending one
-	// takes some 100 us of half a core, so that pushes take a fifth of it at the most: 76
+	// takes some 100 us of half a core (estimated, not measured), so that pushes take a fifth of it at the most: 76
 	// followers are pushed to every 76 ms, 300 every 0.3 s, of the 2 s that a word may take.
 	pushCost = time.Millisecond
 	// deafAfter is the silence of the leader after which a control VM takes no
