core: entry VMs that start learn the targets at once, and hints last

The first ask of an entry VM came before a control VM listened, and the next 1.5 s later. At 36.47 s, all VMs gave up streams on live engines at once: 1.5 s after the start a hint counted as silence, while engines still looked for a control VM. Ruled out: a slow election (leases are held 0.6 s after the start); queues of prompts (the streams were given up 0.28 s after they were sent, by the leader's word). Change: until one control VM has told all that it knows, an entry VM asks every 0.1 s; a hint counts for the usual silence. Tests: TestALostFirstAskIsRepeatedSoon, TestHintsCountForTheUsualSilence, red before.

--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -40,6 +40,59 @@
 	require.Equal(t, []relay.Target{hint}, follow(n, now))
 }
 
+// After a kill of all VMs the entry VMs asked before the control VMs listened, and again
+// after 1.5 s: they had a lease for a second and knew no target.
+func TestALostFirstAskIsRepeatedSoon(t *testing.T) {
+	now := time.Unix(100, 0)
+	n := core.New(core.Settings{
+		Self: core.ReplicaID{VM: "e1", Incarnation: 1}, Cluster: "c", Entry: true, ControlVMs: []core.VMName{"c1", "c2", "c3"},
+		Timing: core.DefaultTiming(), Seed: 3,
+		DecodeDocument: func([]byte) (*relay.Document, error) { return &relay.Document{Version: 1}, nil },
+	}, core.Recovered{}, now)
+	asks := func(until time.Time) (asks int) {
+		for ; now.Before(until); now = now.Add(20 * time.Millisecond) {
+			for _, effect := range n.Step(now, core.Tick{}) {
+				if send, ok := effect.(core.Send); ok && send.Envelope.Body.Follow != nil && !send.Envelope.Body.Follow.OwnOnly {
+					asks++
+				}
+			}
+		}
+		return asks
+	}
+	require.GreaterOrEqual(t, asks(now.Add(300*time.Millisecond)), 2)
+	n.Step(now, from("c1", core.Message{TargetNews: &core.TargetNews{Life: 1, Upto: 1, Whole: true}}))
+	asks(now.Add(200 * time.Millisecond))
+	require.Zero(t, asks(now.Add(time.Second)))
+}
+
+// A live target may take as long as its usual silence to find a control VM after all of
+// them were killed. Half of that made engines with requests count as dead.
+func TestHintsCountForTheUsualSilence(t *testing.T) {
+	now := time.Unix(100, 0)
+	n := controlNode([]relay.Target{{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Call: 7}}, now)
+	end := now.Add(2900 * time.Millisecond)
+	for ; now.Before(end); now = now.Add(20 * time.Millisecond) {
+		tick(n, now)
+	}
+	require.Empty(t, grantTo(t, n, now).Silent)
+	for end = now.Add(300 * time.Millisecond); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		tick(n, now)
+	}
+	require.Len(t, grantTo(t, n, now).Silent, 1)
+}
+
+// grantTo has an entry VM renew its lease with a leader.
+func grantTo(t *testing.T, n *core.Node, now time.Time) core.Grant {
+	t.Helper()
+	for _, effect := range n.Step(now, from("e1", core.Message{Renew: &core.Renew{Number: 1}})) {
+		if send, ok := effect.(core.Send); ok && send.Envelope.Body.Grant != nil {
+			return *send.Envelope.Body.Grant
+		}
+	}
+	require.Fail(t, "no lease was granted")
+	return core.Grant{}
+}
+
 // lead makes a sole control VM the leader, on a disk that takes no time.
 func lead(n *core.Node, now time.Time) time.Time {
 	for range 200 {
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -24,8 +24,9 @@
 //
 // A control VM saves what it knows now and then, without a sync. After a loss of
 // power of all VMs the hints let them serve before the targets have spoken again,
-// which takes up to 3 s. A hint counts for half the usual silence only, so that a
-// target that is gone is out again before anyone relies on what it said.
+// which takes up to 3 s. A hint counts as long as a word that comes at the start: one
+// that counted for half as long was void while live targets still looked for a control
+// VM, and what ran there was given up. A target that is gone is found dead by its use.
 //
 // Invariants: a control VM that has not heard the leader lately takes no word,
 // so that a target goes to one whose followers can hear it; what is pushed is
@@ -117,6 +118,11 @@
 	// that is lost delays a change by as much, of the 2 s that it may take.
 	followEvery = 1500 * time.Millisecond
 	beatsEvery  = 500 * time.Millisecond
+	// followFirst is that interval until a control VM has told all that it knows: where
+	// all VMs start together, the one that is asked first may not listen yet, and callers
+	// wait. A control VM that hears 300 followers ten times a second is busy for a part of
+	// one second.
+	followFirst = 100 * time.Millisecond
 	// followLife is how long a follower that has not asked again is pushed to.
 	followLife = 4 * followEvery
 	// forgetAfter is the silence after which a target is dropped: far longer than
@@ -191,7 +197,7 @@
 		followed:  make(map[VMName]position),
 	}
 	for _, t := range hints {
-		n.registry.targets.Learn(t, n.now.Add(-silentAfter/2))
+		n.registry.targets.Learn(t, n.now)
 	}
 	n.registry.saved = n.registry.targets.Change()
 }
@@ -262,10 +268,7 @@
 		return
 	}
 	if !n.now.Before(n.registry.followAt) {
-		n.registry.followAt = n.now.Add(followEvery)
-		if n.settings.Control {
-			n.registry.followAt = n.now.Add(beatsEvery)
-		}
+		n.registry.followAt = n.now.Add(n.followInterval())
 		n.follow()
 	}
 	n.saveTargets(false)
@@ -280,6 +283,16 @@
 	}
 }
 
+func (n *Node) followInterval() time.Duration {
+	switch {
+	case n.settings.Control:
+		return beatsEvery
+	case !n.registry.whole:
+		return followFirst
+	}
+	return followEvery
+}
+
 // follow asks all other control VMs for what is new. Until one of them has told all that
 // it knows, one after the other is asked for that.
 func (n *Node) follow() {
