core: hints are of targets that live

The hints held targets that had died 10 s before, beside their successors at the same address. Change: silent targets are left out of the hints; they are saved again when the number of silent ones changes. Test: TestHintsAreOfTargetsThatLive, red before.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -187,7 +187,7 @@
 	}
 	l.fleet.vms = max(l.fleet.vms, n.registry.entryFollowers(n.now))
 	l.work.take(l.fleet.work)
-	for _, id := range n.registry.targets.Silent(n.now.Add(-silentAfter), n.now.Add(-replacedAfter)) {
+	for _, id := range n.silentTargets() {
 		l.fleet.silent = append(l.fleet.silent, id.Key())
 	}
 	for key, vms := range dead {
--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -81,6 +81,32 @@
 	require.Len(t, grantTo(t, n, now).Silent, 1)
 }
 
+// After a kill of all VMs 59 calls went to engines that had died 10 s before it: the hints
+// had them beside their successors at the same address.
+func TestHintsAreOfTargetsThatLive(t *testing.T) {
+	n := controlNode(nil, time.Unix(100, 0))
+	now := lead(n, time.Unix(100, 0))
+	n.Step(now, core.TargetSpoke{Conn: 1, Target: relay.Target{ID: "i-1", Address: "a", Call: 1}})
+	var saved []relay.TargetID
+	take := func(effects []core.Effect) {
+		settle(n, now, effects)
+		for _, effect := range effects {
+			if s, ok := effect.(core.SaveTargets); ok {
+				saved = nil
+				for _, target := range s.Targets {
+					saved = append(saved, target.ID)
+				}
+			}
+		}
+	}
+	for call := uint64(1); call <= 500; call++ {
+		now = now.Add(20 * time.Millisecond)
+		take(n.Step(now, core.TargetSpoke{Conn: 1, Target: relay.Target{ID: "i-2", Address: "a", Call: call}}))
+		take(n.Step(now, core.Tick{}))
+	}
+	require.Equal(t, []relay.TargetID{"i-2"}, saved)
+}
+
 // grantTo has an entry VM renew its lease with a leader.
 func grantTo(t *testing.T, n *core.Node, now time.Time) core.Grant {
 	t.Helper()
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -164,9 +164,13 @@
 	// targets may speak within a second, and each push goes to hundreds of followers.
 	news   bool
 	pushAt time.Time
-	// saved is the last change that hints were saved of.
-	saved  uint64
-	saveAt time.Time
+	// saved is the last change that hints were saved of, and savedSilent how many targets
+	// were silent then.
+	saved       uint64
+	savedSilent int
+	saveAt      time.Time
+	// silentAt is when to look again whether other targets are silent.
+	silentAt time.Time
 }
 
 type position struct {
@@ -210,15 +214,29 @@
 // saveEvery is the least time between two savings of hints, unless a target leaves.
 const saveEvery = 3 * time.Second
 
-// saveTargets saves hints when something has changed.
+// saveTargets saves hints when something has changed: of the targets that live. What is
+// known of a dead one would count as much as the word of its successor at its address.
 func (n *Node) saveTargets(atOnce bool) {
 	r := &n.registry
-	if !n.settings.Control || r.saved == r.targets.Change() || !atOnce && n.now.Before(r.saveAt) {
+	changed := r.saved != r.targets.Change()
+	if !n.settings.Control || changed && !atOnce && n.now.Before(r.saveAt) || !changed && n.now.Before(r.silentAt) {
+		return
+	}
+	r.silentAt = n.now.Add(saveEvery)
+	silent := n.silentTargets()
+	if !changed && r.savedSilent == len(silent) {
 		return
 	}
-	r.saved = r.targets.Change()
 	r.saveAt = n.now.Add(saveEvery)
-	n.emit(SaveTargets{Targets: r.targets.All()})
+	r.saved = r.targets.Change()
+	r.savedSilent = len(silent)
+	live := slices.DeleteFunc(r.targets.All(), func(t relay.Target) bool { return slices.Contains(silent, t.ID) })
+	n.emit(SaveTargets{Targets: live})
+}
+
+// silentTargets returns the targets that have told no VM of late that they live.
+func (n *Node) silentTargets() []relay.TargetID {
+	return n.registry.targets.Silent(n.now.Add(-silentAfter), n.now.Add(-replacedAfter))
 }
 
 // targetSpoke takes a target's own word.
