core: a new leader tells the work of others once all have renewed; the dead are not named

Cause: after a kill of all VMs each chose by its own work alone for 1.2 s after the election, and held or refused what went beyond its share, though the leader had heard of all of them 0.1 s after it. Change: the work is told as soon as each entry VM that follows the leader has renewed; who asks for all targets is told of those that live. Tests: TestANewLeaderTellsTheWorkOnceAllHaveRenewed, TestWhoStartsIsToldOfTargetsThatLive, red before.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -20,7 +20,8 @@
 // lease carries what has changed after it, the oldest first and no more than workMost
 // targets. A lease that is lost costs nothing, since its holder asks from where it is.
 //
-// A new leader tells nothing until all entry VMs have renewed with it: its sums would be
+// A new leader tells nothing until all entry VMs that follow it have renewed with it, or
+// would have: its sums would be
 // too low, and holders do better with those of the leader before.
 //
 // Invariants: a holder that has a number has been told of every target whose newest
@@ -134,7 +135,7 @@
 			g.Control = append(g.Control, m.ID.VM)
 		}
 	}
-	if n.now.Before(n.leading.workFrom) {
+	if n.now.Before(n.leading.workFrom) && !n.heardOfAll() {
 		g.WorkUpto = to.renew.WorkSeen
 		return
 	}
@@ -147,6 +148,24 @@
 	}
 }
 
+// heardOfAll reports whether each entry VM that follows this one has renewed with it since
+// its election. After a loss of all VMs that is so a second before workSettle is over, and
+// all of them choose by their own work alone until then.
+func (n *Node) heardOfAll() bool {
+	following := 0
+	for vm, f := range n.registry.followers {
+		if f.beats || !n.now.Before(f.until) {
+			continue
+		}
+		l, ok := n.leading.leases[vm]
+		if !ok || !n.now.Before(l.until) {
+			return false
+		}
+		following++
+	}
+	return following > 0 && !n.now.Before(n.leading.workFrom.Add(-workSettle+n.settings.Timing.RenewEvery))
+}
+
 // fleet is the sum over all entry VMs. It is made anew seldom, for each of
 // hundreds of leases a second carries it.
 type fleet struct {
--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -107,6 +107,19 @@
 	require.Equal(t, []relay.TargetID{"i-2"}, saved)
 }
 
+// A control VM that came back told of an engine that had died 16 s before: the others had
+// named it among all that they knew, as if it had just spoken.
+func TestWhoStartsIsToldOfTargetsThatLive(t *testing.T) {
+	n := controlNode(nil, time.Unix(100, 0))
+	now := lead(n, time.Unix(100, 0))
+	n.Step(now, core.TargetSpoke{Conn: 1, Target: relay.Target{ID: "i-1", Address: "a", Call: 1}})
+	require.Len(t, follow(n, now), 1)
+	for end := now.Add(4 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		tick(n, now)
+	}
+	require.Empty(t, follow(n, now))
+}
+
 // grantTo has an entry VM renew its lease with a leader.
 func grantTo(t *testing.T, n *core.Node, now time.Time) core.Grant {
 	t.Helper()
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -230,8 +230,13 @@
 	r.saveAt = n.now.Add(saveEvery)
 	r.saved = r.targets.Change()
 	r.savedSilent = len(silent)
-	live := slices.DeleteFunc(r.targets.All(), func(t relay.Target) bool { return slices.Contains(silent, t.ID) })
-	n.emit(SaveTargets{Targets: live})
+	n.emit(SaveTargets{Targets: n.live(r.targets.All())})
+}
+
+// live drops the silent ones of some targets.
+func (n *Node) live(targets []relay.Target) []relay.Target {
+	silent := n.silentTargets()
+	return slices.DeleteFunc(targets, func(t relay.Target) bool { return slices.Contains(silent, t.ID) })
 }
 
 // silentTargets returns the targets that have told no VM of late that they live.
@@ -360,7 +365,7 @@
 		present.after = 0
 	}
 	if !f.OwnOnly {
-		n.tell(from, present, TargetNews{Targets: n.registry.targets.Since(present.after), Whole: present.after == 0})
+		n.tell(from, present, TargetNews{Targets: n.live(n.registry.targets.Since(present.after)), Whole: present.after == 0})
 		return
 	}
 	n.tell(from, present, TargetNews{Targets: n.registry.targets.OwnSince(present.after)})
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -221,6 +221,47 @@
 	require.GreaterOrEqual(t, told.Sub(first), time.Second)
 }
 
+// After a kill of all VMs each chose by its own work alone for 1.2 s after the election,
+// though the leader had heard of all of them after 0.1 s.
+func TestANewLeaderTellsTheWorkOnceAllHaveRenewed(t *testing.T) {
+	n := controlNode(nil, time.Unix(100, 0))
+	now := time.Unix(100, 0)
+	vms := []core.VMName{"e1", "e2", "e3"}
+	told := make(map[core.VMName]bool)
+	renew := func(vm core.VMName, number uint64) (granted bool) {
+		body := core.Message{Renew: &core.Renew{Number: number, Address: core.EntryAddress{VM: vm}}}
+		for _, effect := range n.Step(now, from(vm, body)) {
+			if send, ok := effect.(core.Send); ok && send.Envelope.Body.Grant != nil {
+				granted = true
+				told[vm] = send.Envelope.Body.Grant.WorkTold
+			}
+		}
+		return granted
+	}
+	for _, vm := range vms {
+		n.Step(now, from(vm, core.Message{Follow: &core.Follow{OwnOnly: true}}))
+	}
+	number := uint64(0)
+	for granted := false; !granted && number < 500; {
+		number++
+		now = now.Add(20 * time.Millisecond)
+		tick(n, now)
+		granted = renew("e1", number)
+	}
+	elected := now
+	for now.Before(elected.Add(900 * time.Millisecond)) {
+		number++
+		now = now.Add(100 * time.Millisecond)
+		tick(n, now)
+		renew("e1", number)
+		renew("e2", number)
+		require.False(t, told["e1"], "e3 has not renewed")
+	}
+	renew("e3", number)
+	renew("e1", number+1)
+	require.True(t, told["e1"])
+}
+
 // The first of 76 VMs that had a lease again took itself to be alone.
 func TestFollowersAreCountedBeforeTheyHaveALease(t *testing.T) {
 	f := newFleet(t)
