core: nothing is moved until every target has had time to speak

Change: a control VM plans nothing for the usual silence of a target after its start. Test: TestNothingMovesUntilEveryTargetHasSpoken, red before (0.9 s).

--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
@@ -201,3 +202,39 @@
 	require.Equal(t, 1, messages)
 	require.Equal(t, 3, targets)
 }
+
+// After a kill of all VMs a new leader moved engines that served: it had heard of a part of
+// them, and took the layers of all others for lost.
+func TestNothingMovesUntilEveryTargetHasSpoken(t *testing.T) {
+	engine := &relay.Engine{
+		Slots: 10, Layers: 10, LayerBytes: 1e9, TokenBytes: 1e6, UsualPrompt: 10, UsualAnswer: 10, Load: time.Second, LoadsAtOnce: 1,
+		Accelerators: []relay.Accelerator{{Name: "k", Bytes: 30e9, Pace: 1, Read: 1}},
+	}
+	document := &relay.Document{Version: 1, Services: []relay.Service{{Name: "s", Engine: engine}}}
+	self := core.ReplicaID{VM: "c1", Incarnation: 1}
+	start := time.Unix(100, 0)
+	now := start
+	n := core.New(core.Settings{
+		Self: self, Cluster: "c", Control: true, ControlVMs: []core.VMName{"c1"}, Voters: 1, SnapshotEvery: 100,
+		Timing: core.DefaultTiming(), Seed: 4,
+		DecodeDocument: func([]byte) (*relay.Document, error) { return document, nil },
+	}, core.Recovered{Snapshot: core.Snapshot{Index: 1, Term: 1, Members: core.NewMembership(self), Machine: core.Machine{Config: config.State{Document: config.Document{Version: 1, Source: []byte("x")}}}}}, now)
+	born := now
+	var ordered time.Time
+	for call := uint64(1); ordered.IsZero() && call < 500; call++ {
+		now = now.Add(20 * time.Millisecond)
+		for i, layers := range []config.Range{{First: 0, Last: 5}, {First: 0, Last: 5}} {
+			heard := relay.Target{ID: relay.TargetID([]string{"e1", "e2"}[i]), Service: "s", Hall: "a", Accelerator: "k", Address: []string{"a", "b"}[i], Call: call, Layers: layers}
+			n.Step(now, core.TargetSpoke{Conn: 1, Target: heard})
+		}
+		effects := n.Step(now, core.Tick{})
+		settle(n, now, effects)
+		for _, effect := range effects {
+			if _, ok := effect.(core.OrderLayers); ok {
+				ordered = now
+			}
+		}
+	}
+	require.False(t, ordered.IsZero(), "the gap is closed in the end")
+	require.GreaterOrEqual(t, ordered.Sub(born), 3*time.Second)
+}
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -88,7 +88,7 @@
 // tickPlacing compares what engines hold with the plan.
 func (n *Node) tickPlacing() {
 	p := &n.leading.placing
-	if !n.followsTargets() || n.now.Before(p.lookAt) {
+	if !n.followsTargets() || n.now.Before(p.lookAt) || n.now.Before(n.registry.completeAt) {
 		return
 	}
 	p.lookAt = n.now.Add(placeEvery)
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -164,6 +164,9 @@
 	// targets may speak within a second, and each push goes to hundreds of followers.
 	news   bool
 	pushAt time.Time
+	// completeAt is when every target that lives has spoken since this process began:
+	// before, what it holds may be known from hints only, or not at all.
+	completeAt time.Time
 	// saved is the last change that hints were saved of, and savedSilent how many targets
 	// were silent then.
 	saved       uint64
@@ -200,6 +203,7 @@
 		followers: make(map[VMName]*follower),
 		followed:  make(map[VMName]position),
 	}
+	n.registry.completeAt = n.now.Add(silentAfter)
 	for _, t := range hints {
 		n.registry.targets.Learn(t, n.now)
 	}
