relay, daemon: a later stage of a running answer is replaced, and the rest goes on

An engine that died in the middle of answers had all of them begin anew, read through every stage again, out of the budget of repeats. Ruled out: waits for the store or for the order itself (loads of fresh engines take 0.9 s). Change: the first engine of a path is told to go on with another engine of the same hall in place of one that fails or moves; the new one reads the tokens so far, all others keep theirs. Where that is not taken, the request goes on as before.

--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -33,19 +33,20 @@
 			watch.heard = time.Now()
 			f.promptRead()
 			pending = f.handOn(answer, append(pending, buffer[:n]...))
+			f.leaveMoving(ctx)
 		}
 		switch {
 		case err == nil:
 			continue
 		case errors.Is(err, io.EOF) && len(pending) == 0 && f.begun:
-			for _, s := range path.Stages {
+			for _, s := range f.lastPath.Stages {
 				f.g.succeeded(s.Target)
 			}
 			return resultDone
 		case errors.Is(err, io.EOF):
 			err = io.ErrUnexpectedEOF
 		}
-		return f.broken(ctx, path, watch, err)
+		return f.broken(ctx, f.lastPath, watch, err)
 	}
 }
 
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -109,6 +109,8 @@
 	// last is what the last try ended with, for the log.
 	last     string
 	lastPath relay.Path
+	// replaced holds the stages that another engine was asked to take the place of.
+	replaced map[relay.TargetID]bool
 }
 
 // wholeAnswer is an answer that was read to its end.
@@ -160,6 +162,7 @@
 		f.lastPath = path
 		f.read = false
 		r := f.try(ctx, path)
+		path = f.lastPath
 		f.g.release(path, f.read)
 		f.tries++
 		if r == resultDone {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -77,6 +77,9 @@
 	// Stalled returns the requests that stand still at an engine that is first on
 	// their paths, each with the address of the stage that they wait for.
 	Stalled(ctx context.Context, address string) (map[string]string, error)
+	// Repath tells the first engine of a path to go on with a request along it: other
+	// engines than before read what it has so far.
+	Repath(ctx context.Context, request string, p relay.Path) error
 }
 
 // Call is a caller's request, read whole.
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -19,6 +19,7 @@
 	dials    metric.Int64Counter
 	failures metric.Int64Counter
 	probes   metric.Int64Counter
+	repaths  metric.Int64Counter
 	orders   metric.Int64Counter
 }
 
@@ -49,6 +50,7 @@
 	g.dials = counter("spoolbank.target.connections")
 	g.failures = counter("spoolbank.target.failures")
 	g.probes = counter("spoolbank.target.probes")
+	g.repaths = counter("spoolbank.target.repaths")
 	g.orders = counter("spoolbank.target.orders")
 	return g, err
 }
@@ -70,7 +72,11 @@
 
 func (g *gatewayMetrics) dialled()      { g.dials.Add(context.Background(), 1) }
 func (g *gatewayMetrics) targetFailed() { g.failures.Add(context.Background(), 1) }
-func (g *gatewayMetrics) probed()       { g.probes.Add(context.Background(), 1) }
+func (g *gatewayMetrics) repathed(taken bool) {
+	g.repaths.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("taken", taken)))
+}
+
+func (g *gatewayMetrics) probed() { g.probes.Add(context.Background(), 1) }
 
 func (g *gatewayMetrics) ordered(o core.OrderOutcome) {
 	g.orders.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", o.String())))
--- /dev/null
+++ b/internal/daemon/repath.go
@@ -0,0 +1,62 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// repathLimit bounds the wait for an engine to take another path: it answers in about
+// 2 ms, and the answer stands still meanwhile.
+const repathLimit = 100 * time.Millisecond
+
+// repath has the engine that is first on a request's path go on with another engine in
+// the place of a later one. Each stage is tried once, and only once the answer has begun:
+// a request that has not is refused by its engine, and begins elsewhere.
+func (f *forwarding) repath(ctx context.Context, from relay.TargetID, why string) bool {
+	if f.replaced[from] || !f.read {
+		return false
+	}
+	if f.replaced == nil {
+		f.replaced = make(map[relay.TargetID]bool)
+	}
+	f.replaced[from] = true
+	f.g.mu.Lock()
+	path, ok := f.g.router.Substitute(f.lastPath, from, time.Now())
+	f.g.mu.Unlock()
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, repathLimit)
+	defer cancel()
+	err := f.g.platform.Engines.Repath(ctx, f.call.ID, path)
+	f.g.log.Info("request gets another path", "request", f.call.ID, "why", why, "instead_of", from, "path", path.String(), "error", errorText(err))
+	f.g.meter.repathed(err == nil)
+	if err != nil {
+		f.g.mu.Lock()
+		f.g.router.Restore(path, f.lastPath)
+		f.g.mu.Unlock()
+		return false
+	}
+	f.lastPath = path
+	return true
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// leaveMoving takes a request off an engine that is to give up its layers: it waits for
+// what runs there, for as long as the longest answer.
+func (f *forwarding) leaveMoving(ctx context.Context) {
+	f.g.mu.Lock()
+	id, moving := f.g.router.MovingOn(f.lastPath)
+	f.g.mu.Unlock()
+	if moving {
+		f.repath(ctx, id, "its engine moves")
+	}
+}
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -28,14 +28,26 @@
 	if since.IsZero() {
 		since = w.began
 	}
-	if id, ok := w.f.g.suspectOn(w.path); ok {
+	if id, ok := w.f.g.suspectOn(w.f.lastPath); ok {
 		w.culprit = id
-		return false
+		return w.replace()
 	}
 	if time.Since(since) < probeAfter {
 		return true
 	}
-	return !w.probe()
+	return !w.probe() || w.replace()
+}
+
+// replace has another engine take the place of the one that the request waits for, and
+// reports whether to wait for it.
+func (w *watcher) replace() bool {
+	if w.ctx.Err() != nil || !w.f.repath(w.ctx, w.culprit, "its engine fails") {
+		return false
+	}
+	w.f.g.failed(w.culprit, true)
+	w.culprit = ""
+	w.heard = time.Now()
+	return true
 }
 
 // suspectOn returns a target on a path that is under suspicion.
@@ -54,7 +66,7 @@
 // probe asks the first engine whether the request stands still, and reports
 // whether it is to be given up.
 func (w *watcher) probe() bool {
-	first := w.path.First()
+	first := w.f.lastPath.First()
 	w.f.g.meter.probed()
 	stalled, err := w.f.g.probes.ask(w.ctx, first.Address)
 	if w.ctx.Err() != nil {
@@ -69,7 +81,7 @@
 	if !ok {
 		return false
 	}
-	if s, ok := w.path.At(address); ok {
+	if s, ok := w.f.lastPath.At(address); ok {
 		w.culprit = s.Target
 	} else {
 		w.culprit = first.Target
