relay: what a hall has lost is taken over at once, also with less memory for requests

Where it ordered, one engine moved at a time. Change: as many engines move at once as the gaps take, idle ones first; where they can't with the planned memory for requests, they take more layers, down to half of it. Test: TestALostEngineIsMadeUpForAtOnce, red before.

--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -227,3 +227,20 @@
 		}
 	}
 }
+
+// A hall whose fastest engine died had enough memory without it only for less requests at
+// once, and stayed without layers until the engine was back and had loaded, ten seconds.
+// What it takes over is ordered at once, and not one engine after the other.
+func TestALostEngineIsMadeUpForAtOnce(t *testing.T) {
+	l := layout{"a": {"large": 1, "tiny": 10, "small": 4}}
+	targets := engines(l)
+	held := holding(targets, relay.Plan(engine(), targets))
+	lost := slices.IndexFunc(held, func(x relay.Target) bool { return x.Accelerator == "large" })
+	require.Positive(t, held[lost].Layers.Len())
+	left := slices.Delete(slices.Clone(held), lost, lost+1)
+	moves := relay.Plan(engine(), left)
+	for layer, n := range covered(holding(left, moves)) {
+		require.Positive(t, n, "layer %d after %v", layer, moves)
+	}
+	requireFits(t, left, moves)
+}
--- a/internal/relay/repair.go
+++ b/internal/relay/repair.go
@@ -1,20 +1,19 @@
 package relay
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/spoolbank/spoolbank/internal/core/config"
 )
 
-// repair returns the moves that give halls back the layers that they lack. Each
-// hall makes one move at a time: what it frees is known only once it is done.
+// repair returns the moves that give halls back the layers that they lack: as many engines
+// as the gaps take, all at once.
 func (e *Engine) repair(holding []unit) []Assignment {
 	var out []Assignment
 	for _, hall := range hallNames(holding) {
 		units := slices.DeleteFunc(slices.Clone(holding), func(u unit) bool { return u.target.Hall != hall })
-		if a, ok := e.repairHall(units); ok {
-			out = append(out, a)
-		}
+		out = append(out, e.repairHall(units)...)
 	}
 	return out
 }
@@ -28,42 +27,71 @@
 	return slices.Compact(names)
 }
 
-// repairHall returns the move that closes the first gap of a hall that can hold
-// the model.
-func (e *Engine) repairHall(units []unit) (Assignment, bool) {
-	size := 0
-	for _, u := range units {
-		size += u.comfort
+// squeezed is the part of the wanted memory for requests that engines keep, at the least,
+// when they take over layers: a hall with half of its places is better than none.
+const squeezed = 0.5
+
+// repairHall returns the moves that close the gaps of a hall: with the wanted memory for
+// requests where the engines that may move can, and else with less.
+func (e *Engine) repairHall(units []unit) []Assignment {
+	wanted := e.wanted()
+	step := max(int(squeezed*float64(wanted))/squeezeSteps, 1)
+	for tokens := wanted; tokens >= int(squeezed*float64(wanted)); tokens -= step {
+		if moves, whole := e.closeGaps(units, tokens); whole {
+			return moves
+		}
 	}
-	counts := e.counts(units)
-	gap := firstGap(counts)
-	if size < e.Layers || gap.Len() == 0 {
-		return Assignment{}, false
+	return nil
+}
+
+// squeezeSteps is how many sizes between the wanted one and the least are tried.
+const squeezeSteps = 10
+
+// closeGaps moves engines into the gaps of a hall, each of which then has memory for so
+// many tokens, and reports whether they close all. An engine moves only where others hold
+// all that it gives up.
+func (e *Engine) closeGaps(units []unit, tokens int) (moves []Assignment, whole bool) {
+	units = slices.Clone(units)
+	for range units {
+		counts := e.counts(units)
+		gap := firstGap(counts)
+		if gap.Len() == 0 {
+			return moves, true
+		}
+		best := e.mover(units, counts, gap.Len(), tokens)
+		if best == nil {
+			return nil, false
+		}
+		gap.Last = min(gap.Last, gap.First+e.layersFor(best.kind, tokens))
+		best.target.Layers = gap
+		best.fresh = true
+		moves = append(moves, Assignment{Target: best.target.ID, Layers: gap})
 	}
+	return nil, false
+}
+
+// mover returns the engine to move into a gap: an idle one before a busy one, then the one
+// that closes more of it, then the less busy one.
+func (e *Engine) mover(units []unit, counts []int, gap, tokens int) *unit {
+	closes := func(u *unit) int { return min(e.layersFor(u.kind, tokens), gap) }
 	var best *unit
 	for i := range units {
 		u := &units[i]
-		if u.fresh || u.target.Loading || !spare(counts, u.target.Layers) {
+		if u.fresh || u.target.Loading || !spare(counts, u.target.Layers) || closes(u) == 0 {
 			continue
 		}
-		if best == nil || better(*u, *best, gap.Len()) {
+		if best == nil || better(u, best, closes) {
 			best = u
 		}
 	}
-	if best == nil {
-		return Assignment{}, false
-	}
-	gap.Last = min(gap.Last, gap.First+best.comfort)
-	return Assignment{Target: best.target.ID, Layers: gap}, true
+	return best
 }
 
-// better prefers the engine that closes more of the gap, then the less busy one.
-func better(u, than unit, gap int) bool {
-	closes, other := min(u.comfort, gap), min(than.comfort, gap)
-	if closes != other {
-		return closes > other
+func better(u, than *unit, closes func(*unit) int) bool {
+	if idle, other := u.target.Load == 0, than.target.Load == 0; idle != other {
+		return idle
 	}
-	return u.target.Load < than.target.Load
+	return cmp.Or(cmp.Compare(closes(u), closes(than)), cmp.Compare(than.target.Load, u.target.Load)) > 0
 }
 
 // counts returns how many engines hold each layer.
