relay: a path may run a part of what an engine holds, and admits by the pauses it forecasts

Cause: ranges had to end where others begin, so that spares stood in for engines with the very same range only. Change: a path passes between engines wherever two ranges overlap; memory counts tokens times layers. A request is admitted while the forecast of its hall's mean pause, corrected by what answers there have measured, is within half of its route's bound. Callers that are turned away come back after 2 to 6.5 s instead of 0.8 to 3.5 s.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -166,6 +166,7 @@
 		f.g.release(path, f.read)
 		f.tries++
 		if r == resultDone {
+			f.notePauses(path)
 			f.served(path)
 			return
 		}
@@ -214,7 +215,11 @@
 // mayWait reports whether a request waits for room. A stream that its caller has a part
 // of does, in this answer or one that broke off: refusing it would throw away what was
 // done. So does any call of a VM that has just started and takes no more than its share.
-func (f *forwarding) mayWait() bool { return f.begun || f.call.After != "" || f.g.starting() }
+func (f *forwarding) mayWait() bool { return f.resumed() || f.g.starting() }
+
+// resumed reports whether the caller has a part of the answer, from this call or one
+// before.
+func (f *forwarding) resumed() bool { return f.begun || f.call.After != "" }
 
 // starting reports whether this VM has not been told yet what others have under way.
 func (g *Gateway) starting() bool {
@@ -229,7 +234,7 @@
 	defer g.mu.Unlock()
 	path, refusal := g.router.Choose(relay.Ask{
 		Route: f.route, Service: f.service, Avoid: f.avoid,
-		Prompt: f.call.Prompt, Most: f.call.Answer, Hint: f.call.Hint, Begun: f.begun,
+		Prompt: f.call.Prompt, Most: f.call.Answer, Hint: f.call.Hint, Begun: f.begun, Resumed: f.resumed(),
 	}, now)
 	if refusal == nil && f.tries == 0 {
 		g.router.Count(path.Service, now)
@@ -237,6 +242,17 @@
 	return path, refusal
 }
 
+// notePauses tells the router of the pauses of an answer that one path gave whole.
+func (f *forwarding) notePauses(path relay.Path) {
+	if f.tries > 1 || f.events < 2 {
+		return
+	}
+	mean := f.lastEvent.Sub(f.beganAt) / time.Duration(f.events-1)
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	f.g.router.TakePauses(path, mean)
+}
+
 func (g *Gateway) release(p relay.Path, begun bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/relay/ask.go
+++ b/internal/relay/ask.go
@@ -12,6 +12,8 @@
 	Avoid []TargetID
 	// Begun says that the caller has a part of the answer already.
 	Begun bool
+	// Resumed says that the caller has a part of it, from this answer or one before.
+	Resumed bool
 	// answer is the expected length of the answer, in tokens.
 	answer int
 }
--- a/internal/relay/document.go
+++ b/internal/relay/document.go
@@ -236,8 +236,13 @@
 	if n <= 0 {
 		return 0
 	}
+	return e.tokenLayers(a, n) / n
+}
+
+// tokenLayers is the memory beside the weights of n layers, in tokens times layers.
+func (e *Engine) tokenLayers(a Accelerator, n int) int {
 	rest := a.Bytes - float64(n)*e.LayerBytes
-	return int(rest * float64(e.Layers) / e.TokenBytes / float64(n))
+	return int(rest * float64(e.Layers) / e.TokenBytes)
 }
 
 // delay returns the one-way delay between halls.
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -6,20 +6,24 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
 )
 
 // This file picks the path of one request over model engines.
 //
-// Problem: engines hold ranges of layers; a path is any sequence of engines
-// whose ranges join from the first layer to the last. The request should end
-// soon, and no engine may run out of memory, for then it drops a request.
+// Problem: engines hold ranges of layers; a path is any sequence of engines that
+// runs each layer once, in order. An engine may run a part of what it holds, so that
+// ranges that overlap join too. The request should end soon, and no engine may run out
+// of memory, for then it drops a request.
 //
-// Algorithm: the shortest path over layer positions. An engine is an edge from
-// its first layer to its last; its length is the time that it takes for this
-// request, as the cost model of the service tells: reading the prompt, and for
-// each token of the answer one step at the present load and the way to the next
-// engine. Engines without memory for the request are left out. Since ranges only
-// lead forward, one pass over the engines sorted by first layer finds it.
+// Algorithm: the shortest path over layer positions. An engine is an edge between any
+// two positions within its range at which the range of some engine begins or ends; its
+// length is the time that it takes for this request, as the cost model of the service
+// tells: reading the prompt, and for each token of the answer one step at the present
+// load and the way to the next engine. Engines without memory for the layers between
+// two positions have no edge there. Since edges only lead forward, one pass over the
+// positions finds the path.
 //
 // Loads are what this VM has under way, which is exact, and what the others had
 // a moment ago. The hall is drawn at random, so that VMs with the same picture do
@@ -65,13 +69,32 @@
 
 // reach is the best way found to a layer position.
 type reach struct {
-	cost  time.Duration
+	cost  float64
 	last  *target
 	first *target
 	from  int
+	pass  passTimes
 	ok    bool
 }
 
+// candidate is an engine that a path may run over, with what it would cost. Costs are
+// in nanoseconds.
+type candidate struct {
+	*target
+	// perLayer and perStage add up to the cost of a stage: a part for each layer that
+	// it runs, and one for the wait behind prompts.
+	perLayer float64
+	perStage float64
+	// pass is the time of a pass over one layer.
+	pass passTimes
+	// layersMost is the layers that it has memory for, for this request.
+	layersMost int
+	// mayBegin says that it has a slot and a connection for one request more.
+	mayBegin bool
+	// suspect says that it is used only where no path goes without it.
+	suspect bool
+}
+
 func (r *Router) choosePath(s *Service, a Ask, now time.Time) (Path, bool) {
 	r.findStandbys(s)
 	for _, suspects := range []bool{false, true} {
@@ -82,7 +105,7 @@
 		if path, ok := r.inOneHall(s, a, engines, now); ok {
 			return path, true
 		}
-		if path, _, ok := r.shortest(s, a, engines, now); ok {
+		if path, _, ok := r.shortest(s, a, engines, now); ok && r.inTime(a, path) {
 			return path, true
 		}
 	}
@@ -103,7 +126,7 @@
 	least := 0.0
 	for _, hall := range slices.Sorted(maps.Keys(byHall)) {
 		path, cost, ok := r.shortest(s, a, byHall[hall], now)
-		if !ok {
+		if !ok || !r.inTime(a, path) {
 			continue
 		}
 		// The least of costs that are each multiplied by a power of an
@@ -120,14 +143,20 @@
 	return best, found
 }
 
-// shortest returns the path of the least cost over engines that are sorted by
-// their first layer.
+// shortest returns the path of the least cost over engines.
 func (r *Router) shortest(s *Service, a Ask, engines []*target, now time.Time) (Path, time.Duration, bool) {
 	e := s.Engine
+	candidates := r.candidates(s, a, engines, now)
 	reached := make([]reach, e.Layers+1)
 	reached[0].ok = true
-	for _, t := range engines {
-		r.extend(s, a, t, reached, now)
+	ends := bordersOf(e, candidates)
+	for _, at := range ends {
+		if !reached[at].ok {
+			continue
+		}
+		for i := range candidates {
+			r.extend(e, a, &candidates[i], at, ends, reached)
+		}
 	}
 	if !reached[e.Layers].ok {
 		return Path{}, 0, false
@@ -136,7 +165,45 @@
 	if changes > 0 && !a.Begun && r.changing+changes > r.changesMost(e) {
 		return Path{}, 0, false
 	}
-	return Path{Service: s.Name, Stages: stages, tokens: a.held(), prompt: a.Prompt, changes: changes}, reached[e.Layers].cost, true
+	return Path{Service: s.Name, Stages: stages, tokens: a.held(), prompt: a.Prompt, changes: changes, pass: reached[e.Layers].pass}, time.Duration(reached[e.Layers].cost), true
+}
+
+// bordersOf returns the positions at which a path may pass from one engine to the
+// next, sorted: where the layers of an engine begin or end.
+func bordersOf(e *Engine, candidates []candidate) []int {
+	is := make([]bool, e.Layers+1)
+	is[0], is[e.Layers] = true, true
+	for i := range candidates {
+		is[candidates[i].Layers.First] = true
+		is[candidates[i].Layers.Last] = true
+	}
+	var borders []int
+	for at, border := range is {
+		if border {
+			borders = append(borders, at)
+		}
+	}
+	return borders
+}
+
+// candidates returns the engines that have room for at least one layer of a request.
+func (r *Router) candidates(s *Service, a Ask, engines []*target, now time.Time) []candidate {
+	e := s.Engine
+	out := make([]candidate, 0, len(engines))
+	for _, t := range engines {
+		kind, ok := e.accelerator(t.Accelerator)
+		if !ok || t.Layers.Len() <= 0 || t.Layers.Last > e.Layers {
+			continue
+		}
+		c := r.costsOf(e, kind, a, t)
+		c.layersMost = r.layersMost(e, kind, a, t)
+		c.mayBegin = r.load(t).Requests < e.Slots && t.own.Requests < r.connLimit(s)
+		c.suspect = t.silent || now.Before(t.suspectUntil)
+		if c.layersMost > 0 {
+			out = append(out, c)
+		}
+	}
+	return out
 }
 
 const (
@@ -161,82 +228,85 @@
 	return max(int(most/float64(r.vms)), 1)
 }
 
-// extend tries a target as the next stage after the best way to its first layer.
-func (r *Router) extend(s *Service, a Ask, t *target, reached []reach, now time.Time) {
-	e := s.Engine
-	layers := t.Layers
-	if layers.Len() <= 0 || layers.Last > e.Layers || !reached[layers.First].ok {
-		return
-	}
-	kind, ok := e.accelerator(t.Accelerator)
-	if !ok || !r.hasRoom(s, kind, a, t, layers.First == 0) {
+// extend tries an engine as the next stage after the best way to a position, up to
+// each position that it holds the layers to.
+func (r *Router) extend(e *Engine, a Ask, c *candidate, at int, ends []int, reached []reach) {
+	if at < c.Layers.First || at >= c.Layers.Last || at == 0 && !c.mayBegin {
 		return
 	}
-	before := reached[layers.First]
-	stage := r.stageCost(e, kind, a, t)
-	if t.standby {
-		stage *= standbyCost
-	}
-	cost := before.cost + stage
-	next := reach{last: t, first: before.first, from: layers.First, ok: true}
+	before := reached[at]
+	next := reach{last: c.target, first: before.first, from: at, ok: true}
+	way := 0.0
 	if before.last != nil {
-		cost += time.Duration(a.answer+1)*e.delay(before.last.Hall, t.Hall) + e.pipeCost(before.last, t, a)
+		way = float64(time.Duration(a.answer+1)*e.delay(before.last.Hall, c.Hall) + e.pipeCost(before.last, c.target, a))
 	} else {
-		next.first = t
-		cost += e.delay(r.settings.Hall, t.Hall)
-	}
-	if layers.Last == e.Layers {
-		cost += time.Duration(a.answer) * e.delay(t.Hall, next.first.Hall)
+		next.first = c.target
+		way = float64(e.delay(r.settings.Hall, c.Hall))
 	}
-	if t.silent || now.Before(t.suspectUntil) {
-		cost *= suspectCost
-	}
-	next.cost = cost
-	if present := &reached[layers.Last]; !present.ok || cost < present.cost {
-		*present = next
+	for _, end := range ends {
+		if end <= at || end > c.Layers.Last || end-at > c.layersMost {
+			continue
+		}
+		next.pass = before.pass.plus(c.pass.times(end - at))
+		next.cost = before.cost + way + c.perStage + c.perLayer*float64(end-at)
+		if end == e.Layers {
+			next.cost += float64(time.Duration(a.answer) * e.delay(c.Hall, next.first.Hall))
+		}
+		if c.suspect {
+			next.cost *= suspectCost
+		}
+		if present := &reached[end]; !present.ok || next.cost < present.cost {
+			*present = next
+		}
 	}
 }
 
-// hasRoom reports whether a target has memory, and as the first stage a slot and
-// a connection, for one request more.
-func (r *Router) hasRoom(s *Service, kind Accelerator, a Ask, t *target, first bool) bool {
-	e := s.Engine
-	load := r.load(t)
-	room := memoryUse*float64(e.tokens(kind, t.Layers.Len())) - float64(load.Tokens)
-	if !r.fits(float64(a.held()), room) {
-		return false
+// layersMost returns the layers that a target has memory for, for one request more. A VM
+// that takes all others to do as it does admits at random: where 76 VMs have a request
+// each and there is room for 50, each admits its own with a probability of 50 in 76.
+func (r *Router) layersMost(e *Engine, kind Accelerator, a Ask, t *target) int {
+	held := t.Layers.Len()
+	room := memoryUse*float64(e.tokenLayers(kind, held)) - float64(r.load(t).Tokens)
+	need := float64(max(a.held(), 1))
+	if !r.othersKnown {
+		need *= r.rand.Float64() * float64(r.vms)
 	}
-	return !first || load.Requests < e.Slots && t.own.Requests < r.connLimit(s)
-}
-
-// fits reports whether a request fits into what is left of a target's memory. A VM that
-// takes all others to do as it does admits at random: where 76 VMs have a request each
-// and there is room for 50, each admits its own with a probability of 50 in 76.
-func (r *Router) fits(tokens, room float64) bool {
-	if r.othersKnown {
-		return tokens <= room
+	if room < 0 {
+		return 0
 	}
-	return r.rand.Float64()*tokens*float64(r.vms) <= room
+	if need*float64(held) <= room {
+		return held
+	}
+	return int(room / need)
 }
 
-// stageCost is the time that a target takes for the whole of a request.
-func (r *Router) stageCost(e *Engine, kind Accelerator, a Ask, t *target) time.Duration {
+// costsOf returns a target as a candidate, with the time that it takes for the whole
+// of a request.
+func (r *Router) costsOf(e *Engine, kind Accelerator, a Ask, t *target) candidate {
 	load := r.load(t)
-	share := float64(t.Layers.Len()) / float64(e.Layers)
-	step := float64(e.StepBase) + float64(e.StepPerRequest)*float64(load.Requests+1) +
-		float64(e.StepPerKilotoken)*float64(load.Tokens+a.Prompt)/1000
+	layers := float64(t.Layers.Len())
+	share := layers / float64(e.Layers)
+	context := float64(load.Tokens)/layers + float64(a.Prompt)
+	step := float64(e.StepBase) + float64(e.StepPerRequest)*float64(load.Requests+1) + float64(e.StepPerKilotoken)*context/1000
 	read := float64(time.Second) * float64(a.Prompt) / max(e.ReadPerSecond, 1) * kind.Read
-	cost := share * (read + float64(a.answer)*step*kind.Pace)
-	use := float64(load.Tokens+a.held()) / float64(max(e.tokens(kind, t.Layers.Len()), 1))
-	cost += unreadWeight * float64(load.Unread) / e.readRate(kind, load, share)
-	cost *= 1 + crowd*use*use + t.failures*failurePenalty + pathNoise*r.rand.Float64()
-	return time.Duration(cost)
+	use := (float64(load.Tokens) + float64(a.held())*layers) / float64(max(e.tokenLayers(kind, t.Layers.Len()), 1))
+	weight := 1 + crowd*use*use + t.failures*failurePenalty + pathNoise*r.rand.Float64()
+	if t.standby {
+		weight *= standbyCost
+	}
+	return candidate{
+		target:   t,
+		perLayer: weight * (read + float64(a.answer)*step*kind.Pace) / float64(e.Layers),
+		pass:     e.passOf(kind, load, t.Layers.Len()),
+		perStage: weight * unreadWeight * float64(load.Unread) / e.readRate(kind, load, share),
+	}
 }
 
 // readRate is the prompt tokens that an engine reads in a nanosecond beside its
 // writers: at most a chunk in each pass over all of them.
 func (e *Engine) readRate(kind Accelerator, load Work, share float64) float64 {
-	step := float64(e.StepBase) + float64(e.StepPerRequest)*float64(load.Requests) + float64(e.StepPerKilotoken)*float64(load.Tokens)/1000
+	context := float64(load.Tokens) / (share * float64(e.Layers))
+	step := float64(e.StepBase) + float64(e.StepPerRequest)*float64(load.Requests) + float64(e.StepPerKilotoken)*context/1000
 	pass := share * (float64(e.Stride)*step*kind.Pace + float64(time.Second)*float64(e.Chunk)/max(e.ReadPerSecond, 1)*kind.Read)
 	return float64(max(e.Chunk, 1)) / max(pass, 1)
 }
@@ -251,18 +321,30 @@
 }
 
 // stagesTo follows the best way to a position back to its beginning, and counts
-// the changes of halls on it.
+// the changes of halls on it. An engine that the way leaves and comes back to runs the
+// layers between itself: it holds them, and a path names no engine twice.
 func stagesTo(reached []reach, at int) (stages []Stage, changes int) {
-	after := ""
+	var hops []reach
+	var ends []int
 	for at > 0 {
-		t := reached[at].last
-		if after != "" && after != t.Hall {
+		hops = append(hops, reached[at])
+		ends = append(ends, at)
+		at = reached[at].from
+	}
+	slices.Reverse(hops)
+	slices.Reverse(ends)
+	for i := 0; i < len(hops); i++ {
+		t, first := hops[i].last, hops[i].from
+		for j := len(hops) - 1; j > i; j-- {
+			if hops[j].last == t {
+				i = j
+				break
+			}
+		}
+		if len(stages) > 0 && stages[len(stages)-1].hall != t.Hall {
 			changes++
 		}
-		after = t.Hall
-		stages = append(stages, Stage{Target: t.ID, Address: t.Address, Layers: t.Layers})
-		at = reached[at].from
+		stages = append(stages, Stage{Target: t.ID, Address: t.Address, Layers: config.Range{First: first, Last: ends[i]}, hall: t.Hall})
 	}
-	slices.Reverse(stages)
 	return stages, changes
 }
--- /dev/null
+++ b/internal/relay/pause_test.go
@@ -0,0 +1,90 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// filled admits requests until one is refused, and returns how many there were. Each
+// answer has been measured to pause as long as given, if at all.
+func filled(t *testing.T, bound time.Duration, measured time.Duration) int {
+	t.Helper()
+	r, route := newRouter(nil)
+	r.TakeOthers(nil, true)
+	r.TakeTargets(placed("large", config.Range{First: 0, Last: 15}, config.Range{First: 15, Last: 30}, config.Range{First: 30, Last: 45}, config.Range{First: 45, Last: 60}, config.Range{First: 60, Last: 80}))
+	paced := *route
+	paced.Pause = bound
+	for range 100 {
+		path := choose(t, r, ask(&paced), start)
+		if measured > 0 {
+			r.TakePauses(path, measured)
+		}
+		r.Release(path, false)
+	}
+	n := 0
+	for ; n < 10000; n++ {
+		if _, refusal := r.Choose(ask(&paced), start); refusal != nil {
+			break
+		}
+	}
+	return n
+}
+
+// Engines were filled up to their memory while every answer there was late: pauses of 150
+// to 200 ms on average, for ten seconds, where 200 ms are the bound.
+func TestNoMoreAreAdmittedThanAnswersInTime(t *testing.T) {
+	free := filled(t, 0, 0)
+	require.Less(t, filled(t, 12*time.Millisecond, 0), free/2)
+	require.Equal(t, free, filled(t, time.Second, 0))
+}
+
+// Pauses that are longer than forecast make the VM admit fewer.
+func TestMeasuredPausesCorrectTheForecast(t *testing.T) {
+	require.Less(t, filled(t, 30*time.Millisecond, 40*time.Millisecond), filled(t, 30*time.Millisecond, 0))
+}
+
+// A hall in which no answer can be in time serves late ones, and is not shut.
+func TestSlowHallsStillServe(t *testing.T) {
+	require.Greater(t, filled(t, time.Millisecond, 0), 50)
+}
+
+// A nonsense measurement neither shuts a hall nor fills it without bound.
+func TestTheForecastSettlesWithinBounds(t *testing.T) {
+	require.Positive(t, filled(t, 50*time.Millisecond, time.Hour))
+	require.LessOrEqual(t, filled(t, 50*time.Millisecond, time.Nanosecond), filled(t, 0, 0))
+}
+
+// Who has a part of its answer goes on, also where others are turned away.
+func TestResumedAnswersAreAdmitted(t *testing.T) {
+	r, route := newRouter(nil)
+	r.TakeOthers(nil, true)
+	r.TakeTargets(placed("large", config.Range{First: 0, Last: 30}, config.Range{First: 30, Last: 55}, config.Range{First: 55, Last: 80}))
+	paced := *route
+	paced.Pause = 12 * time.Millisecond
+	var refusal *relay.Refusal
+	for refusal == nil {
+		_, refusal = r.Choose(ask(&paced), start)
+	}
+	resumed := ask(&paced)
+	resumed.Resumed = true
+	_, refusal = r.Choose(resumed, start)
+	require.Nil(t, refusal)
+}
+
+func TestAnswerTimeFollowsWhatIsMeasured(t *testing.T) {
+	r, route := newRouter(nil)
+	r.TakeTargets(twoOfEach())
+	require.Zero(t, r.AnswerTime("s", 100))
+	for range 200 {
+		path := choose(t, r, ask(route), start)
+		r.TakePauses(path, 40*time.Millisecond)
+		r.Release(path, false)
+	}
+	// Two tokens an event: a hundred tokens are fifty pauses.
+	require.InDelta(t, 2*time.Second, r.AnswerTime("s", 100), float64(20*time.Millisecond))
+}
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -25,7 +25,8 @@
 	// The fields are sent without their names: these values are sent most.
 	_        struct{} `cbor:",toarray"`
 	Requests int      `cbor:"requests"`
-	// Tokens is the memory that the requests take.
+	// Tokens is the memory that the requests take: tokens times the layers that the
+	// target runs of each.
 	Tokens int `cbor:"tokens"`
 	// Unread is the tokens of prompts whose answer has not begun.
 	Unread int `cbor:"unread"`
@@ -56,17 +57,20 @@
 	Target  TargetID
 	Address string
 	Layers  config.Range
+	hall    string
 }
 
 // Path is where one request goes.
 type Path struct {
 	Service string
 	Stages  []Stage
-	tokens  int
+	// tokens is what the request takes of a target's memory for each layer.
+	tokens int
 	// prompt is the tokens that are to be read before the answer begins.
 	prompt int
 	// changes counts the changes of halls.
 	changes int
+	pass    passTimes
 }
 
 // First returns the stage that gets the request.
@@ -141,6 +145,11 @@
 	othersKnown bool
 	// changing counts the changes of halls on the paths under way.
 	changing int
+	// waits holds, by hall, how much longer a pass takes with the waits before it.
+	waits map[string]average
+	// meanPause is the mean pause between the events of the answers of late, in
+	// nanoseconds.
+	meanPause average
 }
 
 // NewRouter returns a Router without a document.
@@ -152,6 +161,7 @@
 		members:  make(map[string][]*target),
 		budgets:  make(map[string]*budget),
 		marked:   make(map[string]bool),
+		waits:    make(map[string]average),
 		vms:      1,
 	}
 }
@@ -400,7 +410,7 @@
 			continue
 		}
 		t.own.Requests += sign
-		t.own.Tokens += sign * p.tokens
+		t.own.Tokens += sign * p.tokens * s.Layers.Len()
 		if t.Gone && t.own.Requests <= 0 {
 			r.drop(t)
 		}
@@ -424,11 +434,13 @@
 }
 
 const (
-	// returnSoon and returnSpread say when a refused caller comes back. Room is
-	// short for as long as an engine that died is away, some 3 to 7 s in the users'
-	// record, and most callers come back only once.
-	returnSoon   = 800 * time.Millisecond
-	returnSpread = 2700 * time.Millisecond
+	// returnSoon and returnSpread say when a refused caller comes back: spread over the
+	// time that room is short for. Most come back only once, and a third of what they
+	// have left bounds how late. An engine that died takes two heartbeats to be away for
+	// certain and to be back, and its layers some 4 s to load (14 s for all of a model of
+	// which it holds a quarter).
+	returnSoon   = 2000 * time.Millisecond
+	returnSpread = 4500 * time.Millisecond
 )
 
 func (r *Router) soon(now time.Time) time.Time {
--- a/internal/relay/substitute.go
+++ b/internal/relay/substitute.go
@@ -25,17 +25,13 @@
 	for _, stage := range p.Stages {
 		avoid = append(avoid, stage.Target)
 	}
-	hall := ""
-	if t, known := r.targets[p.First().Target]; known {
-		hall = t.Hall
-	}
-	best := r.standIn(s, Ask{Prompt: p.tokens, Avoid: avoid}, p.Stages[at], hall, now)
+	best := r.standIn(s, Ask{Prompt: p.tokens, Avoid: avoid}, p.Stages[at], p.Stages[0].hall, now)
 	if best == nil {
 		return Path{}, false
 	}
 	next := p
 	next.Stages = slices.Clone(p.Stages)
-	next.Stages[at] = Stage{Target: best.ID, Address: best.Address, Layers: p.Stages[at].Layers}
+	next.Stages[at] = Stage{Target: best.ID, Address: best.Address, Layers: p.Stages[at].Layers, hall: best.Hall}
 	r.count(p, -1)
 	r.count(next, 1)
 	return next, true
@@ -54,7 +50,7 @@
 	for _, t := range r.usable(s.Name, a, now, false) {
 		kind, ok := s.Engine.accelerator(t.Accelerator)
 		holds := t.Layers.First <= stage.Layers.First && t.Layers.Last >= stage.Layers.Last
-		if !ok || !holds || t.Hall != hall || !r.hasRoom(s, kind, a, t, false) {
+		if !ok || !holds || t.Hall != hall || r.layersMost(s.Engine, kind, a, t) < stage.Layers.Len() {
 			continue
 		}
 		if best == nil || r.load(t).Requests < r.load(best).Requests {
