--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -126,7 +126,7 @@
 	// followLife is how long a follower that has not asked again is pushed to.
 	followLife = 4 * followEvery
 	// forgetAfter is the silence after which a target is dropped: far longer than
-	// any cut in the users' record.
+	// a cut between VMs lasts.
 	forgetAfter = 60 * time.Second
 	// silentAfter is the silence after which a target counts as lost: two beats of
 	// 1.2 s and a half, so that one late beat does no harm.
--- a/internal/daemon/logs.go
+++ b/internal/daemon/logs.go
@@ -22,7 +22,7 @@
 
 const (
 	// logBuffer bounds the lines that wait to be written, in bytes: a second of
-	// the busiest process in the users' record.
+	// a process at 500 requests a second, with two lines of 250 bytes each.
 	logBuffer = 256 << 10
 	// logEvery is the longest time that a line waits.
 	logEvery = 100 * time.Millisecond
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -10,8 +10,8 @@
 
 const (
 	// suspectFirst is how long a target is left alone after one failure; each
-	// further one in a row doubles it up to suspectMost. A crashed runner is back
-	// after some 3 to 5 seconds in the users' record.
+	// further one in a row doubles it up to suspectMost. A process that
+	// crashed is back after some seconds.
 	suspectFirst = 500 * time.Millisecond
 	suspectMost  = 4 * time.Second
 	// failureWeight is the weight of the newest result in the moving mean: ten
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -34,9 +34,7 @@
 const (
 	// memoryUse is the part of an engine's memory that requests are given; the
 	// rest is for answers that get longer than expected and for what other VMs
-	// have begun since they last told. Tried on scale-1 of the users' grown Kyklos fleet:
-	// 0.9 and a heldShare of 0.7 gave a worth of 0.564, 0.617 and 0.688, 0.94 and 0.6 of
-	// 0.703 and 0.732, with as many requests that engines put back (198 and 255, 211).
+	// have begun since they last told. docs/ABLATION.md has what else was tried.
 	memoryUse = 0.94
 	// crowd is how much a full engine counts above an empty one. An answer is in
 	// time by its first event and its pauses, not by its end, so that slow engines
@@ -44,17 +42,16 @@
 	crowd = 3
 	// unreadWeight is how much the wait behind prompts counts above the rest of a
 	// request's time: it is what makes a first event late, and the rest does not.
-	// Tried on two grown days: 4 gave a worth of 0.554 and 0.603, 12 of 0.578 and 0.623.
+	// docs/ABLATION.md has what else was tried.
 	unreadWeight = 12
 	// pathNoise is the spread of the random part of costs.
 	pathNoise = 0.05
 	// pipeCaution multiplies the time that a request takes in a pipe between two
-	// halls. On a quiet day of the users, 0 of 719 requests that stayed in their
-	// hall had a late pause, and 283 of 1,010 that did not: pipes fill at once.
+	// halls: a pipe that is not yet full is, once others choose it too, since a prompt
+	// takes a pipe for some 20 ms and each token waits behind it.
 	pipeCaution = 30
 	// standbyCost multiplies the cost of a standby: it gets requests only when
-	// others are full, so that it can be moved at once to where layers are lost. An
-	// engine with requests took 12 s to be free.
+	// others are full, so that it can be moved at once to where layers are lost.
 	standbyCost = 2
 	// hallBias is how strongly cheap halls are preferred: with 2, one at half the
 	// cost of another gets four times as many requests.
@@ -210,8 +207,8 @@
 	// pipeUse is the part of the pipes that new requests may fill: in a full one
 	// each event of a stream waits behind the prompts of others.
 	pipeUse = 0.5
-	// usualTime is how long a request is under way on a path that changes halls,
-	// as measured on the users' days.
+	// usualTime is how long a request is under way on a path that changes halls:
+	// an answer of 200 tokens at 15 ms each.
 	usualTime = 3 * time.Second
 	// pipesAtLeast is the number of pipes between the halls of a deployment of
 	// three halls, the smallest that has more than one.
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -14,7 +14,7 @@
 // Problem: engines of unlike speed and memory are to hold a model that none of
 // them can hold alone. Weights and requests share an engine's memory, so layers
 // are traded against requests. What a request hands on at each layer border is
-// far more than fits the pipes between data halls at the users' load: one
+// far more than fits the pipes between data halls: one
 // crossing of a pipe for each request fills it at some 40 requests a second. A
 // path for a request may be put together from any engines whose ranges join, and
 // any engine may die.
@@ -45,8 +45,7 @@
 
 const (
 	// plannedRequests is the least number of usual requests that an engine should have
-	// memory for. An engine of the users' fast chain runs about 100 at the peak;
-	// 90 is what the slowest kind still holds with 6 layers. See wanted for the most.
+	// memory for. 90 is what the slowest kind still holds with 6 layers. See wanted for the most.
 	plannedRequests = 90
 	// likeEnough is the part of the wanted memory with which an engine still counts as
 	// one that has it: a layer less for a rounded token would be wasted.
@@ -119,8 +118,8 @@
 // wanted returns the memory for requests that each engine should have, in tokens. A
 // chain runs as many requests as its fullest engine has memory for. The kind with the
 // least memory can't be divided finely: what it has left beside the most layers that
-// leave room for plannedRequests, all others should have too. On the users' grown fleet
-// it has left 140, while kinds that were planned for 90 refused every tenth request.
+// leave room for plannedRequests, all others should have too: otherwise they refuse
+// requests that it has room for.
 func (e *Engine) wanted() int {
 	usual := max(e.UsualPrompt+e.UsualAnswer, 1)
 	least := plannedRequests * usual
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -251,8 +251,8 @@
 	// since the last word on them: with more, one request of this VM's own would
 	// weigh too much.
 	herdMost = 10
-	// herdUsual is how many requests more than before are chance: a VM of the users'
-	// begins and ends about two between two words.
+	// herdUsual is how many requests more than before are chance: at ten requests a second
+	// a VM begins and ends about two between two reports.
 	herdUsual = 2
 )
 
