--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -337,7 +337,7 @@
 	header := f.g.platform.Codec.Head(Hop{
 		Call: f.call, Path: path, Organisation: f.organisation, Deadline: f.deadline, After: f.after, Class: f.class,
 	})
-	watch := &watcher{f: f, ctx: ctx, path: path, began: time.Now()}
+	watch := &watcher{f: f, ctx: ctx, began: time.Now()}
 	request := &target.Request{
 		Method: f.call.Method, URI: f.call.URI, Host: f.call.Host, Header: header, Body: f.call.Body,
 		Fresh:   f.route.Repeat == relay.RepeatNever,
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -7,11 +7,11 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-// watcher looks after one try of a stream in its pauses.
+// watcher looks after one try of a stream in its pauses. The path is that of the request:
+// it changes when an engine on it is replaced.
 type watcher struct {
 	f     *forwarding
 	ctx   context.Context
-	path  relay.Path
 	began time.Time
 	// heard is when the last bytes came.
 	heard time.Time
