relay: a plan for any fleet, also one whose engines say nonsense

Cause: found by a property test over random fleets, written for it: an engine that reports layers beyond the model, as after a document with fewer of them, made the plan panic, and the leader end at each look; a kind with pace 0 gave ranges that begin below 0. Change: such an engine counts as empty; surplus is taken only from stages that have layers. Tests: TestAnyFleetGetsAPlanThatFits (red twice), TestAnyFleetGivesAPathOrARefusal; 30,000 random fleets each.

--- a/internal/relay/chain.go
+++ b/internal/relay/chain.go
@@ -115,9 +115,9 @@
 // trim takes surplus layers from the slowest stages.
 func (e *Engine) trim(chain []unit, sizes []int) []int {
 	for sum(sizes) > e.Layers {
-		slowest := 0
+		slowest := slices.IndexFunc(sizes, func(n int) bool { return n > 0 })
 		for i := range sizes {
-			if float64(sizes[i])*chain[i].kind.Pace > float64(sizes[slowest])*chain[slowest].kind.Pace {
+			if sizes[i] > 0 && float64(sizes[i])*chain[i].kind.Pace > float64(sizes[slowest])*chain[slowest].kind.Pace {
 				slowest = i
 			}
 		}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -82,6 +82,11 @@
 		if !ok || !t.Takes() {
 			continue
 		}
+		if t.Layers.First < 0 || t.Layers.Last > e.Layers {
+			// It holds a part of another model, such as that of an older document: it is
+			// of no use until it is told what to hold.
+			t.Layers = config.Range{}
+		}
 		u := unit{target: t, kind: kind, comfort: e.comfort(kind)}
 		if t.Layers.Len() > 0 {
 			holding = append(holding, u)
