--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -15,7 +15,7 @@
 
 const (
 	// sureTimes is the multiple of a caller's estimate that 99 answers in 100 stay within
-	// (docs/GEBETA.md).
+	// (docs/MEASURED.md).
 	sureTimes = 3
 	// reloadShadow is how long after a reload a request must not be cut.
 	reloadShadow = 2 * time.Second
