--- a/cmd/spoolbank/cmd/dump.go
+++ b/cmd/spoolbank/cmd/dump.go
@@ -27,26 +27,11 @@
 }
 
 func (r *root) dump(ctx context.Context, vm string) error {
-	keys, err := r.keys()
+	text, err := r.dumpOf(ctx, vm)
 	if err != nil {
 		return err
 	}
-	address, err := r.addressOf(ctx, vm)
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(ctx, r.timeout)
-	defer cancel()
-	conn, err := keys.Dial(ctx, address)
-	if err != nil {
-		return &exitError{exitFailed, err}
-	}
-	defer conn.Close()
-	reply, err := wire.Dump(ctx, conn)
-	if err != nil {
-		return &exitError{exitFailed, err}
-	}
-	fmt.Fprintln(r.stdout, string(reply.JSON))
+	fmt.Fprintln(r.stdout, string(text))
 	return nil
 }
 
--- a/cmd/spoolbank/cmd/help.go
+++ b/cmd/spoolbank/cmd/help.go
@@ -35,7 +35,8 @@
 the same number it takes effect once. --expect REVISION refuses it when someone
 else was faster. --wait 8s waits until it is in force on every entry VM.
 
-Other subcommands: apply FILE, dump VM, key hash|authority|certificate.
+Other subcommands: apply FILE, dump VM, log FILE, policy list|show VM,
+key hash|authority|certificate.
 
 Exit codes: 0 done, 1 not reached, 2 wrong statement or flags, 3 refused,
 4 not known whether it took effect.
--- a/cmd/spoolbankd/cmd/root.go
+++ b/cmd/spoolbankd/cmd/root.go
@@ -26,6 +26,7 @@
 	check     bool
 	bootstrap bool
 	platform  bool
+	policy    string
 }
 
 // Main runs the daemon and returns its exit code.
@@ -36,9 +37,10 @@
 	flags.BoolVar(&o.check, 0, "check", "check the settings, print every fault and exit")
 	flags.BoolVar(&o.bootstrap, 0, "bootstrap", "make the empty data folder that of a new cluster and exit; done once, on one control VM")
 	flags.BoolVar(&o.platform, 0, "platform", "run on the users' platform, with the settings that it gives")
+	flags.StringVar(&o.policy, 0, "policy", "", "mechanisms to switch, as NAME=off or NAME=on separated by commas; `spoolbank policy list` names them")
 	command := &ff.Command{
 		Name:  "spoolbankd",
-		Usage: "spoolbankd --settings FILE [--check | --bootstrap] | --platform",
+		Usage: "spoolbankd --settings FILE [--check | --bootstrap] | --platform [--policy NAME=off,...]",
 		Flags: flags,
 		Exec:  func(context.Context, []string) error { return run(o, stdout) },
 	}
@@ -66,8 +68,12 @@
 }
 
 func run(o options, stdout io.Writer) error {
+	policy, err := settings.ParsePolicy(o.policy)
+	if err != nil {
+		return err
+	}
 	if o.platform {
-		return servePlatform(stdout)
+		return servePlatform(stdout, policy)
 	}
 	if o.settings == "" {
 		return errors.New("no settings; name a file with --settings")
@@ -76,6 +82,7 @@
 	if err != nil {
 		return err
 	}
+	s.Policy = s.Policy.With(policy)
 	switch {
 	case o.check:
 		fmt.Fprintf(stdout, "%s: the settings of %s are in order\n", o.settings, s.Name)
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -37,6 +37,8 @@
 	// DecodeDocument reads a document; nil where the deployment has none. It must
 	// depend on nothing but the text.
 	DecodeDocument func(source []byte) (*relay.Document, error)
+	// Policy says which mechanisms of the decision logic are in force.
+	Policy relay.Policy
 }
 
 // Recovered is what a control VM read from its data folder.
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -113,7 +113,7 @@
 	if !holding && n.now.Before(p.settledAt) {
 		return
 	}
-	for _, a := range relay.Plan(s.Engine, engines) {
+	for _, a := range n.settings.Policy.Plan(s.Engine, engines) {
 		n.orderLayers(s.Engine, a)
 	}
 }
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -40,6 +40,8 @@
 	View          int             `json:"entry_vms"`
 	Stopping      bool            `json:"stopping"`
 	Violations    int             `json:"violations"`
+	// Policy names the mechanisms that are switched off.
+	Policy string `json:"policy"`
 }
 
 // Status returns the summary of the Node.
@@ -56,6 +58,7 @@
 		Streams: len(n.entry.streams), Calls: len(n.entry.calls),
 		Kept: len(n.entry.kept), Records: len(n.entry.records),
 		Load: n.load(), View: len(n.entry.view), Violations: len(n.Check()),
+		Policy: n.settings.Policy.String(),
 	}
 	for _, p := range n.entry.pools {
 		s.Queued += p.queue.length
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -210,6 +210,7 @@
 	}
 	return core.Settings{
 		DecodeDocument: decode,
+		Policy:         s.Policy.Relay(),
 		Volatile:       d.isVolatile(),
 		Delegates:      d.platform != nil && d.platform.Delegates,
 		Self:           self,
@@ -264,7 +265,7 @@
 var errStopped = errors.New("stopped as planned")
 
 func (d *Daemon) start() error {
-	d.log.Info("daemon starts", "name", d.settings.Name, "hall", d.settings.Hall, "roles", d.settings.Roles)
+	d.log.Info("daemon starts", "name", d.settings.Name, "hall", d.settings.Hall, "roles", d.settings.Roles, "policy", d.settings.Policy.Relay().String())
 	d.tomb.Go(d.loop)
 	d.tomb.Go(d.tickLoop)
 	if d.folder != nil {
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -110,6 +110,7 @@
 	exchanger *target.Exchanger
 	probes    probes
 	meter     *gatewayMetrics
+	policy    relay.Policy
 
 	mu     sync.Mutex
 	router *relay.Router
@@ -134,7 +135,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, router: relay.NewRouter(p.Router), informed: make(chan struct{}), started: time.Now()}
+	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, policy: p.Router.Policy, router: relay.NewRouter(p.Router), informed: make(chan struct{}), started: time.Now()}
 	g.exchanger = target.NewExchanger(meter.dialled)
 	g.probes.engines = p.Engines
 	g.probes.known = make(map[string]*probe)
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -21,7 +21,7 @@
 // the last time, before the control VMs have a leader and have heard the targets.
 func (g *Gateway) awaitStart(ctx context.Context) {
 	left := min(time.Until(g.started.Add(startTime)), startHold)
-	if left <= 0 {
+	if left <= 0 || !g.policy.Has(relay.StartWait) {
 		return
 	}
 	select {
--- a/internal/daemon/stopping.go
+++ b/internal/daemon/stopping.go
@@ -16,7 +16,7 @@
 // outlasts refuses a stream whose answer would not end before this VM does; relay.Ending
 // says which.
 func (g *Gateway) outlasts(call *Call, route *relay.Route, now time.Time) *relay.Refusal {
-	if !g.ending.Planned() || !route.Stream || len(route.Shares) == 0 {
+	if !g.policy.Has(relay.StopAdmission) || !g.ending.Planned() || !route.Stream || len(route.Shares) == 0 {
 		return nil
 	}
 	tokens := g.ending.Tokens(call.Hint, call.Answer, now)
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -32,7 +32,7 @@
 		w.culprit = id
 		return w.replace()
 	}
-	if time.Since(since) < probeAfter {
+	if time.Since(since) < probeAfter || !w.f.g.policy.Has(relay.StallProbe) {
 		return true
 	}
 	return !w.probe() || w.replace()
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -66,11 +66,11 @@
 	return total
 }
 
-// spend takes one repeat, if the budget has it.
-func (b *budget) spend(now time.Time, t BudgetTerms, vms int, age time.Duration, begun bool) bool {
+// spend takes one repeat, if the budget has it. Whole says that it may take the last one.
+func (b *budget) spend(now time.Time, t BudgetTerms, vms int, age time.Duration, whole bool) bool {
 	grown := min(max(float64(age)/float64(t.Window), youngShare), 1)
 	allowed := budgetCaution * (t.Share*float64(b.requests.total(now, t.Window)) + grown*t.Fixed/float64(max(vms, 1)))
-	if !begun {
+	if !whole {
 		allowed *= notBegunShare
 	}
 	if float64(b.repeats.total(now, t.Window)+1) > allowed {
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -32,7 +32,9 @@
 func (r *Router) Refused(id TargetID, now time.Time) {
 	if t, ok := r.targets[id]; ok {
 		t.fullness++
-		t.fullUntil = now.Add(min(fullFirst<<min(t.fullness-1, 4), fullMost))
+		if r.settings.Policy.Has(FullPause) {
+			t.fullUntil = now.Add(min(fullFirst<<min(t.fullness-1, 4), fullMost))
+		}
 		if t.fullness >= refusalsDead {
 			t.failedAt = now
 		}
@@ -53,7 +55,9 @@
 	t.trouble++
 	t.failedAt = now
 	pause := min(suspectFirst<<min(t.trouble-1, 4), suspectMost)
-	t.suspectUntil = now.Add(pause)
+	if r.settings.Policy.Has(Suspicion) {
+		t.suspectUntil = now.Add(pause)
+	}
 }
 
 // Succeeded notes that a target did its part.
@@ -87,6 +91,9 @@
 // Findings returns the targets that this VM has lately found dead and done nothing
 // since, and those that have done their part since they last failed.
 func (r *Router) Findings(now time.Time) (dead, well []TargetKey) {
+	if !r.settings.Policy.Has(SharedFindings) {
+		return nil, nil
+	}
 	for _, t := range r.targets {
 		switch {
 		case now.Before(t.failedAt.Add(findingsKept)):
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -129,8 +129,11 @@
 		// The least of costs that are each multiplied by a power of an
 		// exponential variate falls on one with a probability proportional to
 		// its cost to the power of -hallBias.
-		drawn := float64(cost) * math.Pow(r.rand.ExpFloat64(), 1/hallBias)
-		if hall != r.settings.Hall {
+		drawn := float64(cost)
+		if r.settings.Policy.Has(HallDraw) {
+			drawn *= math.Pow(r.rand.ExpFloat64(), 1/hallBias)
+		}
+		if hall != r.settings.Hall && r.settings.Policy.Has(OwnHall) {
 			drawn *= awayCost
 		}
 		if !found || drawn < least {
@@ -235,7 +238,7 @@
 	next := reach{last: c.target, first: before.first, from: at, ok: true}
 	way := 0.0
 	if before.last != nil {
-		way = float64(time.Duration(a.answer+1)*e.delay(before.last.Hall, c.Hall) + e.pipeCost(before.last, c.target, a))
+		way = float64(time.Duration(a.answer+1)*e.delay(before.last.Hall, c.Hall) + r.pipeCost(e, before.last, c.target, a))
 	} else {
 		next.first = c.target
 		way = float64(e.delay(r.settings.Hall, c.Hall))
@@ -244,6 +247,9 @@
 		if end <= at || end > c.Layers.Last || end-at > c.layersMost {
 			continue
 		}
+		if end-at < c.Layers.Len() && !r.settings.Policy.Has(PartRanges) {
+			continue
+		}
 		next.pass = before.pass.plus(c.pass.times(end - at))
 		next.cost = before.cost + way + c.perStage + c.perLayer*float64(end-at)
 		if end == e.Layers {
@@ -265,7 +271,7 @@
 	held := t.Layers.Len()
 	room := memoryUse*float64(e.tokenLayers(kind, held)) - float64(r.load(t).Tokens)
 	need := float64(max(a.held(), 1))
-	if !r.othersKnown {
+	if !r.othersKnown && r.settings.Policy.Has(StartSampling) {
 		need *= r.rand.Float64() * float64(r.vms)
 	}
 	if room < 0 {
@@ -287,16 +293,36 @@
 	step := float64(e.StepBase) + float64(e.StepPerRequest)*float64(load.Requests+1) + float64(e.StepPerKilotoken)*context/1000
 	read := float64(time.Second) * float64(a.Prompt) / max(e.ReadPerSecond, 1) * kind.Read
 	use := (float64(load.Tokens) + float64(a.held())*layers) / float64(max(e.tokenLayers(kind, t.Layers.Len()), 1))
-	weight := 1 + crowd*use*use + t.failures*failurePenalty + pathNoise*r.rand.Float64()
-	if t.standby {
-		weight *= standbyCost
-	}
-	return candidate{
+	weight := r.weightOf(t, use)
+	c := candidate{
 		target:   t,
 		perLayer: weight * (read + float64(a.answer)*step*kind.Pace) / float64(e.Layers),
 		pass:     e.passOf(kind, load, t.Layers.Len()),
-		perStage: weight * unreadWeight * float64(load.Unread) / e.readRate(kind, load, share),
 	}
+	if r.settings.Policy.Has(UnreadPrompts) {
+		c.perStage = weight * unreadWeight * float64(load.Unread) / e.readRate(kind, load, share)
+	}
+	return c
+}
+
+// weightOf returns what the time at a target is multiplied by. Use is the part of its
+// memory that is taken.
+func (r *Router) weightOf(t *target, use float64) float64 {
+	p := r.settings.Policy
+	weight := 1.0
+	if p.Has(Crowding) {
+		weight += crowd * use * use
+	}
+	if p.Has(FailureMean) {
+		weight += t.failures * failurePenalty
+	}
+	if p.Has(CostNoise) {
+		weight += pathNoise * r.rand.Float64()
+	}
+	if t.standby && p.Has(Standbys) {
+		weight *= standbyCost
+	}
+	return weight
 }
 
 // readRate is the prompt tokens that an engine reads in a nanosecond beside its
@@ -309,12 +335,16 @@
 }
 
 // pipeCost is what a change of halls counts for.
-func (e *Engine) pipeCost(from, to *target, a Ask) time.Duration {
+func (r *Router) pipeCost(e *Engine, from, to *target, a Ask) time.Duration {
 	if from.Hall == to.Hall || e.PipeBits <= 0 {
 		return 0
 	}
 	bits := float64(a.Prompt+a.answer) * e.HandOnBytes * 8
-	return time.Duration(pipeCaution * bits / e.PipeBits * float64(time.Second))
+	once := bits / e.PipeBits * float64(time.Second)
+	if !r.settings.Policy.Has(PipeCaution) {
+		return time.Duration(once)
+	}
+	return time.Duration(pipeCaution * once)
 }
 
 // stagesTo follows the best way to a position back to its beginning, and counts
--- a/internal/relay/pause.go
+++ b/internal/relay/pause.go
@@ -98,7 +98,7 @@
 // inTime reports whether a path may take one request more without making the answers
 // there late.
 func (r *Router) inTime(a Ask, p Path) bool {
-	if a.Resumed || a.Route.Pause <= 0 {
+	if a.Resumed || a.Route.Pause <= 0 || !r.settings.Policy.Has(PauseAdmission) {
 		return true
 	}
 	wait := r.waitOf(p.Stages[0].hall)
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -75,7 +75,10 @@
 
 // Plan returns what the engines without layers should hold. Targets are those
 // of one service that take work.
-func Plan(e *Engine, targets []Target) []Assignment {
+func Plan(e *Engine, targets []Target) []Assignment { return Policy{}.Plan(e, targets) }
+
+// Plan returns what Plan does under a policy.
+func (p Policy) Plan(e *Engine, targets []Target) []Assignment {
 	var empty, holding []unit
 	for _, t := range targets {
 		kind, ok := e.accelerator(t.Accelerator)
@@ -98,6 +101,9 @@
 		return e.planAnew(empty)
 	}
 	more := e.planMore(empty, holding)
+	if !p.Has(RepairMoves) {
+		return more
+	}
 	return append(more, e.repair(assumed(holding, empty, more))...)
 }
 
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -18,6 +18,7 @@
 	// Started is when the process began.
 	Started time.Time
 	Seed    uint64
+	Policy  Policy
 }
 
 // Work is what is under way at a target.
@@ -263,12 +264,12 @@
 // A VM that has been told nothing yet has most likely started together with all others:
 // it takes each of them to have as much under way as it has itself.
 func (r *Router) load(t *target) Work {
-	if !r.othersKnown {
+	if !r.othersKnown && r.settings.Policy.Has(StartSampling) {
 		return t.own.Times(r.vms)
 	}
 	load := t.own.Plus(t.others)
 	more := t.own.Requests - t.ownTold.Requests - herdUsual
-	if more <= 0 {
+	if more <= 0 || !r.settings.Policy.Has(HerdGuess) {
 		return load
 	}
 	herd := min(r.vms-1, herdMost)
@@ -346,7 +347,8 @@
 // Repeat takes a repeat from the budget of a service. Begun says that the caller
 // has a part of its answer.
 func (r *Router) Repeat(service string, begun bool, now time.Time) bool {
-	return r.budget(service).spend(now, r.settings.Budget, r.vms, now.Sub(r.settings.Started), begun)
+	whole := begun || !r.settings.Policy.Has(RepeatShares)
+	return r.budget(service).spend(now, r.settings.Budget, r.vms, now.Sub(r.settings.Started), whole)
 }
 
 func (r *Router) budget(service string) *budget {
@@ -444,6 +446,9 @@
 )
 
 func (r *Router) soon(now time.Time) time.Time {
+	if !r.settings.Policy.Has(SpreadReturns) {
+		return now.Add(returnSoon)
+	}
 	return now.Add(returnSoon + time.Duration(r.rand.Int64N(int64(returnSpread))))
 }
 
@@ -468,7 +473,12 @@
 }
 
 // connLimit is this VM's part of the connections that a target accepts.
-func (r *Router) connLimit(s *Service) int { return max(1, s.MaxConns/r.vms) }
+func (r *Router) connLimit(s *Service) int {
+	if !r.settings.Policy.Has(ConnectionShares) {
+		return max(1, s.MaxConns)
+	}
+	return max(1, s.MaxConns/r.vms)
+}
 
 // ConnLimit returns this VM's part of the connections to each target of a service.
 func (r *Router) ConnLimit(service string) int {
@@ -496,7 +506,10 @@
 			if t.own.Requests >= r.connLimit(s) {
 				continue
 			}
-			busy := float64(r.load(t).Requests) + failurePenalty*t.failures + r.rand.Float64()*crossHall
+			busy := float64(r.load(t).Requests) + r.rand.Float64()*crossHall
+			if r.settings.Policy.Has(FailureMean) {
+				busy += failurePenalty * t.failures
+			}
 			if t.Hall != r.settings.Hall {
 				busy += crossHall
 			}
--- a/internal/relay/substitute.go
+++ b/internal/relay/substitute.go
@@ -18,7 +18,7 @@
 func (r *Router) Substitute(p Path, id TargetID, now time.Time) (Path, bool) {
 	s, ok := r.services[p.Service]
 	at := slices.IndexFunc(p.Stages, func(s Stage) bool { return s.Target == id })
-	if !ok || s.Engine == nil || at <= 0 {
+	if !ok || s.Engine == nil || at <= 0 || !r.settings.Policy.Has(StageReplacement) {
 		return Path{}, false
 	}
 	var avoid []TargetID
@@ -62,6 +62,9 @@
 
 // MovingOn returns a later stage of a path whose engine was ordered to hold other layers.
 func (r *Router) MovingOn(p Path) (TargetID, bool) {
+	if !r.settings.Policy.Has(LeaveMoving) {
+		return "", false
+	}
 	for _, s := range p.Stages[1:] {
 		if t, ok := r.targets[s.Target]; ok && t.moving {
 			return s.Target, true
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,13 +5,18 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/tailscale/hujson"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
 // Role is a part that a daemon plays.
@@ -40,6 +45,7 @@
 	Limits   Limits   `json:"limits"`
 	Timing   Timing   `json:"timing"`
 	LogLevel LogLevel `json:"log_level"`
+	Policy   Policy   `json:"policy"`
 }
 
 // Listen holds the addresses of a daemon, as IP:PORT.
@@ -90,6 +96,46 @@
 	StageSilence Duration `json:"stage_silence"`
 }
 
+// Policy switches mechanisms of the decision logic on or off, by their names; those that
+// it does not name are on. See relay.Mechanism.
+type Policy map[string]string
+
+// Relay returns the policy. Parse has checked it: a switch that can't be read is left out.
+func (p Policy) Relay() relay.Policy {
+	var policy relay.Policy
+	for _, name := range slices.Sorted(maps.Keys(p)) {
+		if next, err := policy.Switched(name, p[name]); err == nil {
+			policy = next
+		}
+	}
+	return policy
+}
+
+// ParsePolicy reads NAME=on|off, separated by commas. Its error joins all that is wrong.
+func ParsePolicy(text string) (Policy, error) {
+	p := make(Policy)
+	var faults []error
+	for _, part := range strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' }) {
+		name, value, _ := strings.Cut(part, "=")
+		if _, err := (relay.Policy{}).Switched(name, value); err != nil {
+			faults = append(faults, err)
+		}
+		p[name] = value
+	}
+	return p, errors.Join(faults...)
+}
+
+// With returns the policy with what another one names in place of its own.
+func (p Policy) With(other Policy) Policy {
+	both := maps.Clone(other)
+	for name, value := range p {
+		if _, named := other[name]; !named {
+			both[name] = value
+		}
+	}
+	return both
+}
+
 // LogLevel is the least level that is logged.
 type LogLevel string
 
@@ -199,10 +245,19 @@
 	c.checkTLS(s.TLS)
 	c.checkLimits(s.Limits)
 	c.checkTiming(s.Timing)
+	c.checkPolicy(s.Policy)
 	levels := []LogLevel{LogDebug, LogInfo, LogError}
 	c.require(slices.Contains(levels, s.LogLevel), "/log_level", "log_level is debug, info or error")
 }
 
+func (c *checker) checkPolicy(p Policy) {
+	for name, value := range p {
+		if _, err := (relay.Policy{}).Switched(name, value); err != nil {
+			c.fault("/policy/"+name, err.Error())
+		}
+	}
+}
+
 func (c *checker) checkAddress(address, path string, required bool) {
 	if address == "" {
 		c.require(!required, path, path[1:]+" is required; give an address as IP:PORT")
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -37,7 +37,7 @@
 		{"whole", whole, nil},
 		{"cut short", `{"name": "a",`, []string{"1:14: parsing value: unexpected EOF; settings are JSON, with comments and trailing commas"}},
 		{"unknown and wrong type at once", "{\n  \"nmae\": \"a\",\n  \"limits\": {\"requests\": \"many\"},\n  \"timing\": {\"lease\": 3},\n}", []string{
-			`2:11: there is no setting "nmae" here; use one of control, data, hall, limits, listen, log_level, name, platform, roles, timing, tls`,
+			`2:11: there is no setting "nmae" here; use one of control, data, hall, limits, listen, log_level, name, platform, policy, roles, timing, tls`,
 			`3:26: a string does not go here; give a int`,
 			`4:23: give a duration in quotes, as in "1.5s"`,
 		}},
