--- a/cmd/spoolbench/cmd/run.go
+++ b/cmd/spoolbench/cmd/run.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return err
 	}
-	note := fmt.Sprintf("trial, policy %q, %s %s:%d", t.Policy, filepath.Base(t.Site), t.Day, t.Seed)
+	note := fmt.Sprintf("trial of %s, %s %s:%d", nameOf(t.Policy), filepath.Base(t.Site), t.Day, t.Seed)
 	day, err := b.Run(ctx, t.Site, t.Day, t.Seed, note)
 	if err != nil {
 		return err
@@ -160,15 +160,19 @@
 	})
 }
 
+// nameOf names a policy, the base too.
+func nameOf(policy string) string {
+	if policy == experiment.Base {
+		return "base"
+	}
+	return policy
+}
+
 // variant returns the bench with a copy of the tree whose processes run under a policy.
 func (p *playing) variant(ctx context.Context, policy string) (bench.Bench, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	name := "base"
-	if policy != experiment.Base {
-		name = strings.NewReplacer("=", "-", ",", "-").Replace(policy)
-	}
-	folder, err := filepath.Abs(filepath.Join(p.work, name))
+	folder, err := filepath.Abs(filepath.Join(p.work, strings.NewReplacer("=", "-", ",", "-").Replace(nameOf(policy))))
 	if err != nil {
 		return bench.Bench{}, err
 	}
