--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -15,7 +15,8 @@
 // targets to a VM. Were each lease to carry the work at all of them, the leader's bytes
 // would grow with the square of the deployment: at 100 VMs they were 1.9 MB a second.
 //
-// Algorithm: the leader sums up the work of all entry VMs and numbers what has changed
+// Algorithm: the leader sums up the work of all entry VMs, which control VMs sum up for
+// those that renew with them (forwarding.go), and numbers what has changed
 // much since it was last told. A holder names the number that it has, and its next
 // lease carries what has changed after it, the oldest first and no more than workMost
 // targets. A lease that is lost costs nothing, since its holder asks from where it is.
@@ -38,6 +39,9 @@
 	// workMost bounds the targets in one lease: 256 are some 6 KB, so that 300 holders
 	// cost the leader 3.5 MB a second when all targets change all the time.
 	workMost = 256
+	// batchWorkMost bounds the targets in one batch: 2,048 are some 25 KB, which a control
+	// VM is sent once, after an election.
+	batchWorkMost = 2048
 	// workSettle is how long after its election a leader has been told of the work of all
 	// entry VMs: they renew every 0.5 s, and find a new leader in two renewals.
 	workSettle = 1200 * time.Millisecond
@@ -64,8 +68,8 @@
 	number uint64
 }
 
-func newWorkLog(term Term) workLog {
-	first := uint64(term) << 32
+// newWorkLog returns a log whose numbers are above first.
+func newWorkLog(first uint64) workLog {
 	return workLog{first: first, last: first, told: make(map[relay.TargetKey]toldWork)}
 }
 
@@ -102,9 +106,9 @@
 
 func (l *workLog) void(c workChange) bool { return l.told[c.target].number != c.number }
 
-// since returns up to workMost targets that have changed after a number, and the number
-// that one who is told of them has then. Whole says that the number is of another term.
-func (l *workLog) since(number uint64) (targets []relay.TargetKey, upto uint64, whole bool) {
+// since returns up to most targets that have changed after a number, and the number that
+// one who is told of them has then. Whole says that the number is not of this log.
+func (l *workLog) since(number uint64, most int) (targets []relay.TargetKey, upto uint64, whole bool) {
 	whole = number < l.first || number > l.last
 	if whole {
 		number = l.first
@@ -114,7 +118,7 @@
 		if l.void(c) {
 			continue
 		}
-		if len(targets) == workMost {
+		if len(targets) == most {
 			return targets, number, whole
 		}
 		targets = append(targets, c.target)
@@ -123,49 +127,120 @@
 	return targets, l.last, whole
 }
 
-// addFleet adds to a lease what the leader knows of all entry VMs and targets.
-func (n *Node) addFleet(to *lease, g *Grant) {
+// fleetToTell returns what this VM may tell its holders of the fleet: its own sums where it
+// leads, what the leader last said elsewhere.
+func (n *Node) fleetToTell() *toldFleet {
+	if !n.leads() {
+		return &n.forwarding.told
+	}
 	f := n.leading.fleetNow(n)
-	g.VMs = f.vms
-	g.Silent = f.silent
-	g.Moving = f.moving
-	if !n.now.Before(to.controlsAt) {
-		to.controlsAt = n.now.Add(controlsEvery)
-		for _, m := range n.replica.members.Members {
-			g.Control = append(g.Control, m.ID.VM)
-		}
+	told := &toldFleet{
+		term: n.replica.hard.Term, leader: n.settings.Self.VM, vms: f.vms, silent: f.silent, moving: f.moving,
+		known: n.knowsWork(), work: n.leading.work,
+	}
+	if !n.now.Before(n.leading.viewFrom) {
+		told.view = n.leading.view
 	}
-	if n.now.Before(n.leading.workFrom) && !n.heardOfAll() {
-		g.WorkUpto = to.renew.WorkSeen
+	return told
+}
+
+// addTo adds to a lease what is known of all entry VMs and targets.
+func (t *toldFleet) addTo(g *Grant, to Renew) {
+	g.VMs, g.Silent, g.Moving = t.vms, t.silent, t.moving
+	if !t.known {
+		g.WorkUpto = to.WorkSeen
 		return
 	}
 	var targets []relay.TargetKey
 	g.WorkTold = true
-	targets, g.WorkUpto, g.OthersWhole = n.leading.work.since(to.renew.WorkSeen)
+	targets, g.WorkUpto, g.OthersWhole = t.work.since(to.WorkSeen, workMost)
 	g.Others = make(map[relay.TargetKey]relay.Work, len(targets))
 	for _, id := range targets {
-		g.Others[id] = n.leading.work.told[id].work.Minus(to.renew.Work[id])
+		g.Others[id] = t.work.told[id].work.Minus(to.Work[id])
+	}
+}
+
+// addWork adds to a batch what the leader knows of all entry VMs and targets.
+func (n *Node) addWork(seen uint64, g *GrantBatch) {
+	f := n.leading.fleetNow(n)
+	g.VMs, g.Silent, g.Moving = f.vms, f.silent, f.moving
+	if !n.knowsWork() {
+		g.WorkUpto = seen
+		return
+	}
+	var targets []relay.TargetKey
+	g.WorkTold = true
+	targets, g.WorkUpto, g.WorkWhole = n.leading.work.since(seen, batchWorkMost)
+	g.Work = make(map[relay.TargetKey]relay.Work, len(targets))
+	for _, id := range targets {
+		g.Work[id] = n.leading.work.told[id].work
 	}
 }
 
-// heardOfAll reports whether each entry VM that follows this one has renewed with it since
-// its election. After a loss of all VMs that is so a second before workSettle is over, and
-// all of them choose by their own work alone until then.
+// knowsWork reports whether this leader has been told the work of all entry VMs.
+func (n *Node) knowsWork() bool {
+	return !n.now.Before(n.leading.workFrom) || n.heardOfAll()
+}
+
+// heardOfAll reports whether each control VM that follows this one has told of its entry
+// VMs, and each entry VM has renewed since the election. After a loss of all VMs that is so
+// a second before workSettle is over, and all of them choose by their own work alone until
+// then.
 func (n *Node) heardOfAll() bool {
-	following := 0
 	for vm, f := range n.registry.followers {
-		if f.beats || !n.now.Before(f.until) {
-			continue
-		}
-		l, ok := n.leading.leases[vm]
-		if !ok || !n.now.Before(l.until) {
+		if _, heard := n.leading.parts[vm]; f.beats && n.now.Before(f.until) && !heard {
 			return false
 		}
-		following++
 	}
-	return following > 0 && !n.now.Before(n.leading.workFrom.Add(-workSettle+n.settings.Timing.RenewEvery))
+	settled := !n.now.Before(n.leading.workFrom.Add(-workSettle + n.settings.Timing.RenewEvery))
+	return settled && n.entriesFollow() && n.leasesHeld() == n.entriesKnown()
 }
 
+// entriesFollow reports whether any entry VM follows a control VM: those that renew do.
+func (n *Node) entriesFollow() bool {
+	following := n.entryFollowers()
+	for _, p := range n.leading.parts {
+		following += p.following
+	}
+	return following > 0
+}
+
+// entriesKnown counts the entry VMs that have a lease, or follow a control VM and will ask
+// for one.
+func (n *Node) entriesKnown() int {
+	known := make(map[VMName]bool)
+	for vm, l := range n.leading.leases {
+		if n.now.Before(l.until) {
+			known[vm] = true
+		}
+	}
+	expected := n.expectedHolders()
+	for _, p := range n.leading.parts {
+		if n.now.Before(p.at.Add(n.partKept())) {
+			expected = append(expected, p.expected...)
+		}
+	}
+	for _, vm := range expected {
+		known[vm] = true
+	}
+	return len(known)
+}
+
+// leasesHeld counts the leases that have not run out.
+func (n *Node) leasesHeld() int {
+	held := 0
+	for _, l := range n.leading.leases {
+		if n.now.Before(l.until) {
+			held++
+		}
+	}
+	return held
+}
+
+// partKept is how long what a control VM said of its holders counts: its holders renew
+// elsewhere by then.
+func (n *Node) partKept() time.Duration { return n.settings.Timing.listedFor() }
+
 // fleet is the sum over all entry VMs. It is made anew seldom, for each of
 // hundreds of leases a second carries it.
 type fleet struct {
@@ -189,22 +264,24 @@
 	l.fleet = fleet{at: n.now, work: make(map[relay.TargetKey]relay.Work)}
 	dead := make(map[relay.TargetKey]int)
 	well := make(map[relay.TargetKey]int)
-	for _, lease := range l.leases {
-		if !n.now.Before(lease.until) {
-			continue
-		}
-		l.fleet.vms++
-		for id, w := range lease.renew.Work {
+	add := func(part FleetPart) {
+		for id, w := range part.Work {
 			l.fleet.work[id] = l.fleet.work[id].Plus(w)
 		}
-		for _, id := range lease.renew.Dead {
-			dead[id]++
+		for id, vms := range part.Dead {
+			dead[id] += vms
 		}
-		for _, id := range lease.renew.Well {
-			well[id]++
+		for id, vms := range part.Well {
+			well[id] += vms
 		}
 	}
-	l.fleet.vms = max(l.fleet.vms, n.registry.entryFollowers(n.now))
+	add(n.partOfFleet())
+	for _, part := range l.parts {
+		if n.now.Before(part.at.Add(n.partKept())) {
+			add(part.FleetPart)
+		}
+	}
+	l.fleet.vms = n.entriesKnown()
 	l.work.take(l.fleet.work)
 	for _, id := range n.silentTargets() {
 		l.fleet.silent = append(l.fleet.silent, id.Key())
@@ -225,12 +302,12 @@
 
 // fleetTaken hands on what came with a lease.
 func (n *Node) fleetTaken(g Grant) {
-	if !n.followsTargets() {
-		return
-	}
 	if len(g.Control) > 0 {
 		n.entry.controls = g.Control
 	}
+	if !n.followsTargets() {
+		return
+	}
 	n.entry.workSeen = g.WorkUpto
 	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, OthersWhole: g.OthersWhole, OthersTold: g.WorkTold, Silent: g.Silent, Moving: g.Moving})
 }
--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -8,7 +8,8 @@
 	"github.com/spoolbank/spoolbank/internal/core/config"
 )
 
-// This file is the leader's half of the leases of entry VMs.
+// This file is the leader's half of the leases of entry VMs; forwarding.go is that of the
+// control VMs that they renew with.
 //
 // An entry VM takes new work only while its lease runs, and a grant always
 // brings it to the revision that the leader has at that moment. So LeaseTerm
@@ -21,76 +22,46 @@
 // shortened by the bound on drift, and here from the sending of the grant,
 // lengthened by it; a grant never carries a revision that is not committed.
 
-// renewAsked grants an entry VM a lease, or tells it who may.
-func (n *Node) renewAsked(from ReplicaID, r Renew) {
-	if !n.holdsLease() || !n.replica.committedOwnTerm() {
-		n.deliver(from.VM, Message{Redirect: &Redirect{Leader: n.leaderHint()}})
-		return
-	}
-	l, ok := n.leading.leases[from.VM]
-	if !ok || l.holder != from {
-		l = &lease{holder: from}
-		n.leading.leases[from.VM] = l
-		n.emit(Reach{VM: from.VM, Address: r.Address.Peers})
-	}
-	l.renew = r
+// renewLease notes the renewal of an entry VM that came by way of a control VM.
+func (n *Node) renewLease(via VMName, r Renewal) {
+	l, ok := n.leading.leases[r.From.VM]
+	if !ok || l.holder != r.From {
+		l = &lease{holder: r.From}
+		n.leading.leases[r.From.VM] = l
+	}
+	l.via = via
+	l.renewal = r
 	l.renewedAt = n.now
-	l.revision = r.Revision
+	l.until = n.now.Add(n.settings.Timing.Lengthened(n.settings.Timing.LeaseTerm))
 	for _, report := range r.Reports {
-		n.takeReport(from.VM, report)
+		n.takeReport(r.From.VM, report)
 	}
 	n.leading.view.set(n.viewOf(l))
-	n.grant(l)
 }
 
-// grant sends a lease and what its holder lacks. The lease is numbered by the
-// request that it answers: the holder counts from that request's sending.
-func (n *Node) grant(l *lease) {
-	c := n.machine.Config
-	g := Grant{
-		Term:     n.replica.hard.Term,
-		Number:   l.renew.Number,
-		Revision: c.Revision,
-		Cluster:  n.cluster,
-	}
-	base := n.baseOf(l)
-	if deltas, ok := n.leading.deltas.since(base, c.Revision); ok {
-		g.Deltas = deltas
-	} else {
-		g.State = &c
+// renewBatchAsked grants the renewals that a control VM has gathered. Who can't grant is
+// silent: the sender learns from the log who leads.
+func (n *Node) renewBatchAsked(from ReplicaID, b RenewBatch) {
+	if !n.leads() {
+		return
 	}
-	if base < c.Revision {
-		l.sent, l.sentAt = c.Revision, n.now
+	for _, r := range b.Renewals {
+		n.renewLease(from.VM, r)
 	}
+	n.leading.parts[from.VM] = heardPart{FleetPart: b.Part, following: b.Following, expected: b.Expected, at: n.now}
+	g := GrantBatch{Term: n.replica.hard.Term, Number: b.Number, Revision: n.machine.Config.Revision}
 	if !n.now.Before(n.leading.viewFrom) {
-		n.leading.view.since(l.renew.ViewVersion, &g)
+		n.leading.view.sinceBatch(b.ViewVersion, &g)
 	}
 	if n.followsTargets() {
-		n.addFleet(l, &g)
+		n.addWork(b.WorkSeen, &g)
 	}
-	l.until = n.now.Add(n.settings.Timing.Lengthened(n.settings.Timing.LeaseTerm))
-	n.deliver(l.holder.VM, Message{Grant: &g})
-}
-
-// resendAfter is how long changes that were sent to a holder count as on their way. On the
-// users' grown fleet a change of 1,700 routes takes 0.5 s to 76 holders, who ask three
-// times a second: each ask was answered with the change again, until the leader's link
-// carried nothing else.
-const resendAfter = time.Second
-
-// baseOf returns the revision from which a holder is brought to the newest: its own, or
-// what was sent to it a moment ago. If that was lost, the holder can't use the lease, and
-// is sent all again after resendAfter.
-func (n *Node) baseOf(l *lease) config.Revision {
-	if n.now.Before(l.sentAt.Add(resendAfter)) {
-		return max(l.revision, l.sent)
-	}
-	return l.revision
+	n.send(from.VM, Message{GrantBatch: &g})
 }
 
 func (n *Node) isLeaving(l *lease) bool {
 	vm, _ := n.machine.Config.VMs.Get(string(l.holder.VM))
-	return l.renew.Leaving || vm.Drain || n.leading.platform[string(l.holder.VM)]
+	return l.renewal.Leaving || vm.Drain || n.leading.platform[string(l.holder.VM)]
 }
 
 // loadLevel makes a load in thousandths coarse.
@@ -114,7 +85,7 @@
 			continue
 		}
 		vms++
-		if l.revision < revision {
+		if l.renewal.Revision < revision {
 			waiting++
 		}
 	}
@@ -125,9 +96,17 @@
 	return vms, waiting
 }
 
+// reachEntry tells the runtime the address of an entry VM that is to get an answer.
+func (n *Node) reachEntry(vm VMName) {
+	if l, ok := n.leading.leases[vm]; ok {
+		n.emit(Reach{VM: vm, Address: l.renewal.Address.Peers})
+	}
+}
+
 // claimAsked makes a claim durable, or says how an earlier one stands.
 func (n *Node) claimAsked(from ReplicaID, c ClaimRequest) {
-	if !n.holdsLease() || !n.replica.committedOwnTerm() {
+	n.reachEntry(from.VM)
+	if !n.leads() {
 		n.deliver(from.VM, Message{Redirect: &Redirect{Leader: n.leaderHint()}})
 		return
 	}
@@ -182,7 +161,8 @@
 }
 
 func (n *Node) recordAsked(from ReplicaID, r RecordRequest) {
-	if !n.holdsLease() || !n.replica.committedOwnTerm() {
+	n.reachEntry(from.VM)
+	if !n.leads() {
 		n.deliver(from.VM, Message{Redirect: &Redirect{Leader: n.leaderHint()}})
 		return
 	}
--- /dev/null
+++ b/internal/core/halls_test.go
@@ -0,0 +1,348 @@
+package core_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+	"github.com/spoolbank/spoolbank/internal/wire"
+)
+
+// hallFleet is a fleet of control and entry VMs in data halls, whose messages take a tick
+// and whose disks take no time.
+type hallFleet struct {
+	t     require.TestingT
+	now   time.Time
+	nodes map[core.VMName]*core.Node
+	names []core.VMName
+	halls map[core.VMName]string
+	queue []core.Envelope
+	dead  map[core.VMName]bool
+	// apart holds pairs of VMs that can't reach each other.
+	apart map[[2]core.VMName]bool
+	lives uint64
+	// work is what each entry VM has under way, learned the newest target each has heard of.
+	work    map[core.VMName]map[relay.TargetKey]relay.Work
+	learned map[core.VMName]map[relay.TargetID]relay.Target
+	fleets  map[core.VMName]core.FleetLearned
+	others  map[core.VMName]map[relay.TargetKey]relay.Work
+	// renewed counts, by VM, the renewals that came to it; bytes what it sent.
+	renewed  map[core.VMName]int
+	sent     map[core.VMName]int
+	bytes    map[core.VMName]int
+	measured bool
+}
+
+type fleetSize struct{ halls, controls, disks, entries int }
+
+// newHallFleet makes so many control and entry VMs in each hall. The first control VMs of
+// the halls have disks, and the first of all begins the cluster.
+func newHallFleet(t require.TestingT, size fleetSize) *hallFleet {
+	f := &hallFleet{
+		t: t, now: time.Unix(100, 0), nodes: make(map[core.VMName]*core.Node), halls: make(map[core.VMName]string),
+		dead: make(map[core.VMName]bool), apart: make(map[[2]core.VMName]bool),
+		work: make(map[core.VMName]map[relay.TargetKey]relay.Work), learned: make(map[core.VMName]map[relay.TargetID]relay.Target),
+		fleets: make(map[core.VMName]core.FleetLearned), others: make(map[core.VMName]map[relay.TargetKey]relay.Work),
+		renewed: make(map[core.VMName]int), sent: make(map[core.VMName]int), bytes: make(map[core.VMName]int),
+	}
+	for i := range size.controls {
+		for h := range size.halls {
+			f.add(core.VMName(fmt.Sprintf("c%d-%d", h, i)), h, i < size.disks)
+		}
+	}
+	for i := range size.entries {
+		for h := range size.halls {
+			f.add(core.VMName(fmt.Sprintf("e%d-%d", h, i)), h, false)
+		}
+	}
+	return f
+}
+
+func (f *hallFleet) add(vm core.VMName, hall int, disk bool) {
+	f.names = append(f.names, vm)
+	f.halls[vm] = fmt.Sprintf("hall%d", hall)
+	f.start(vm, disk)
+}
+
+func (f *hallFleet) start(vm core.VMName, disk bool) {
+	f.lives++
+	self := core.ReplicaID{VM: vm, Incarnation: core.Incarnation(f.lives)}
+	control := vm[0] == 'c'
+	settings := core.Settings{
+		Self: self, Control: control, Entry: !control, ControlVMs: []core.VMName{"c0-0", "c1-0", "c2-0"}, Voters: 3,
+		SnapshotEvery: 100, Timing: core.DefaultTiming(), Seed: f.lives * 7919, Volatile: control && !disk,
+		Address:        core.EntryAddress{VM: vm, Hall: f.halls[vm], Callers: string(vm), Peers: string(vm)},
+		DecodeDocument: func([]byte) (*relay.Document, error) { return &relay.Document{Version: 1}, nil },
+	}
+	recovered := core.Recovered{}
+	if vm == "c0-0" {
+		settings.Cluster = "c"
+		recovered.Snapshot = core.Snapshot{Index: 1, Term: 1, Members: core.NewMembership(self)}
+	}
+	f.nodes[vm] = core.New(settings, recovered, f.now)
+	f.learned[vm] = make(map[relay.TargetID]relay.Target)
+	f.others[vm] = make(map[relay.TargetKey]relay.Work)
+	f.dead[vm] = false
+}
+
+func (f *hallFleet) step(vm core.VMName, event core.Event) {
+	if f.dead[vm] {
+		return
+	}
+	synced := uint64(0)
+	for _, effect := range f.nodes[vm].Step(f.now, event) {
+		switch e := effect.(type) {
+		case core.Persist:
+			synced = e.Sequence
+		case core.SaveSnapshot:
+			synced = e.Sequence
+		case core.Send:
+			f.count(vm, e.Envelope)
+			f.queue = append(f.queue, e.Envelope)
+		case core.TargetsLearned:
+			for _, target := range e.Targets {
+				f.learned[vm][target.ID] = target
+			}
+		case core.FleetLearned:
+			f.takeFleet(vm, e)
+		}
+	}
+	if synced > 0 {
+		f.step(vm, core.Persisted{Sequence: synced})
+	}
+}
+
+func (f *hallFleet) takeFleet(vm core.VMName, e core.FleetLearned) {
+	f.fleets[vm] = e
+	if e.OthersWhole {
+		f.others[vm] = make(map[relay.TargetKey]relay.Work)
+	}
+	for id, w := range e.Others {
+		f.others[vm][id] = w
+	}
+}
+
+func (f *hallFleet) count(from core.VMName, e core.Envelope) {
+	if !f.measured {
+		return
+	}
+	text, err := wire.Marshal(&e)
+	require.NoError(f.t, err)
+	f.sent[from]++
+	f.bytes[from] += len(text)
+	if e.Body.Renew != nil {
+		f.renewed[e.To]++
+	}
+}
+
+// run lets time pass in ticks.
+func (f *hallFleet) run(d time.Duration) {
+	for until := f.now.Add(d); f.now.Before(until); {
+		f.now = f.now.Add(tickEvery)
+		arriving := f.queue
+		f.queue = nil
+		for _, e := range arriving {
+			if _, known := f.nodes[e.To]; known && !f.apart[[2]core.VMName{e.From.VM, e.To}] {
+				f.step(e.To, core.Received{Envelope: e})
+			}
+		}
+		for i, vm := range f.names {
+			if vm[0] == 'e' && (int(f.now.UnixMilli())/20+i)%10 == 0 {
+				f.step(vm, core.WorkCounted{Work: f.work[vm]})
+			}
+			f.step(vm, core.Tick{})
+		}
+	}
+}
+
+// until runs until done holds.
+func (f *hallFleet) until(what string, limit time.Duration, done func() bool) time.Duration {
+	began := f.now
+	for !done() {
+		require.Less(f.t, f.now.Sub(began), limit, "not in time: %s", what)
+		f.run(tickEvery)
+	}
+	return f.now.Sub(began)
+}
+
+func (f *hallFleet) entries() []core.VMName {
+	return slices.DeleteFunc(slices.Clone(f.names), func(vm core.VMName) bool { return vm[0] != 'e' || f.dead[vm] })
+}
+
+func (f *hallFleet) leader() core.VMName {
+	for _, vm := range f.names {
+		if vm[0] == 'c' && !f.dead[vm] && f.nodes[vm].Status().HoldsLease {
+			return vm
+		}
+	}
+	return ""
+}
+
+// leased reports whether all entry VMs may take work at a revision.
+func (f *hallFleet) leased(revision config.Revision) bool {
+	for _, vm := range f.entries() {
+		if s := f.nodes[vm].Status(); !s.HasLease || s.EntryRevision < revision {
+			return false
+		}
+	}
+	return true
+}
+
+func (f *hallFleet) put(version uint64) {
+	f.step(f.leader(), core.DocumentPut{Conn: 1, Document: config.Document{Version: version, Source: []byte(fmt.Sprint("text ", version))}})
+}
+
+var smallFleet = fleetSize{halls: 3, controls: 2, disks: 1, entries: 3}
+
+// usersFleet is the size of the users' largest deployment.
+var usersFleet = fleetSize{halls: 5, controls: 4, disks: 1, entries: 56}
+
+func started(t require.TestingT, size fleetSize) *hallFleet {
+	f := newHallFleet(t, size)
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
+	f.run(4 * time.Second)
+	return f
+}
+
+// At 300 VMs a thousand renewals a second came to the leader, which lost its lead to them.
+func TestEntryVMsRenewInTheirHall(t *testing.T) {
+	f := started(t, usersFleet)
+	f.measured = true
+	f.run(2 * time.Second)
+	for _, vm := range f.names {
+		if vm[0] == 'c' {
+			require.Less(t, f.renewed[vm], 2*2*usersFleet.entries, "renewals at %s", vm)
+		}
+	}
+	leader := f.leader()
+	require.Less(t, f.sent[leader], 2*600, "messages of the leader in 2 s")
+	require.Less(t, f.bytes[leader], 2*300_000, "bytes of the leader in 2 s")
+	for _, vm := range f.entries() {
+		require.Less(t, f.bytes[vm], 2*3000, "bytes of %s in 2 s", vm)
+	}
+}
+
+func TestAChangeReachesEveryVMOnceByWayOfItsHall(t *testing.T) {
+	f := started(t, usersFleet)
+	revision := f.nodes[f.leader()].Status().Revision
+	f.put(7)
+	took := f.until("the change is everywhere", 3*time.Second, func() bool { return f.leased(revision + 1) })
+	require.Less(t, took, 500*time.Millisecond)
+}
+
+// The work of all others is told across halls, less the VM's own.
+func TestWorkIsToldAcrossHalls(t *testing.T) {
+	f := started(t, smallFleet)
+	key := relay.TargetID("i-1").Key()
+	vms := f.entries()
+	for _, vm := range vms {
+		f.work[vm] = map[relay.TargetKey]relay.Work{key: {Requests: 3, Tokens: 30}}
+	}
+	f.run(3 * time.Second)
+	for _, vm := range vms {
+		require.Equal(t, relay.Work{Requests: 3 * (len(vms) - 1), Tokens: 30 * (len(vms) - 1)}, f.others[vm][key], vm)
+		require.Equal(t, len(vms), f.fleets[vm].VMs, vm)
+	}
+	clear(f.work)
+	f.run(3 * time.Second)
+	for _, vm := range vms {
+		require.Zero(t, f.others[vm][key], vm)
+	}
+}
+
+func (f *hallFleet) speak(to core.VMName, t relay.Target) {
+	f.step(to, core.TargetSpoke{Conn: 1, Target: t})
+}
+
+// What a target tells any control VM reaches all entry VMs in well under the drain bound.
+func TestAWordReachesAllHallsSoon(t *testing.T) {
+	f := started(t, usersFleet)
+	f.speak("c3-2", relay.Target{ID: "i-1", Address: "a", Call: 1})
+	f.run(time.Second)
+	f.speak("c1-3", relay.Target{ID: "i-1", Address: "a", Call: 2, Leaving: true})
+	f.run(time.Second)
+	for _, vm := range f.entries() {
+		require.True(t, f.learned[vm]["i-1"].Leaving, vm)
+	}
+}
+
+func TestALostControlVMIsMadeUpForWithinARenewal(t *testing.T) {
+	f := started(t, smallFleet)
+	for _, vm := range []core.VMName{"c2-0", "c2-1"} {
+		f.dead[vm] = true
+		f.run(2 * time.Second)
+		require.True(t, f.leased(0), "%s is lost", vm)
+		revision := f.nodes[f.leader()].Status().Revision
+		f.put(uint64(revision) + 100)
+		f.until("the change is everywhere", 2*time.Second, func() bool { return f.leased(revision + 1) })
+	}
+	f.speak(f.leader(), relay.Target{ID: "i-9", Address: "a", Call: 1, Leaving: true})
+	f.run(2 * time.Second)
+	for _, vm := range f.entries() {
+		require.Contains(t, f.learned[vm], relay.TargetID("i-9"), vm)
+	}
+}
+
+// A control VM that the leader does not reach grants nothing, and its hall renews elsewhere.
+func TestAHallWhoseControlVMsAreCutOffRenewsElsewhere(t *testing.T) {
+	f := started(t, smallFleet)
+	for _, vm := range []core.VMName{"c2-0", "c2-1"} {
+		for _, other := range f.names {
+			if other[0] == 'c' {
+				f.apart[[2]core.VMName{vm, other}] = true
+				f.apart[[2]core.VMName{other, vm}] = true
+			}
+		}
+	}
+	f.run(8 * time.Second)
+	require.True(t, f.leased(0))
+	clear(f.apart)
+	f.run(6 * time.Second)
+	f.measured = true
+	f.run(time.Second)
+	require.Positive(t, f.renewed["c2-0"]+f.renewed["c2-1"], "the hall renews at home again")
+}
+
+// A push carries a number that was granted before: it must not lengthen a lease.
+func TestAPushedChangeLengthensNoLease(t *testing.T) {
+	f := started(t, smallFleet)
+	leader := f.leader()
+	for _, vm := range f.names {
+		if vm != leader && vm[0] == 'e' {
+			f.apart[[2]core.VMName{vm, "c0-0"}], f.apart[[2]core.VMName{vm, "c0-1"}] = true, true
+			f.apart[[2]core.VMName{vm, "c1-0"}], f.apart[[2]core.VMName{vm, "c1-1"}] = true, true
+			f.apart[[2]core.VMName{vm, "c2-0"}], f.apart[[2]core.VMName{vm, "c2-1"}] = true, true
+		}
+	}
+	f.run(tickEvery)
+	until := make(map[core.VMName]time.Time)
+	for _, vm := range f.entries() {
+		until[vm] = f.nodes[vm].Status().EntryLease
+	}
+	for version := uint64(50); version < 60; version++ {
+		f.put(version)
+		f.run(100 * time.Millisecond)
+	}
+	for _, vm := range f.entries() {
+		require.False(t, f.nodes[vm].Status().EntryLease.After(until[vm]), vm)
+	}
+}
+
+// After a loss of all VMs all of them come to the seeds, which send them to their halls.
+func TestSeedsSendVMsToTheirHalls(t *testing.T) {
+	f := newHallFleet(t, usersFleet)
+	f.measured = true
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
+	f.run(time.Second)
+	clear(f.renewed)
+	f.run(time.Second)
+	for _, vm := range []core.VMName{"c0-0", "c1-0", "c2-0"} {
+		require.Less(t, f.renewed[vm], 2*usersFleet.entries, vm)
+	}
+}
--- a/internal/core/leading.go
+++ b/internal/core/leading.go
@@ -39,6 +39,8 @@
 	placing      placing
 	fleet        fleet
 	work         workLog
+	// parts are what other control VMs have said of the entry VMs that renew with them.
+	parts map[VMName]heardPart
 	// workFrom is when the work of all entry VMs is known after an election.
 	workFrom time.Time
 }
@@ -58,16 +60,20 @@
 	holder ReplicaID
 	// until is when the lease has run out by the leader's clock, the bound on
 	// drift included.
-	until    time.Time
-	revision config.Revision
-	// sent is the revision that the holder was last sent changes to, at sentAt.
-	sent   config.Revision
-	sentAt time.Time
-	renew  Renew
+	until time.Time
+	// via is the control VM that the holder renews with.
+	via     VMName
+	renewal Renewal
 	// renewedAt is when the holder last asked.
 	renewedAt time.Time
-	// controlsAt is when the holder is next told of the control VMs.
-	controlsAt time.Time
+}
+
+// heardPart is what a control VM said of its holders, and when.
+type heardPart struct {
+	FleetPart
+	following int
+	expected  []VMName
+	at        time.Time
 }
 
 // sighting is a report of a target with the time at which it came.
@@ -87,6 +93,7 @@
 		claims:    make(map[Index]claimWaiter),
 		records:   make(map[Index]recordWaiter),
 		leases:    make(map[VMName]*lease),
+		parts:     make(map[VMName]heardPart),
 		reports:   make(map[string]map[VMName]sighting),
 		platform:  make(map[string]bool),
 		orders:    make(map[string]*orderState),
@@ -98,7 +105,7 @@
 	n.leading.reset()
 	n.leading.blindUntil = n.now.Add(n.settings.Timing.Lengthened(n.settings.Timing.LeaseTerm))
 	n.leading.view = newEntryList(n.replica.hard.Term)
-	n.leading.work = newWorkLog(n.replica.hard.Term)
+	n.leading.work = newWorkLog(uint64(n.replica.hard.Term) << 32)
 	n.leading.workFrom = n.now.Add(workSettle)
 	n.leading.viewFrom = n.now.Add(n.settings.Timing.listedFor())
 	n.leading.conditionsAt = n.now.Add(n.settings.Timing.LeaseTerm)
@@ -110,7 +117,7 @@
 }
 
 func (n *Node) tickLeading() {
-	if !n.holdsLease() || !n.replica.committedOwnTerm() {
+	if !n.leads() {
 		return
 	}
 	n.tickLeases()
@@ -149,8 +156,8 @@
 	return slices.Clone(d.deltas[i:]), true
 }
 
-// configChanged keeps a change for the entry VMs and, on the leader, sends it
-// to them at once.
+// configChanged keeps a change for the entry VMs, and sends it at once to those that renew
+// with this VM.
 func (n *Node) configChanged(revision config.Revision, changes []config.Change, accepted bool) {
 	last := len(n.leading.deltas.deltas) - 1
 	known := last >= 0 && n.leading.deltas.deltas[last].Revision >= revision
@@ -158,12 +165,6 @@
 		return
 	}
 	n.leading.deltas.add(Delta{Revision: revision, Changes: changes})
-	if !n.holdsLease() || !n.replica.committedOwnTerm() {
-		return
-	}
-	for _, vm := range slices.Sorted(maps.Keys(n.leading.leases)) {
-		if l := n.leading.leases[vm]; n.now.Before(l.until) {
-			n.grant(l)
-		}
-	}
+	n.pushChange()
+	n.handOnGrants()
 }
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -31,6 +31,8 @@
 	Renew       *Renew         `cbor:"renew,omitempty"`
 	Grant       *Grant         `cbor:"grant,omitempty"`
 	Redirect    *Redirect      `cbor:"redirect,omitempty"`
+	RenewBatch  *RenewBatch    `cbor:"renew_batch,omitempty"`
+	GrantBatch  *GrantBatch    `cbor:"grant_batch,omitempty"`
 	Claim       *ClaimRequest  `cbor:"claim,omitempty"`
 	ClaimReply  *ClaimReply    `cbor:"claim_reply,omitempty"`
 	Record      *RecordRequest `cbor:"record,omitempty"`
@@ -127,6 +129,8 @@
 	Revision config.Revision `cbor:"revision"`
 	// ViewVersion is the version of the list of entry VMs that is held.
 	ViewVersion uint64 `cbor:"view_version"`
+	// Away says that no control VM of the asker's hall has answered it.
+	Away bool `cbor:"away,omitempty"`
 	// Leaving asks to be left out of the addresses that callers get.
 	Leaving bool `cbor:"leaving"`
 	// InProgress counts requests; Load is in thousandths of capacity.
@@ -143,6 +147,81 @@
 	Well []relay.TargetKey `cbor:"well,omitempty"`
 }
 
+// renewal returns the part of a Renew that the leader needs of each entry VM.
+func (r Renew) renewal(from ReplicaID) Renewal {
+	return Renewal{
+		From: from, Number: r.Number, Address: r.Address, Revision: r.Revision, Leaving: r.Leaving,
+		InProgress: r.InProgress, Load: r.Load, Reports: r.Reports,
+	}
+}
+
+// Renewal is one entry VM's renewal in a RenewBatch. The fields are those of Renew.
+type Renewal struct {
+	_          struct{}        `cbor:",toarray"`
+	From       ReplicaID       `cbor:"from"`
+	Number     uint64          `cbor:"number"`
+	Address    EntryAddress    `cbor:"address"`
+	Revision   config.Revision `cbor:"revision"`
+	Leaving    bool            `cbor:"leaving"`
+	InProgress int             `cbor:"in_progress"`
+	Load       int             `cbor:"load"`
+	Reports    []TargetReport  `cbor:"reports"`
+}
+
+// FleetPart is the sum over the entry VMs that renew with one control VM.
+type FleetPart struct {
+	Work map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
+	// Dead and Well count the entry VMs that found a target so.
+	Dead map[relay.TargetKey]int `cbor:"dead,omitempty"`
+	Well map[relay.TargetKey]int `cbor:"well,omitempty"`
+}
+
+// RenewBatch hands the leader the renewals that a control VM has gathered, and says where
+// that one stands.
+type RenewBatch struct {
+	Number   uint64    `cbor:"number"`
+	Renewals []Renewal `cbor:"renewals,omitempty"`
+	// ViewVersion and WorkSeen are as in Renew, for the whole fleet.
+	ViewVersion uint64 `cbor:"view_version"`
+	WorkSeen    uint64 `cbor:"work_seen"`
+	// Following is the number of entry VMs that follow the sender's registry, and Expected
+	// are those of them that have not renewed with it yet: after a loss of all VMs there
+	// are more of them than leases.
+	Following int       `cbor:"following"`
+	Expected  []VMName  `cbor:"expected,omitempty"`
+	Part      FleetPart `cbor:"part"`
+}
+
+// GrantBatch grants all renewals of the batch of that number, to holders that are at
+// Revision or above, and brings the control VM to the newest word on the fleet. The fields
+// are those of Grant.
+type GrantBatch struct {
+	Term        Term            `cbor:"term"`
+	Number      uint64          `cbor:"number"`
+	Revision    config.Revision `cbor:"revision"`
+	ViewVersion uint64          `cbor:"view_version"`
+	View        []EntryView     `cbor:"view,omitempty"`
+	Gone        []VMName        `cbor:"gone,omitempty"`
+	ViewWhole   bool            `cbor:"view_whole,omitempty"`
+	// Work is what all entry VMs together have under way at the targets where that has
+	// changed since the number that the batch named as WorkSeen; WorkWhole says that all
+	// others have none.
+	Work      map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
+	WorkWhole bool                           `cbor:"work_whole,omitempty"`
+	WorkUpto  uint64                         `cbor:"work_upto,omitempty"`
+	WorkTold  bool                           `cbor:"work_told,omitempty"`
+	Silent    []relay.TargetKey              `cbor:"silent,omitempty"`
+	Moving    []relay.TargetKey              `cbor:"moving,omitempty"`
+	VMs       int                            `cbor:"vms,omitempty"`
+}
+
+// ControlVM is a control VM that entry VMs can renew with.
+type ControlVM struct {
+	_    struct{} `cbor:",toarray"`
+	VM   VMName   `cbor:"vm"`
+	Hall string   `cbor:"hall"`
+}
+
 // EntryView is what callers are told of one entry VM.
 type EntryView struct {
 	Address     EntryAddress `cbor:"address"`
@@ -168,8 +247,10 @@
 	Gone        []VMName    `cbor:"gone,omitempty"`
 	ViewWhole   bool        `cbor:"view_whole,omitempty"`
 	Cluster     string      `cbor:"cluster"`
-	// Control are the members of the control state.
-	Control []VMName `cbor:"control,omitempty"`
+	// Control are the control VMs that live.
+	Control []ControlVM `cbor:"control,omitempty"`
+	// Leader is the VM that has granted it.
+	Leader VMName `cbor:"leader,omitempty"`
 	// Others is what all other entry VMs have under way, and Silent the targets
 	// that tell no VM that they live. VMs counts the entry VMs.
 	Others map[relay.TargetKey]relay.Work `cbor:"others,omitempty"`
@@ -191,9 +272,11 @@
 	Changes  []config.Change `cbor:"changes"`
 }
 
-// Redirect tells an entry VM which control VM leads, if that is known.
+// Redirect tells an entry VM which control VM leads, if that is known, or which ones it
+// should renew with.
 type Redirect struct {
-	Leader VMName `cbor:"leader"`
+	Leader   VMName      `cbor:"leader"`
+	Controls []ControlVM `cbor:"controls,omitempty"`
 }
 
 // ClaimRequest asks for the sole right to dispatch a request that may not be
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -57,13 +57,14 @@
 	rand     *rand.Rand
 	effects  []Effect
 
-	cluster  string
-	persists persists
-	replica  replica
-	machine  Machine
-	leading  leading
-	entry    entry
-	registry registry
+	cluster    string
+	persists   persists
+	replica    replica
+	machine    Machine
+	leading    leading
+	entry      entry
+	registry   registry
+	forwarding forwarding
 	// delegate is the replica that this VM had begin the cluster.
 	delegate ReplicaID
 	stopping bool
@@ -80,6 +81,7 @@
 	}
 	n.machine = newMachine()
 	n.startRegistry(recovered.Targets)
+	n.startForwarding()
 	if settings.Control {
 		n.startReplica(recovered)
 	}
@@ -152,6 +154,7 @@
 	if n.settings.Control {
 		n.tickReplica()
 		n.tickLeading()
+		n.tickForwarding()
 	}
 	if n.settings.Entry {
 		n.tickEntry()
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -15,9 +15,10 @@
 //
 // Algorithm: soft state, without the log. A control VM keeps what targets told
 // it and pushes each change to all who follow it, other control VMs among them.
-// Every VM follows every control VM that it knows, so that a word needs one hop,
-// and is told by the control VM that heard it alone: were each of k control VMs to
-// tell all that it knows, every VM would get every word k times.
+// Control VMs follow each other, and each is told what the other has heard itself: were
+// each of k control VMs to tell all that it knows, every one would get every word k times.
+// An entry VM follows the control VM that it renews with, which tells it all that it knows:
+// a word needs two hops, and an entry VM has one peer for it.
 // Words on one life of a target are ordered by its own numbering; leaving is
 // never taken back. A follower names the last change that it has. One that has just
 // started has one control VM tell it what that knows of all targets, hints among it.
@@ -99,6 +100,9 @@
 	// OwnOnly asks for the targets that speak to the one asked: the asker has been told
 	// of all others.
 	OwnOnly bool `cbor:"own_only,omitempty"`
+	// Hall is the asker's. Away says of an entry VM that no control VM of it has answered.
+	Hall string `cbor:"hall,omitempty"`
+	Away bool   `cbor:"away,omitempty"`
 }
 
 // TargetNews brings the changes of a registry after After, up to Upto.
@@ -130,7 +134,7 @@
 	forgetAfter = 60 * time.Second
 	// silentAfter is the silence after which a target counts as lost: two beats of
 	// 1.2 s and a half, so that one late beat does no harm.
-	silentAfter = 3 * time.Second
+	silentAfter = relay.SilentAfter
 	// replacedAfter is that silence where another target has its address: a beat and
 	// a quarter.
 	replacedAfter = 1500 * time.Millisecond
@@ -191,8 +195,12 @@
 
 // follower is a VM that is pushed to.
 type follower struct {
-	after   uint64
-	until   time.Time
+	after uint64
+	until time.Time
+	// askedAt is when it last asked, hall the one that it said it is in.
+	askedAt time.Time
+	hall    string
+	// beats says that it is a control VM, which is told what this one has heard itself.
 	beats   bool
 	beatsAt time.Time
 }
@@ -281,8 +289,8 @@
 	for _, m := range n.replica.members.Members {
 		known[m.ID.VM] = true
 	}
-	for _, vm := range n.entry.controls {
-		known[vm] = true
+	for _, c := range n.entry.controls {
+		known[c.VM] = true
 	}
 	return slices.Sorted(maps.Keys(known))
 }
@@ -320,9 +328,25 @@
 	return followEvery
 }
 
-// follow asks all other control VMs for what is new. Until one of them has told all that
-// it knows, one after the other is asked for that.
+// follow asks for what is new: an entry VM the control VM that it renews with.
 func (n *Node) follow() {
+	if n.settings.Control {
+		n.followControls()
+		return
+	}
+	source := n.entry.tenure.source
+	if source == "" || source == n.settings.Self.VM {
+		return
+	}
+	at := n.registry.followed[source]
+	n.send(source, Message{Follow: &Follow{
+		Life: at.life, After: at.after, Hall: n.settings.Address.Hall, Away: !n.entry.tenure.homeAt.IsZero(),
+	}})
+}
+
+// followControls asks all other control VMs for what is new. Until one of them has told
+// all that it knows, one after the other is asked for that.
+func (n *Node) followControls() {
 	r := &n.registry
 	others := slices.DeleteFunc(n.controlVMs(), func(vm VMName) bool { return vm == n.settings.Self.VM })
 	if len(others) == 0 {
@@ -333,7 +357,7 @@
 	}
 	for i, vm := range others {
 		at := r.followed[vm]
-		ask := Follow{Life: at.life, After: at.after, Beats: n.settings.Control, OwnOnly: r.whole || i != r.wholeFrom%len(others)}
+		ask := Follow{Life: at.life, After: at.after, Beats: true, OwnOnly: r.whole || i != r.wholeFrom%len(others), Hall: n.settings.Address.Hall}
 		if !ask.OwnOnly {
 			ask.Life, ask.After = 0, 0
 		}
@@ -354,7 +378,7 @@
 // followAsked answers one who follows this VM's registry. Who asks under another
 // life is told from the beginning.
 func (n *Node) followAsked(from VMName, f Follow) {
-	if !n.settings.Control {
+	if !n.settings.Control || !f.Beats && len(n.elsewhere(f.Hall, f.Away)) > 0 {
 		return
 	}
 	present, ok := n.registry.followers[from]
@@ -363,48 +387,59 @@
 		n.registry.followers[from] = present
 	}
 	present.until = n.now.Add(followLife)
+	present.askedAt = n.now
+	present.hall = f.Hall
 	present.beats = f.Beats
 	present.after = f.After
 	if f.Life != n.settings.Seed {
 		present.after = 0
 	}
 	if !f.OwnOnly {
-		n.tell(from, present, TargetNews{Targets: n.live(n.registry.targets.Since(present.after)), Whole: present.after == 0})
+		targets := n.registry.targets.Since(present.after)
+		whole := present.after == 0
+		if whole {
+			targets = n.live(targets)
+		}
+		n.tell(from, present, TargetNews{Targets: targets, Whole: whole})
 		return
 	}
 	n.tell(from, present, TargetNews{Targets: n.registry.targets.OwnSince(present.after)})
 }
 
-// entryFollowers counts the entry VMs that follow this control VM. After a loss of all
-// VMs they follow before they have a lease, so that the first leases tell how many
-// there are.
-func (r *registry) entryFollowers(now time.Time) int {
-	vms := 0
-	for _, f := range r.followers {
-		if !f.beats && now.Before(f.until) {
-			vms++
-		}
-	}
-	return vms
-}
-
-// push sends what is new to all who follow. Most of them are at the same change, so that
-// what is new is looked up once for each change.
+// push sends what is new to all who follow: to entry VMs all of it, to control VMs what
+// this one has heard. Most of them are at the same change, so that what is new is looked up
+// once for each change.
 func (n *Node) push() {
-	news := make(map[uint64][]relay.Target)
+	type place struct {
+		after uint64
+		own   bool
+	}
+	news := make(map[place][]relay.Target)
 	for _, vm := range slices.Sorted(maps.Keys(n.registry.followers)) {
 		f := n.registry.followers[vm]
 		if n.now.After(f.until) {
 			delete(n.registry.followers, vm)
 			continue
 		}
-		targets, known := news[f.after]
+		at := place{after: f.after, own: f.beats}
+		targets, known := news[at]
 		if !known {
-			targets = n.registry.targets.OwnSince(f.after)
-			news[f.after] = targets
+			targets = n.newsAfter(at.after, at.own)
+			news[at] = targets
 		}
-		n.tell(vm, f, TargetNews{Targets: targets})
+		if len(targets) > 0 {
+			n.tell(vm, f, TargetNews{Targets: targets})
+		}
+	}
+}
+
+// newsAfter returns the targets that changed after a change: all, or those that speak to
+// this VM.
+func (n *Node) newsAfter(change uint64, own bool) []relay.Target {
+	if own {
+		return n.registry.targets.OwnSince(change)
 	}
+	return n.registry.targets.Since(change)
 }
 
 // tell sends a follower news that bring it to the newest change.
@@ -440,6 +475,7 @@
 	if len(learned) == 0 {
 		return
 	}
+	n.registry.news = true
 	if n.settings.Entry {
 		n.emit(TargetsLearned{Targets: learned})
 	}
--- a/internal/core/replication.go
+++ b/internal/core/replication.go
@@ -43,6 +43,10 @@
 		n.joinAsked(from, *b.Join)
 	case b.Renew != nil:
 		n.renewAsked(from, *b.Renew)
+	case b.RenewBatch != nil:
+		n.renewBatchAsked(from, *b.RenewBatch)
+	case b.GrantBatch != nil:
+		n.grantBatchTaken(from, *b.GrantBatch)
 	case b.Claim != nil:
 		n.claimAsked(from, *b.Claim)
 	case b.Record != nil:
--- a/internal/core/show.go
+++ b/internal/core/show.go
@@ -79,7 +79,7 @@
 		case n.isLeaving(l):
 			state = "leaving"
 		}
-		t.add(name, l.renew.Address.Hall, "entry", state, l.revision, l.renew.InProgress, l.renew.Load, l.renew.Address.Callers, l.renew.Address.Peers)
+		t.add(name, l.renewal.Address.Hall, "entry", state, l.renewal.Revision, l.renewal.InProgress, l.renewal.Load, l.renewal.Address.Callers, l.renewal.Address.Peers)
 	}
 	return t
 }
@@ -144,10 +144,10 @@
 }
 
 func (n *Node) leasesTable() Table {
-	t := Table{Columns: []string{"vm", "until", "revision"}}
+	t := Table{Columns: []string{"vm", "until", "revision", "via"}}
 	for _, name := range slices.Sorted(maps.Keys(n.leading.leases)) {
 		l := n.leading.leases[name]
-		t.add(name, l.until, l.revision)
+		t.add(name, l.until, l.renewal.Revision, l.via)
 	}
 	return t
 }
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -10,18 +11,28 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-// tenure is an entry VM's half of its lease: see grants.go.
+// tenure is an entry VM's half of its lease: see forwarding.go.
 type tenure struct {
+	// leader is the VM that granted the last lease, and source the control VM that it came
+	// by, which is asked for the next one; empty while another is looked for.
 	leader VMName
+	source VMName
+	// tries counts the control VMs that were asked in vain since the last lease.
+	tries int
+	// homeAt is when a control VM of the own hall is tried again.
+	homeAt time.Time
 	// asked counts requests for renewal; sent holds when each went out.
 	asked   uint64
 	sent    map[uint64]time.Time
 	renewAt time.Time
 	// answerBy is when another control VM is asked.
 	answerBy time.Time
-	turn     int
-	term     Term
-	until    time.Time
+	// turn is where in the lists of control VMs this VM begins.
+	turn int
+	// redirectedAt is when it last obeyed a word to ask elsewhere.
+	redirectedAt time.Time
+	term         Term
+	until        time.Time
 }
 
 // entry is the state of the entry role.
@@ -37,8 +48,8 @@
 	workSeen uint64
 	// dead and well are the targets that this VM has lately found so.
 	dead, well []relay.TargetKey
-	// controls are the members of the control state, as the last lease said.
-	controls    []VMName
+	// controls are the control VMs that live, as the last one that named them said.
+	controls    []ControlVM
 	view        []EntryView
 	viewVersion uint64
 	// halls holds the data hall of each VM in view.
@@ -67,7 +78,7 @@
 
 func (n *Node) startEntry() {
 	n.entry = entry{
-		tenure:     tenure{sent: make(map[uint64]time.Time)},
+		tenure:     tenure{sent: make(map[uint64]time.Time), turn: n.rand.IntN(math.MaxInt32)},
 		keys:       make(map[string]string),
 		pools:      make(map[string]*pool),
 		targets:    make(map[string]*targetState),
@@ -109,7 +120,10 @@
 	t := &n.entry.tenure
 	silent := t.asked > 0 && !t.answerBy.IsZero() && !n.now.Before(t.answerBy)
 	if silent {
-		t.leader = ""
+		t.source = ""
+	}
+	if t.source != "" && !t.homeAt.IsZero() && !n.now.Before(t.homeAt) {
+		t.source, t.tries, t.homeAt = "", 0, time.Time{}
 	}
 	if silent || !n.now.Before(t.renewAt) {
 		n.renew()
@@ -129,7 +143,37 @@
 // hasLease reports whether this VM may take new work.
 func (n *Node) hasLease() bool { return n.now.Before(n.entry.tenure.until) }
 
-// renew asks for the next lease: the leader, or the control VMs in turn.
+// homeAfter is how long an entry VM whose hall had no control VM for it renews elsewhere: a
+// control VM that was killed is back within some seconds.
+const homeAfter = 3 * time.Second
+
+// homeControls returns the control VMs of the own hall, as far as they are known.
+func (n *Node) homeControls() []VMName {
+	var home []VMName
+	for _, c := range n.entry.controls {
+		if c.Hall == n.settings.Address.Hall {
+			home = append(home, c.VM)
+		}
+	}
+	return home
+}
+
+// seek picks the control VM to ask next: those of the own hall, each once, and then any
+// other, until one of them grants a lease. Away says that the own hall was asked in vain.
+func (n *Node) seek() (vm VMName, away bool) {
+	t := &n.entry.tenure
+	at := t.turn + t.tries
+	home := n.homeControls()
+	away = len(home) > 0 && t.tries >= len(home)
+	t.tries++
+	if len(home) > 0 && !away {
+		return home[at%len(home)], false
+	}
+	known := n.controlVMs()
+	return known[at%len(known)], away
+}
+
+// renew asks for the next lease.
 func (n *Node) renew() {
 	t := &n.entry.tenure
 	t.asked++
@@ -141,13 +185,17 @@
 			delete(t.sent, number)
 		}
 	}
-	to := t.leader
-	if to == "" {
-		known := n.controlVMs()
-		to = known[t.turn%len(known)]
-		t.turn++
+	away := !t.homeAt.IsZero()
+	if t.source == "" {
+		t.source, away = n.seek()
+		t.homeAt = time.Time{}
+		if away {
+			t.homeAt = n.now.Add(homeAfter)
+		}
+		n.registry.followAt = n.now
 	}
-	n.deliver(to, Message{Renew: &Renew{
+	n.deliver(t.source, Message{Renew: &Renew{
+		Away:        away,
 		Number:      t.asked,
 		Address:     n.settings.Address,
 		Revision:    n.entry.config.Revision,
@@ -166,19 +214,37 @@
 // keptAsks bounds the renewals whose answer may still come.
 const keptAsks = 16
 
+// redirected takes the word of a control VM that can't do what it was asked for. An order
+// to ask others is obeyed once in a renewal, so that two VMs that name each other cost no
+// more.
 func (n *Node) redirected(from ReplicaID, r Redirect) {
 	t := &n.entry.tenure
-	known := r.Leader != "" && r.Leader != from.VM
-	if !known {
-		if t.leader == from.VM {
-			t.leader = ""
-		}
+	if r.Leader != "" && r.Leader != from.VM {
+		t.leader = r.Leader
+	}
+	if from.VM != t.source {
 		return
 	}
-	if t.leader != r.Leader {
-		t.leader = r.Leader
-		n.renew()
+	t.source = ""
+	t.answerBy = time.Time{}
+	if len(r.Controls) == 0 || n.now.Before(t.redirectedAt.Add(n.settings.Timing.RenewEvery)) {
+		return
 	}
+	t.redirectedAt = n.now
+	n.entry.controls = mergeControls(n.entry.controls, r.Controls)
+	t.tries = 0
+	n.renew()
+}
+
+// mergeControls returns the control VMs of two lists, the halls of the newer one counting.
+func mergeControls(old, newer []ControlVM) []ControlVM {
+	merged := slices.Clone(newer)
+	for _, c := range old {
+		if !slices.ContainsFunc(newer, func(o ControlVM) bool { return o.VM == c.VM }) {
+			merged = append(merged, c)
+		}
+	}
+	return merged
 }
 
 // granted takes a lease, with the configuration that it carries. A lease with
@@ -191,7 +257,12 @@
 		return
 	}
 	t.term = g.Term
-	t.leader = from.VM
+	t.leader = g.Leader
+	if t.source != from.VM && g.Number == t.asked {
+		// A late answer of one that was given up: it does answer.
+		t.source = from.VM
+	}
+	t.tries = 0
 	t.answerBy = time.Time{}
 	before := n.entry.config.Revision
 	if !n.takeConfig(g) {
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -27,6 +27,7 @@
 	changed uint64
 }
 
+// newEntryList returns the list that a leader begins its term with.
 func newEntryList(term Term) entryList {
 	first := uint64(term) << 32
 	return entryList{version: first, first: first, lines: make(map[VMName]entryLine), gone: make(map[VMName]uint64)}
@@ -76,6 +77,40 @@
 	}
 }
 
+// sinceBatch puts into a batch what has changed after a control VM's version.
+func (l *entryList) sinceBatch(version uint64, b *GrantBatch) {
+	var g Grant
+	l.since(version, &g)
+	b.ViewVersion, b.View, b.Gone, b.ViewWhole = g.ViewVersion, g.View, g.Gone, g.ViewWhole
+}
+
+// apply takes what has changed up to a version of the leader's list.
+func (l *entryList) apply(version uint64, view []EntryView, gone []VMName, whole bool) {
+	if version <= l.version {
+		return
+	}
+	if whole {
+		*l = newEntryList(0)
+		l.first = version
+	}
+	l.version = version
+	for _, v := range view {
+		vm := v.Address.VM
+		if at, known := slices.BinarySearch(l.names, vm); !known {
+			l.names = slices.Insert(l.names, at, vm)
+		}
+		l.lines[vm] = entryLine{view: v, changed: version}
+		delete(l.gone, vm)
+	}
+	for _, vm := range gone {
+		if at, known := slices.BinarySearch(l.names, vm); known {
+			l.names = slices.Delete(l.names, at, at+1)
+		}
+		delete(l.lines, vm)
+		l.gone[vm] = version
+	}
+}
+
 // refreshEvery is the interval between two looks at all lines.
 const refreshEvery = 100 * time.Millisecond
 
@@ -98,10 +133,10 @@
 
 func (n *Node) viewOf(l *lease) EntryView {
 	return EntryView{
-		Address:     l.renew.Address,
+		Address:     l.renewal.Address,
 		Incarnation: l.holder.Incarnation,
 		Leaving:     n.isLeaving(l),
-		LoadLevel:   loadLevel(l.renew.Load),
+		LoadLevel:   loadLevel(l.renewal.Load),
 	}
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -279,9 +279,7 @@
 		g.router.TakeTargets(e.Targets)
 		g.mu.Unlock()
 		g.checkInformed()
-		for _, t := range e.Targets {
-			g.log.Info("target learned", "target", t.ID, "service", t.Service, "address", t.Address, "leaving", t.Leaving, "gone", t.Gone, "layers", t.Layers.String(), "call", t.Call)
-		}
+		g.logLearned(e.Targets)
 	case core.FleetLearned:
 		g.takeFleet(e)
 	case core.OrderLayers:
@@ -289,6 +287,28 @@
 	}
 }
 
+// namedTargets is the number of targets that one line names: each change of a target
+// reaches every VM, so that lines must not grow with them.
+const namedTargets = 4
+
+// logLearned notes what targets have newly said, in one line.
+func (g *Gateway) logLearned(targets []relay.Target) {
+	var named []string
+	leaving, loading := 0, 0
+	for _, t := range targets {
+		if len(named) < namedTargets {
+			named = append(named, string(t.ID)+t.Layers.String())
+		}
+		if !t.Takes() {
+			leaving++
+		}
+		if t.Loading {
+			loading++
+		}
+	}
+	g.log.Info("targets learned", "targets", len(targets), "leaving", leaving, "loading", loading, "first", named)
+}
+
 func (g *Gateway) takeDocument(e core.DocumentInForce) {
 	g.mu.Lock()
 	g.router.TakeDocument(e.Document)
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -38,6 +38,8 @@
 	outbox  chan *core.Envelope
 	mu      sync.Mutex
 	address string
+	// served says that somebody sends what is in the outbox.
+	served bool
 }
 
 func newPeers(d *Daemon) *peers {
@@ -48,7 +50,8 @@
 	return p
 }
 
-// learn takes a VM's address, and starts its link the first time.
+// learn takes a VM's address. Nothing is dialled before there is something to send: a VM
+// is told of all others, and speaks to few of them.
 func (p *peers) learn(vm core.VMName, address string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -56,8 +59,18 @@
 		l.set(address)
 		return
 	}
-	l := &peerLink{outbox: make(chan *core.Envelope, outboxLength), address: address}
-	p.links[vm] = l
+	p.links[vm] = &peerLink{address: address}
+}
+
+// open makes sure that a link is served.
+func (p *peers) open(l *peerLink) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.served {
+		return
+	}
+	l.served = true
+	l.outbox = make(chan *core.Envelope, outboxLength)
 	p.daemon.tomb.Go(func() error {
 		p.daemon.serveLink(l)
 		return nil
@@ -91,6 +104,7 @@
 	if !ok {
 		return
 	}
+	p.open(l)
 	select {
 	case l.outbox <- &e:
 	default:
@@ -116,12 +130,18 @@
 	return p.links[vm], true
 }
 
-// serveLink keeps a stream to one peer and sends what is in its outbox. What
-// gathers while the peer can't be reached is old by then, and is dropped.
+// serveLink sends what is in the outbox of one peer over a stream, which is opened when
+// there is something to send. What gathers while the peer can't be reached is old by then,
+// and is dropped.
 func (d *Daemon) serveLink(l *peerLink) {
 	for {
-		if err := d.sendAll(l); err != nil {
-			d.log.V(1).Info("peer link broken", "address", l.get(), "error", err.Error())
+		select {
+		case e := <-l.outbox:
+			if err := d.sendAll(l, e); err != nil {
+				d.log.V(1).Info("peer link broken", "address", l.get(), "error", err.Error())
+			}
+		case <-d.tomb.Dying():
+			return
 		}
 		select {
 		case <-time.After(redialPause):
@@ -142,7 +162,8 @@
 	}
 }
 
-func (d *Daemon) sendAll(l *peerLink) error {
+// sendAll sends first and what follows it until the stream breaks.
+func (d *Daemon) sendAll(l *peerLink, first *core.Envelope) error {
 	conn, err := d.keys.Dial(d.context, l.get())
 	if err != nil {
 		return err
@@ -152,13 +173,13 @@
 	if err != nil {
 		return err
 	}
-	for {
+	for e := first; ; {
+		d.metrics.sent()
+		if err := stream.MsgSend(e, wire.Encoding{}); err != nil {
+			return err
+		}
 		select {
-		case e := <-l.outbox:
-			d.metrics.sent()
-			if err := stream.MsgSend(e, wire.Encoding{}); err != nil {
-				return err
-			}
+		case e = <-l.outbox:
 		case <-conn.Closed():
 			return fmt.Errorf("peer %s closed the link", l.get())
 		case <-d.tomb.Dying():
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -68,6 +68,10 @@
 	return newer
 }
 
+// SilentAfter is the silence after which a target counts as lost: two heartbeats of 1.2 s
+// and a half, so that one late heartbeat does no harm.
+const SilentAfter = 3 * time.Second
+
 // Registry holds the targets by life. The zero value is not usable.
 type Registry struct {
 	targets map[TargetID]entry
@@ -114,7 +118,7 @@
 	// the followers to ask, unless the target leaves: after a loss of all VMs every
 	// target turns to one that it has not spoken to.
 	turned := firstHand && !present.firstHand && !late
-	if differs || turned {
+	if differs || turned || known && !late && present.silent(now) {
 		r.change++
 		e.changed = r.change
 	}
@@ -122,6 +126,10 @@
 	return differs || turned && next.Leaving
 }
 
+// silent reports whether a target counts as lost: who asks for all targets is not told of
+// it, so that its next word is news.
+func (e entry) silent(now time.Time) bool { return now.Sub(e.heardAt) > SilentAfter }
+
 // differs compares all but the number of the message.
 func differs(a, b Target) bool {
 	a.Call = b.Call
@@ -131,6 +139,10 @@
 // Alive notes that a target has spoken to another VM.
 func (r *Registry) Alive(id TargetID, call uint64, now time.Time) {
 	if e, ok := r.targets[id]; ok && call > e.target.Call {
+		if e.silent(now) {
+			r.change++
+			e.changed = r.change
+		}
 		e.target.Call = call
 		e.heardAt = now
 		e.firstHand = false
