core, daemon: control VMs without a disk join together; a settled entry VM ticks every 0.1 s

Cause: after a loss of all VMs the control VMs without a disk come back as new learners, one change of the membership at a time; who asked while one was under way asked again 0.5 s later, and its hall had no control VM until then. Ruled out: the election, which was over after 0.74 s. And 300 entry VMs woke 50 times a second each for nothing: those that hold a lease tick ten times.

--- a/internal/core/halls_test.go
+++ b/internal/core/halls_test.go
@@ -27,6 +27,9 @@
 	// apart holds pairs of VMs that can't reach each other.
 	apart map[[2]core.VMName]bool
 	lives uint64
+	// disks holds what control VMs with a disk have synced.
+	disks    map[core.VMName]*core.Recovered
+	settings map[core.VMName]core.Settings
 	// work is what each entry VM has under way, learned the newest target each has heard of.
 	work    map[core.VMName]map[relay.TargetKey]relay.Work
 	learned map[core.VMName]map[relay.TargetID]relay.Target
@@ -49,6 +52,7 @@
 		dead: make(map[core.VMName]bool), apart: make(map[[2]core.VMName]bool),
 		work: make(map[core.VMName]map[relay.TargetKey]relay.Work), learned: make(map[core.VMName]map[relay.TargetID]relay.Target),
 		fleets: make(map[core.VMName]core.FleetLearned), others: make(map[core.VMName]map[relay.TargetKey]relay.Work),
+		disks: make(map[core.VMName]*core.Recovered), settings: make(map[core.VMName]core.Settings),
 		renewed: make(map[core.VMName]int), sent: make(map[core.VMName]int), bytes: make(map[core.VMName]int),
 	}
 	for i := range size.controls {
@@ -80,11 +84,33 @@
 		Address:        core.EntryAddress{VM: vm, Hall: f.halls[vm], Callers: string(vm), Peers: string(vm)},
 		DecodeDocument: func([]byte) (*relay.Document, error) { return &relay.Document{Version: 1}, nil },
 	}
-	recovered := core.Recovered{}
+	if disk {
+		f.disks[vm] = &core.Recovered{}
+	}
 	if vm == "c0-0" {
 		settings.Cluster = "c"
-		recovered.Snapshot = core.Snapshot{Index: 1, Term: 1, Members: core.NewMembership(self)}
+		f.disks[vm].Snapshot = core.Snapshot{Index: 1, Term: 1, Members: core.NewMembership(self)}
 	}
+	f.boot(vm, settings)
+}
+
+// restart begins a process on its VM's disk, if it has one.
+func (f *hallFleet) restart(vm core.VMName) {
+	if _, disk := f.disks[vm]; !disk {
+		f.start(vm, false)
+		return
+	}
+	settings := f.settings[vm]
+	settings.Cluster = "c"
+	f.boot(vm, settings)
+}
+
+func (f *hallFleet) boot(vm core.VMName, settings core.Settings) {
+	recovered := core.Recovered{}
+	if disk, ok := f.disks[vm]; ok {
+		recovered = copyRecovered(*disk)
+	}
+	f.settings[vm] = settings
 	f.nodes[vm] = core.New(settings, recovered, f.now)
 	f.learned[vm] = make(map[relay.TargetID]relay.Target)
 	f.others[vm] = make(map[relay.TargetKey]relay.Work)
@@ -100,8 +126,14 @@
 		switch e := effect.(type) {
 		case core.Persist:
 			synced = e.Sequence
+			if disk, ok := f.disks[vm]; ok {
+				applyPersist(disk, e)
+			}
 		case core.SaveSnapshot:
 			synced = e.Sequence
+			if disk, ok := f.disks[vm]; ok {
+				*disk = core.Recovered{Hard: e.Hard, Snapshot: e.Snapshot, Entries: slices.Clone(e.Tail)}
+			}
 		case core.Send:
 			f.count(vm, e.Envelope)
 			f.queue = append(f.queue, e.Envelope)
@@ -346,3 +378,34 @@
 		require.Less(t, f.renewed[vm], 2*usersFleet.entries, vm)
 	}
 }
+
+// killAll ends all processes at once. Disks keep what they have; nothing else does.
+func (f *hallFleet) killAll() {
+	f.queue = nil
+	for _, vm := range f.names {
+		f.dead[vm] = true
+	}
+}
+
+// startAll starts all processes within 0.3 s, each with its disk, if it has one.
+func (f *hallFleet) startAll() {
+	for i, vm := range f.names {
+		if i%20 == 0 {
+			f.run(tickEvery)
+		}
+		f.restart(vm)
+	}
+}
+
+// After a loss of all VMs, callers were told for 6 s that VMs are out of touch.
+func TestAllVMsHaveALeaseSoonAfterALossOfAll(t *testing.T) {
+	f := started(t, usersFleet)
+	f.put(5)
+	f.run(time.Second)
+	f.killAll()
+	f.run(900 * time.Millisecond)
+	began := f.now
+	f.startAll()
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(1) })
+	require.Less(t, f.now.Sub(began), 2500*time.Millisecond)
+}
--- a/internal/core/leading.go
+++ b/internal/core/leading.go
@@ -39,7 +39,9 @@
 	placing      placing
 	fleet        fleet
 	work         workLog
-	putting      putting
+	// joining are the replicas that have asked to be taken in as learners.
+	joining map[ReplicaID]Member
+	putting putting
 	// parts are what other control VMs have said of the entry VMs that renew with them.
 	parts map[VMName]heardPart
 	// workFrom is when the work of all entry VMs is known after an election.
@@ -95,6 +97,7 @@
 		records:   make(map[Index]recordWaiter),
 		leases:    make(map[VMName]*lease),
 		parts:     make(map[VMName]heardPart),
+		joining:   make(map[ReplicaID]Member),
 		reports:   make(map[string]map[VMName]sighting),
 		platform:  make(map[string]bool),
 		orders:    make(map[string]*orderState),
--- a/internal/core/membership.go
+++ b/internal/core/membership.go
@@ -1,6 +1,9 @@
 package core
 
-import "slices"
+import (
+	"maps"
+	"slices"
+)
 
 // Member is one replica of the control state. A learner gets the log and has
 // no vote.
@@ -85,6 +88,9 @@
 		n.proposeMembers(r.members.With(Member{ID: next, Voter: true}))
 		return
 	}
+	if n.takeJoining() {
+		return
+	}
 	if gone, ok := n.learnerToForget(); ok {
 		n.proposeMembers(r.members.Without(gone))
 	}
@@ -171,14 +177,32 @@
 	if !j.For.IsZero() {
 		from = j.For
 	}
-	if r.members.Has(from) {
-		return
+	if !r.members.Has(from) {
+		n.leading.joining[from] = Member{ID: from, Volatile: j.Volatile}
 	}
-	if r.membersIndex > r.commit || !r.committedOwnTerm() {
-		return
+}
+
+// takeJoining takes in the replicas that have asked since the last change, all at once: a
+// learner is part of no quorum. After a loss of all VMs a dozen ask together, and serve
+// their halls from then on. A learner of an earlier life of the same VM goes.
+func (n *Node) takeJoining() bool {
+	r := &n.replica
+	if len(n.leading.joining) == 0 {
+		return false
+	}
+	members := r.members
+	for _, id := range slices.SortedFunc(maps.Keys(n.leading.joining), compareReplicas) {
+		for _, m := range members.Members {
+			if m.ID.VM == id.VM && m.ID != id && !m.Voter {
+				members = members.Without(m.ID)
+			}
+		}
+		members = members.With(n.leading.joining[id])
+		n.note("learner joins", id.String())
 	}
-	n.note("learner joins", from.String())
-	n.proposeMembers(r.members.With(Member{ID: from, Volatile: j.Volatile}))
+	clear(n.leading.joining)
+	n.proposeMembers(members)
+	return true
 }
 
 func (n *Node) proposeMembers(m Membership) { n.propose(Entry{Members: &m}) }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -28,8 +28,13 @@
 	"github.com/spoolbank/spoolbank/settings"
 )
 
-// tickEvery is the interval between two core.Tick events.
-const tickEvery = 20 * time.Millisecond
+const (
+	// tickEvery is the interval between two core.Tick events.
+	tickEvery = 20 * time.Millisecond
+	// settledTickEvery is that of an entry VM on a platform while it has its lease: what
+	// it waits for is some hundred ms away, and each tick wakes the process.
+	settledTickEvery = 100 * time.Millisecond
+)
 
 // eventQueue bounds the events that wait for the loop.
 const eventQueue = 8192
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/settings"
 )
 
 // post gives the loop an event. It waits while the queue is full, which slows
@@ -39,11 +40,12 @@
 }
 
 func (d *Daemon) tickLoop() error {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickEvery)
+	defer timer.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(d.nextTick())
 			d.post(core.Tick{})
 		case <-d.tomb.Dying():
 			return nil
@@ -51,6 +53,15 @@
 	}
 }
 
+// nextTick returns the wait for the next tick.
+func (d *Daemon) nextTick() time.Duration {
+	entryOnly := d.gateway != nil && !d.settings.HasRole(settings.RoleControl)
+	if entryOnly && d.gateway.Ready() {
+		return settledTickEvery
+	}
+	return tickEvery
+}
+
 // look runs f on the Node between two events and waits for it.
 func (d *Daemon) look(f func(*core.Node)) bool {
 	done := make(chan struct{})
