relay, experiment: tests that each mechanism that is off changes a decision

Cause: a switch that does nothing would read as a mechanism that is worth nothing. Change: for 21 of 24 mechanisms a decision that differs; the other three (start_wait, stop_admission, stall_probe) decide in the daemon and are not shown so.

--- /dev/null
+++ b/internal/relay/policy_test.go
@@ -0,0 +1,193 @@
+package relay_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// routerUnder is newRouter under a policy, as one VM of ten that knows what others do.
+func routerUnder(p relay.Policy, targets []relay.Target) (*relay.Router, *relay.Route) {
+	_, route := newRouter(nil)
+	services := []relay.Service{{Name: "s", MaxConns: 1000, Engine: engine()}, {Name: "plain", MaxConns: 20}}
+	r := relay.NewRouter(relay.Settings{Hall: "a", Seed: 1, Started: start, Policy: p, Budget: relay.BudgetTerms{Share: 0.2, Fixed: 200, Window: 10 * time.Second}})
+	r.TakeDocument(&relay.Document{Version: 1, Services: services, Routes: []relay.Route{*route}})
+	r.TakeTargets(targets)
+	r.TakeVMs(10)
+	r.TakeOthers(nil, true)
+	return r, route
+}
+
+// paths returns the paths of n requests that stay under way, each at another moment.
+func paths(r *relay.Router, route *relay.Route, n int) []string {
+	var chosen []string
+	for i := range n {
+		path, refusal := r.Choose(ask(route), start.Add(time.Duration(i)*time.Second))
+		if refusal != nil {
+			chosen = append(chosen, "refused")
+			continue
+		}
+		chosen = append(chosen, path.String())
+	}
+	return chosen
+}
+
+func placedToday() []relay.Target {
+	return holding(engines(today), relay.Plan(engine(), engines(today)))
+}
+
+// plain are targets of a plain service.
+func plain(n int) []relay.Target {
+	var targets []relay.Target
+	for i := range n {
+		targets = append(targets, relay.Target{ID: relay.TargetID(fmt.Sprint("p", i)), Service: "plain", Address: fmt.Sprint("p", i), Hall: "a", Call: 1})
+	}
+	return targets
+}
+
+// afterFailure is what a VM chooses right after a target has failed or refused.
+func afterFailure(p relay.Policy, fail func(*relay.Router, relay.TargetID)) any {
+	r, route := routerUnder(p, plain(2))
+	a := relay.Ask{Route: route, Service: "plain"}
+	fail(r, "p0")
+	used := 0
+	for range 20 {
+		path, _ := r.Choose(a, start)
+		if path.Passes("p0") {
+			used++
+		}
+		r.Release(path, false)
+	}
+	return used > 0
+}
+
+// decisions are, by mechanism, decisions that it takes part in. Those that are made outside
+// this package are not among them: StartWait, StopAdmission and StallProbe.
+var decisions = map[relay.Mechanism]func(relay.Policy) any{
+	relay.HallDraw:  func(p relay.Policy) any { return pathsUnder(p, placedToday(), 40) },
+	relay.OwnHall:   func(p relay.Policy) any { return pathsUnder(p, placedToday(), 40) },
+	relay.CostNoise: func(p relay.Policy) any { return pathsUnder(p, placedToday(), 40) },
+	relay.Crowding:  func(p relay.Policy) any { return pathsUnder(p, placedToday(), 40) },
+	relay.Standbys:  func(p relay.Policy) any { return pathsUnder(p, placedToday(), 40) },
+	relay.HerdGuess: func(p relay.Policy) any { return pathsUnder(p, placedToday(), 40) },
+	relay.PartRanges: func(p relay.Policy) any {
+		return pathsUnder(p, placed("large", config.Range{First: 0, Last: 35}, config.Range{First: 30, Last: 60}, config.Range{First: 50, Last: 80}), 1)
+	},
+	relay.PipeCaution: func(p relay.Policy) any {
+		last := config.Range{First: 60, Last: 80}
+		targets := placed("large", config.Range{First: 0, Last: 40}, config.Range{First: 40, Last: 60}, last)
+		targets[1].Hall = "b"
+		slower := placed("middle", last)[0]
+		slower.Hall = "b"
+		r, route := routerUnder(p, append(targets, slower))
+		a := ask(route)
+		a.Begun = true
+		path, _ := r.Choose(a, start)
+		return path.Passes(slower.ID)
+	},
+	relay.PauseAdmission: func(p relay.Policy) any {
+		r, route := routerUnder(p.With(relay.HerdGuess, false), placed("large", config.Range{First: 0, Last: 15}, config.Range{First: 15, Last: 30}, config.Range{First: 30, Last: 45}, config.Range{First: 45, Last: 60}, config.Range{First: 60, Last: 80}))
+		route.Pause = 12 * time.Millisecond
+		return slices.Index(paths(r, route, 900), "refused")
+	},
+	relay.StartSampling: func(p relay.Policy) any {
+		r, route := routerUnder(p, nil)
+		fresh := relay.NewRouter(relay.Settings{Hall: "a", Seed: 1, Started: start, Policy: p})
+		fresh.TakeDocument(r.Document())
+		fresh.TakeTargets(placedToday())
+		fresh.TakeVMs(100)
+		return slices.Index(paths(fresh, route, 900), "refused")
+	},
+	relay.UnreadPrompts: func(p relay.Policy) any { return pathsUnder(p, placedToday(), 40) },
+	relay.FailureMean: func(p relay.Policy) any {
+		return afterFailure(p, func(r *relay.Router, id relay.TargetID) { r.Failed(id, false, start) })
+	},
+	relay.Suspicion: func(p relay.Policy) any {
+		return afterFailure(p.With(relay.FailureMean, false), func(r *relay.Router, id relay.TargetID) { r.Failed(id, true, start) })
+	},
+	relay.FullPause: func(p relay.Policy) any {
+		return afterFailure(p, func(r *relay.Router, id relay.TargetID) { r.Refused(id, start) })
+	},
+	relay.SharedFindings: func(p relay.Policy) any {
+		r, _ := routerUnder(p, plain(2))
+		r.Failed("p0", true, start)
+		dead, _ := r.Findings(start)
+		return len(dead)
+	},
+	relay.RepeatShares: func(p relay.Policy) any {
+		r, _ := routerUnder(p, nil)
+		repeats := 0
+		for r.Repeat("s", false, start.Add(time.Minute)) {
+			repeats++
+		}
+		return repeats
+	},
+	relay.ConnectionShares: func(p relay.Policy) any {
+		r, _ := routerUnder(p, nil)
+		return r.ConnLimit("plain")
+	},
+	relay.SpreadReturns: func(p relay.Policy) any {
+		r, route := routerUnder(p, nil)
+		_, first := r.Choose(ask(route), start)
+		_, second := r.Choose(ask(route), start)
+		return first.RetryAt.Equal(second.RetryAt)
+	},
+	relay.StageReplacement: func(p relay.Policy) any {
+		r, route := routerUnder(p, twoOfEach())
+		path, _ := r.Choose(ask(route), start)
+		_, ok := r.Substitute(path, path.Stages[1].Target, start)
+		return ok
+	},
+	relay.LeaveMoving: func(p relay.Policy) any {
+		r, route := routerUnder(p, twoOfEach())
+		path, _ := r.Choose(ask(route), start)
+		r.TakeMoving([]relay.TargetKey{path.Stages[1].Target.Key()})
+		_, moving := r.MovingOn(path)
+		return moving
+	},
+	relay.RepairMoves: func(p relay.Policy) any {
+		holders := placed("large", config.Range{First: 0, Last: 30}, config.Range{First: 0, Last: 30}, config.Range{First: 55, Last: 80})
+		return len(p.Plan(engine(), holders))
+	},
+}
+
+func pathsUnder(p relay.Policy, targets []relay.Target, n int) any {
+	r, route := routerUnder(p, targets)
+	return paths(r, route, n)
+}
+
+// What is switched off is really off: a decision differs.
+func TestEachMechanismChangesADecision(t *testing.T) {
+	outside := []relay.Mechanism{relay.StartWait, relay.StopAdmission, relay.StallProbe}
+	for _, m := range relay.Mechanisms() {
+		decide, ok := decisions[m]
+		if !ok {
+			require.Contains(t, outside, m)
+			continue
+		}
+		require.Equal(t, decide(relay.Policy{}), decide(relay.Policy{}), "%s: the decision is a function of the seed", m)
+		require.NotEqual(t, decide(relay.Policy{}), decide(relay.Policy{}.With(m, false)), m)
+	}
+}
+
+func TestPoliciesAreReadByName(t *testing.T) {
+	p, err := relay.Policy{}.Switched("own_hall", "off")
+	require.NoError(t, err)
+	require.False(t, p.Has(relay.OwnHall))
+	require.True(t, p.Has(relay.HallDraw))
+	require.Equal(t, "own_hall=off", p.String())
+	p, err = p.Switched("own_hall", "on")
+	require.NoError(t, err)
+	require.Equal(t, relay.Policy{}, p)
+
+	_, err = p.Switched("own_hall", "maybe")
+	require.EqualError(t, err, `mechanism own_hall is "maybe"; use on or off`)
+	_, err = p.Switched("no_such", "off")
+	require.ErrorContains(t, err, `there is no mechanism "no_such"; use one of hall_draw, own_hall,`)
+}
