--- a/internal/relay/cover.go
+++ b/internal/relay/cover.go
@@ -104,3 +104,10 @@
 	}
 	return 1
 }
+
+// hold counts one more holder of each layer of a range.
+func hold(counts []int, layers config.Range) {
+	for i := layers.First; i < layers.Last; i++ {
+		counts[i]++
+	}
+}
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -44,15 +44,10 @@
 	// request's time: it is what makes a first event late, and the rest does not.
 	// docs/ABLATION.md has what else was tried.
 	unreadWeight = 12
-	// pathNoise is the spread of the random part of costs.
-	pathNoise = 0.05
 	// pipeCaution multiplies the time that a request takes in a pipe between two
 	// halls: a pipe that is not yet full is, once others choose it too, since a prompt
 	// takes a pipe for some 20 ms and each token waits behind it.
 	pipeCaution = 30
-	// standbyCost multiplies the cost of a standby: it gets requests only when
-	// others are full, so that it can be moved at once to where layers are lost.
-	standbyCost = 2
 	// hallBias is how strongly cheap halls are preferred: with 2, one at half the
 	// cost of another gets four times as many requests.
 	hallBias = 2.0
@@ -93,7 +88,6 @@
 }
 
 func (r *Router) choosePath(s *Service, a Ask, now time.Time) (Path, bool) {
-	r.findStandbys(s)
 	for _, suspects := range []bool{false, true} {
 		engines := r.usable(s.Name, a, now, suspects)
 		slices.SortFunc(engines, func(x, y *target) int {
@@ -316,12 +310,6 @@
 	if p.Has(FailureMean) {
 		weight += t.failures * failurePenalty
 	}
-	if p.Has(CostNoise) {
-		weight += pathNoise * r.rand.Float64()
-	}
-	if t.standby && p.Has(Standbys) {
-		weight *= standbyCost
-	}
 	return weight
 }
 
--- a/internal/relay/policy.go
+++ b/internal/relay/policy.go
@@ -19,10 +19,8 @@
 const (
 	HallDraw Mechanism = iota
 	OwnHall
-	Standbys
 	Crowding
 	UnreadPrompts
-	CostNoise
 	PartRanges
 	PauseAdmission
 	StartSampling
@@ -50,10 +48,8 @@
 var descriptions = [mechanismCount]description{
 	HallDraw:         {"hall_draw", "the cheapest hall gets every request"},
 	OwnHall:          {"own_hall", "other halls cost no more than the VM's own"},
-	Standbys:         {"standbys", "engines that a hall does not need get requests like the others"},
 	Crowding:         {"crowding", "a full engine costs no more than an empty one"},
 	UnreadPrompts:    {"unread_prompts", "the wait behind prompts that are not read yet does not count"},
-	CostNoise:        {"cost_noise", "equal costs are not told apart by chance"},
 	PartRanges:       {"part_ranges", "an engine runs all layers that it holds, or none"},
 	PauseAdmission:   {"pause_admission", "requests are admitted by memory alone, however long the pauses get"},
 	StartSampling:    {"start_sampling", "a VM that was told of no other takes the engines to be its own"},
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -120,8 +120,6 @@
 	// half of the VMs find it dead; moving that it was ordered to hold other layers.
 	silent bool
 	moving bool
-	// standby says that its hall does not need it at present.
-	standby bool
 	// failures is a moving mean of recent results: 0 all well, 1 all failed.
 	failures float64
 }
@@ -139,9 +137,6 @@
 	members  map[string][]*target
 	budgets  map[string]*budget
 	vms      int
-	// marked holds the services whose standbys were found since what targets hold may
-	// last have changed.
-	marked map[string]bool
 	// othersKnown says that this VM has been told what others have under way.
 	othersKnown bool
 	// changing counts the changes of halls on the paths under way.
@@ -161,7 +156,6 @@
 		targets:  make(map[TargetID]*target),
 		members:  make(map[string][]*target),
 		budgets:  make(map[string]*budget),
-		marked:   make(map[string]bool),
 		waits:    make(map[string]average),
 		vms:      1,
 	}
@@ -173,7 +167,6 @@
 		return
 	}
 	r.document = d
-	clear(r.marked)
 	r.table = newRouteTable(d)
 	r.keys = make(map[string]*Organisation)
 	for i := range d.Organisations {
@@ -195,7 +188,6 @@
 
 // TakeTargets takes what targets have newly said.
 func (r *Router) TakeTargets(targets []Target) {
-	clear(r.marked)
 	for _, t := range targets {
 		known, ok := r.targets[t.ID]
 		if !ok {
@@ -220,9 +212,6 @@
 func (r *Router) TakeSilent(keys []TargetKey) {
 	for _, t := range r.targets {
 		_, silent := slices.BinarySearch(keys, t.key)
-		if silent != t.silent {
-			clear(r.marked)
-		}
 		t.silent = silent
 	}
 }
