relay, core: VMs share what is left of the budget of repeats

Ruled out: room at the engines; the path was refused by one that had just died. Change: VMs report what they asked and repeated in the window with their renewals; the leader tells the sums, and each VM takes its part of what they leave. Without fresh sums a VM keeps to its static part. Mechanism pooled_repeats.

--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -136,7 +136,7 @@
 	f := n.leading.fleetNow(n)
 	told := &toldFleet{
 		term: n.replica.hard.Term, leader: n.settings.Self.VM, vms: f.vms, silent: f.silent, moving: f.moving,
-		known: n.knowsWork(), work: n.leading.work,
+		known: n.knowsWork(), work: n.leading.work, spent: f.spent, spentBy: f.spentBy,
 	}
 	if !n.now.Before(n.leading.viewFrom) {
 		told.view = n.leading.view
@@ -153,6 +153,7 @@
 	}
 	var targets []relay.TargetKey
 	g.WorkTold = true
+	g.Spent, g.SpentBy = t.spent, t.spentBy
 	targets, g.WorkUpto, g.OthersWhole = t.work.since(to.WorkSeen, workMost)
 	g.Others = make(map[relay.TargetKey]relay.Work, len(targets))
 	for _, id := range targets {
@@ -170,6 +171,7 @@
 	}
 	var targets []relay.TargetKey
 	g.WorkTold = true
+	g.Spent, g.SpentBy = f.spent, f.spentBy
 	targets, g.WorkUpto, g.WorkWhole = n.leading.work.since(seen, batchWorkMost)
 	g.Work = make(map[relay.TargetKey]relay.Work, len(targets))
 	for _, id := range targets {
@@ -247,6 +249,9 @@
 	at   time.Time
 	vms  int
 	work map[relay.TargetKey]relay.Work
+	// spent is what spentBy entry VMs have asked and repeated, by service.
+	spent   map[string]relay.Spent
+	spentBy int
 	// silent are the targets that say nothing of late, or that far more entry VMs
 	// find dead than well.
 	silent []relay.TargetKey
@@ -261,10 +266,14 @@
 	if n.now.Before(l.fleet.at.Add(fleetEvery)) {
 		return l.fleet
 	}
-	l.fleet = fleet{at: n.now, work: make(map[relay.TargetKey]relay.Work)}
+	l.fleet = fleet{at: n.now, work: make(map[relay.TargetKey]relay.Work), spent: make(map[string]relay.Spent)}
 	dead := make(map[relay.TargetKey]int)
 	well := make(map[relay.TargetKey]int)
 	add := func(part FleetPart) {
+		l.fleet.spentBy += part.VMs
+		for service, s := range part.Spent {
+			l.fleet.spent[service] = l.fleet.spent[service].Plus(s)
+		}
 		for id, w := range part.Work {
 			l.fleet.work[id] = l.fleet.work[id].Plus(w)
 		}
@@ -309,5 +318,5 @@
 		return
 	}
 	n.entry.workSeen = g.WorkUpto
-	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, OthersWhole: g.OthersWhole, OthersTold: g.WorkTold, Silent: g.Silent, Moving: g.Moving})
+	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, OthersWhole: g.OthersWhole, OthersTold: g.WorkTold, Spent: g.Spent, SpentBy: g.SpentBy, Silent: g.Silent, Moving: g.Moving})
 }
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -91,6 +91,9 @@
 	silent []relay.TargetKey
 	moving []relay.TargetKey
 	view   entryList
+	// spent is what spentBy entry VMs have asked and repeated.
+	spent   map[string]relay.Spent
+	spentBy int
 	// total is the work of all entry VMs, seen the leader's number of it, and known says
 	// that the leader knows it.
 	total map[relay.TargetKey]relay.Work
@@ -247,8 +250,14 @@
 
 // partOfFleet sums up what the holders have under way and have found.
 func (n *Node) partOfFleet() FleetPart {
-	part := FleetPart{Work: make(map[relay.TargetKey]relay.Work), Dead: make(map[relay.TargetKey]int), Well: make(map[relay.TargetKey]int)}
+	part := FleetPart{
+		Work: make(map[relay.TargetKey]relay.Work), Spent: make(map[string]relay.Spent), VMs: len(n.forwarding.holders),
+		Dead: make(map[relay.TargetKey]int), Well: make(map[relay.TargetKey]int),
+	}
 	for _, h := range n.forwarding.holders {
+		for service, s := range h.renew.Spent {
+			part.Spent[service] = part.Spent[service].Plus(s)
+		}
 		for id, w := range h.renew.Work {
 			part.Work[id] = part.Work[id].Plus(w)
 		}
@@ -277,6 +286,7 @@
 func (t *toldFleet) take(leader VMName, b GrantBatch) {
 	t.term, t.leader = b.Term, leader
 	t.vms, t.silent, t.moving = b.VMs, b.Silent, b.Moving
+	t.spent, t.spentBy = b.Spent, b.SpentBy
 	t.view.apply(b.ViewVersion, b.View, b.Gone, b.ViewWhole)
 	t.known = b.WorkTold
 	if !b.WorkTold {
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -141,6 +141,8 @@
 	WorkSeen uint64 `cbor:"work_seen,omitempty"`
 	// Work is what the entry VM has under way at registered targets.
 	Work map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
+	// Spent is what the entry VM has asked and repeated in the last window, by service.
+	Spent map[string]relay.Spent `cbor:"spent,omitempty"`
 	// Dead are the targets that have lately failed it and done nothing since, Well
 	// those that have done their part.
 	Dead []relay.TargetKey `cbor:"dead,omitempty"`
@@ -171,6 +173,9 @@
 // FleetPart is the sum over the entry VMs that renew with one control VM.
 type FleetPart struct {
 	Work map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
+	// Spent is the sum of what they have asked and repeated, VMs their number.
+	Spent map[string]relay.Spent `cbor:"spent,omitempty"`
+	VMs   int                    `cbor:"vms"`
 	// Dead and Well count the entry VMs that found a target so.
 	Dead map[relay.TargetKey]int `cbor:"dead,omitempty"`
 	Well map[relay.TargetKey]int `cbor:"well,omitempty"`
@@ -213,6 +218,8 @@
 	Silent    []relay.TargetKey              `cbor:"silent,omitempty"`
 	Moving    []relay.TargetKey              `cbor:"moving,omitempty"`
 	VMs       int                            `cbor:"vms,omitempty"`
+	Spent     map[string]relay.Spent         `cbor:"spent,omitempty"`
+	SpentBy   int                            `cbor:"spent_by,omitempty"`
 }
 
 // ControlVM is a control VM that entry VMs can renew with.
@@ -264,6 +271,10 @@
 	// Moving are the engines that were ordered to hold other layers.
 	Moving []relay.TargetKey `cbor:"moving,omitempty"`
 	VMs    int               `cbor:"vms,omitempty"`
+	// Spent is what SpentBy entry VMs have asked and repeated together in the last window,
+	// by service; it comes with WorkTold.
+	Spent   map[string]relay.Spent `cbor:"spent,omitempty"`
+	SpentBy int                    `cbor:"spent_by,omitempty"`
 }
 
 // Delta is one accepted change of the configuration.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -139,7 +139,7 @@
 	case TargetSpoke:
 		n.targetSpoke(ev)
 	case WorkCounted:
-		n.entry.work = ev.Work
+		n.entry.work, n.entry.spent = ev.Work, ev.Spent
 		n.entry.dead, n.entry.well = ev.Dead, ev.Well
 	case LayersOrdered:
 		n.layersOrdered(ev)
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -54,8 +54,10 @@
 // lately found dead or well.
 type WorkCounted struct {
 	Work map[relay.TargetKey]relay.Work
-	Dead []relay.TargetKey
-	Well []relay.TargetKey
+	// Spent is what this VM has asked and repeated in the last window, by service.
+	Spent map[string]relay.Spent
+	Dead  []relay.TargetKey
+	Well  []relay.TargetKey
 }
 
 // SeedsRead are the control VMs that the settings name now.
@@ -75,6 +77,10 @@
 	OthersWhole bool
 	// OthersTold says that the leader knows what others have under way.
 	OthersTold bool
+	// Spent is what SpentBy entry VMs have asked and repeated in the last window, by
+	// service; it counts where OthersTold is set.
+	Spent   map[string]relay.Spent
+	SpentBy int
 	// Silent are the targets that tell no VM that they live, or that far more entry
 	// VMs find dead than well.
 	Silent []relay.TargetKey
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -44,6 +44,8 @@
 	decoded decoded
 	// work is what this VM has under way at registered targets.
 	work map[relay.TargetKey]relay.Work
+	// spent is what this VM has asked and repeated in the last window, by service.
+	spent map[string]relay.Spent
 	// workSeen is the number of the newest change of work that this VM was told of.
 	workSeen uint64
 	// dead and well are the targets that this VM has lately found so.
@@ -206,6 +208,7 @@
 		Reports:     n.reports(),
 		WorkSeen:    n.entry.workSeen,
 		Work:        n.entry.work,
+		Spent:       n.entry.spent,
 		Dead:        n.entry.dead,
 		Well:        n.entry.well,
 	}})
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -324,6 +324,7 @@
 	g.router.TakeVMs(e.VMs)
 	if e.OthersTold {
 		g.router.TakeOthers(e.Others, e.OthersWhole)
+		g.router.TakeSpent(e.Spent, e.SpentBy, time.Now())
 	}
 	g.router.TakeSilent(e.Silent)
 	g.router.TakeMoving(e.Moving)
@@ -370,7 +371,7 @@
 			g.mu.Lock()
 			lost := g.leaseHeld && now.After(g.leaseUntil)
 			g.leaseHeld = g.leaseHeld && !lost
-			counted := core.WorkCounted{Work: g.router.Own()}
+			counted := core.WorkCounted{Work: g.router.Own(), Spent: g.router.Spent(now)}
 			counted.Dead, counted.Well = g.router.Findings(now)
 			g.mu.Unlock()
 			if lost {
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -5,10 +5,19 @@
 // This file bounds repeats over all VMs without a message for each of them.
 //
 // The bound is on a service, over all VMs: in any window, repeats are at most a
-// share of the requests and a fixed number. Each VM keeps its part of the fixed
-// number and the share of its own requests, so that the sum over all VMs keeps
-// the whole. A VM that knows too low a number of VMs would take too large a
+// share of the requests and a fixed number. The leader is told with each lease what a VM
+// has asked and repeated in the last window, and tells the sums. What they leave is
+// divided by the VMs that are in them: each may take its part of it within the time in
+// which the sums get old, so that all together keep the bound, and one that meets a lost
+// target may repeat far more than its own part of the whole. The parts of the fixed number
+// of VMs that are not in the sums are left to them.
+//
+// A VM without fresh sums keeps to its part of the fixed number and to the share of its own
+// requests. A VM that knows too low a number of VMs would take too large a
 // part; the fixed number is therefore divided by the most that were ever known.
+//
+// Limits: what a process has repeated is gone from the sums once it has died, until its
+// window is over.
 
 const (
 	// budgetCaution is the part of the bound that is used: the rest covers VMs
@@ -21,6 +30,9 @@
 	// grows to the whole within a window. What the process before it on this VM has
 	// spent is not known.
 	youngShare = 0.3
+	// sumsKept is the age up to which the sums over all VMs count: two renewals and the
+	// way to the leader and back. What a VM repeats in as long is not in them yet.
+	sumsKept = time.Second
 	// budgetBuckets divides the window; a bucket leaves it as a whole.
 	budgetBuckets = 20
 )
@@ -32,10 +44,50 @@
 	Window time.Duration
 }
 
+// Spent is what was asked of a service and repeated in the last window.
+type Spent struct {
+	// The fields are sent without their names: these values are sent most.
+	_        struct{} `cbor:",toarray"`
+	Requests int      `cbor:"requests"`
+	Repeats  int      `cbor:"repeats"`
+}
+
+// Plus returns the sum.
+func (s Spent) Plus(o Spent) Spent {
+	return Spent{Requests: s.Requests + o.Requests, Repeats: s.Repeats + o.Repeats}
+}
+
 // budget counts the requests and repeats of one service on this VM.
 type budget struct {
 	requests window
 	repeats  window
+	// recent counts the repeats of sumsKept.
+	recent window
+}
+
+// sums are what the VMs of the fleet have spent together.
+type sums struct {
+	spent map[string]Spent
+	// vms is the number of VMs in them, and until when they count.
+	vms   int
+	until time.Time
+}
+
+// TakeSpent takes what all VMs that the leader hears of have spent, by service.
+func (r *Router) TakeSpent(spent map[string]Spent, vms int, now time.Time) {
+	r.sums = sums{spent: spent, vms: vms, until: now.Add(sumsKept)}
+}
+
+// Spent returns what this VM has spent, by service.
+func (r *Router) Spent(now time.Time) map[string]Spent {
+	spent := make(map[string]Spent, len(r.budgets))
+	for service, b := range r.budgets {
+		s := Spent{Requests: b.requests.total(now, r.settings.Budget.Window), Repeats: b.repeats.total(now, r.settings.Budget.Window)}
+		if s != (Spent{}) {
+			spent[service] = s
+		}
+	}
+	return spent
 }
 
 // window counts what happened lately.
@@ -66,6 +118,27 @@
 	return total
 }
 
+// spendOfSums takes one repeat, if what all VMs have left has it.
+func (b *budget) spendOfSums(now time.Time, t BudgetTerms, spent Spent, heard, vms int, whole bool) bool {
+	known := float64(max(vms, heard, 1))
+	allowed := budgetCaution * (t.Share*float64(spent.Requests) + t.Fixed*float64(heard)/known)
+	if !whole {
+		allowed *= notBegunShare
+	}
+	part := (allowed - float64(spent.Repeats)) / float64(max(heard, 1))
+	if float64(b.recent.total(now, sumsKept)+1) > part {
+		return false
+	}
+	b.note(now, t)
+	return true
+}
+
+// note counts a repeat.
+func (b *budget) note(now time.Time, t BudgetTerms) {
+	b.repeats.add(now, t.Window)
+	b.recent.add(now, sumsKept)
+}
+
 // spend takes one repeat, if the budget has it. Whole says that it may take the last one.
 func (b *budget) spend(now time.Time, t BudgetTerms, vms int, age time.Duration, whole bool) bool {
 	grown := min(max(float64(age)/float64(t.Window), youngShare), 1)
@@ -76,6 +149,6 @@
 	if float64(b.repeats.total(now, t.Window)+1) > allowed {
 		return false
 	}
-	b.repeats.add(now, t.Window)
+	b.note(now, t)
 	return true
 }
--- a/internal/relay/policy.go
+++ b/internal/relay/policy.go
@@ -31,6 +31,7 @@
 	FullPause
 	SharedFindings
 	RepeatShares
+	PooledRepeats
 	ConnectionShares
 	SpreadReturns
 	StopAdmission
@@ -60,6 +61,7 @@
 	FullPause:        {"full_pause", "a target that refused is asked again at once"},
 	SharedFindings:   {"shared_findings", "VMs do not tell which targets they found dead"},
 	RepeatShares:     {"repeat_shares", "requests that have not begun may use the whole budget of repeats"},
+	PooledRepeats:    {"pooled_repeats", "each VM keeps to its own part of the budget of repeats"},
 	ConnectionShares: {"connection_shares", "each VM may use all connections that a target accepts"},
 	SpreadReturns:    {"spread_returns", "refused callers are all told the same wait"},
 	StopAdmission:    {"stop_admission", "a VM that stops takes answers that outlast it"},
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -136,6 +136,7 @@
 	targets  map[TargetID]*target
 	members  map[string][]*target
 	budgets  map[string]*budget
+	sums     sums
 	vms      int
 	// othersKnown says that this VM has been told what others have under way.
 	othersKnown bool
@@ -337,6 +338,9 @@
 // has a part of its answer.
 func (r *Router) Repeat(service string, begun bool, now time.Time) bool {
 	whole := begun || !r.settings.Policy.Has(RepeatShares)
+	if now.Before(r.sums.until) && r.settings.Policy.Has(PooledRepeats) {
+		return r.budget(service).spendOfSums(now, r.settings.Budget, r.sums.spent[service], r.sums.vms, r.vms, whole)
+	}
 	return r.budget(service).spend(now, r.settings.Budget, r.vms, now.Sub(r.settings.Started), whole)
 }
 
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -173,6 +173,69 @@
 	require.True(t, r.Repeat("s", true, later.Add(11*time.Second)))
 }
 
+// At 300 VMs each had 2.6 repeats of its own in ten seconds, and turned callers away after a
+// loss of engines while a tenth of the bound was used by all of them together.
+func TestVMsShareWhatIsLeftOfTheBudget(t *testing.T) {
+	const vms = 300
+	bound := 0.2*3400 + 200.0
+	routers := make([]*relay.Router, vms)
+	for i := range routers {
+		routers[i], _ = newRouterWithSeed(nil, uint64(i))
+		routers[i].TakeVMs(vms)
+	}
+	total := 0
+	repeats := func(r *relay.Router, now time.Time) {
+		for r.Repeat("s", true, now) {
+			total++
+		}
+	}
+	// A few VMs may repeat more than their part, and all of them together keep the bound.
+	for step := range 18 {
+		now := start.Add(time.Duration(step) * 500 * time.Millisecond)
+		told := map[string]relay.Spent{"s": {Requests: 3400}}
+		for _, r := range routers {
+			told["s"] = told["s"].Plus(relay.Spent{Repeats: r.Spent(now)["s"].Repeats})
+		}
+		for _, r := range routers {
+			r.TakeSpent(told, vms, now)
+		}
+		if step == 1 {
+			require.GreaterOrEqual(t, total, 2*40, "40 VMs that meet a lost target, of which none has a part of one")
+		}
+		for i, r := range routers {
+			if step > 1 || i < 40 {
+				repeats(r, now)
+			}
+		}
+		require.LessOrEqual(t, float64(total), bound)
+	}
+	// They stop where less than one is left for each.
+	require.Greater(t, float64(total), 0.95*bound-vms)
+}
+
+// The parts of VMs that nobody hears of are left to them.
+func TestPartsOfVMsThatAreNotHeardOfAreLeftToThem(t *testing.T) {
+	r, _ := newRouter(nil)
+	r.TakeVMs(10)
+	r.TakeSpent(map[string]relay.Spent{"s": {Repeats: 95}}, 5, start)
+	require.False(t, r.Repeat("s", true, start), "five of ten VMs have 100 of 200")
+	r.TakeSpent(map[string]relay.Spent{"s": {Repeats: 95}}, 10, start)
+	require.True(t, r.Repeat("s", true, start))
+}
+
+// Sums that are old count no more.
+func TestWithoutFreshSumsAVMKeepsToItsPart(t *testing.T) {
+	r, _ := newRouter(nil)
+	r.TakeVMs(100)
+	r.TakeSpent(nil, 100, start)
+	later := start.Add(2 * time.Second)
+	granted := 0
+	for r.Repeat("s", true, later) {
+		granted++
+	}
+	require.LessOrEqual(t, granted, 2)
+}
+
 // A process does not know what the one before it on its VM has spent.
 func TestAYoungProcessRepeatsLess(t *testing.T) {
 	r, _ := newRouter(engines(today))
