--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -23,7 +23,7 @@
 	// budgetCaution is the part of the bound that is used: the rest covers VMs
 	// that have just joined and are not known everywhere.
 	budgetCaution = 0.95
-	// notBegunShare is the part of a VM's budget for requests whose callers have got
+	// notBegunShare is the part of a VM's own budget for requests whose callers have got
 	// nothing yet: they can be told to come back, and a stream in the middle can't.
 	notBegunShare = 0.6
 	// youngShare is the part of the fixed number that a process has at its start; it
@@ -119,12 +119,9 @@
 }
 
 // spendOfSums takes one repeat, if what all VMs have left has it.
-func (b *budget) spendOfSums(now time.Time, t BudgetTerms, spent Spent, heard, vms int, whole bool) bool {
+func (b *budget) spendOfSums(now time.Time, t BudgetTerms, spent Spent, heard, vms int) bool {
 	known := float64(max(vms, heard, 1))
 	allowed := budgetCaution * (t.Share*float64(spent.Requests) + t.Fixed*float64(heard)/known)
-	if !whole {
-		allowed *= notBegunShare
-	}
 	part := (allowed - float64(spent.Repeats)) / float64(max(heard, 1))
 	if float64(b.recent.total(now, sumsKept)+1) > part {
 		return false
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -337,10 +337,10 @@
 // Repeat takes a repeat from the budget of a service. Begun says that the caller
 // has a part of its answer.
 func (r *Router) Repeat(service string, begun bool, now time.Time) bool {
-	whole := begun || !r.settings.Policy.Has(RepeatShares)
 	if now.Before(r.sums.until) && r.settings.Policy.Has(PooledRepeats) {
-		return r.budget(service).spendOfSums(now, r.settings.Budget, r.sums.spent[service], r.sums.vms, r.vms, whole)
+		return r.budget(service).spendOfSums(now, r.settings.Budget, r.sums.spent[service], r.sums.vms, r.vms)
 	}
+	whole := begun || !r.settings.Policy.Has(RepeatShares)
 	return r.budget(service).spend(now, r.settings.Budget, r.vms, now.Sub(r.settings.Started), whole)
 }
 
