core: callers keep addresses longer while entry VMs are lost

Change: while a twentieth of the list has vanished without having said so, addresses are kept for as long as the platform allows (5 s).

--- a/internal/core/entries_test.go
+++ b/internal/core/entries_test.go
@@ -21,6 +21,7 @@
 	settings.Entry = true
 	settings.ControlVMs = []core.VMName{"c1"}
 	settings.Timing = core.DefaultTiming()
+	settings.Timing.KeepEntriesAfterLoss = 9 * time.Second
 	return &entryNode{node: core.New(settings, core.Recovered{}, now), now: now}
 }
 
@@ -62,3 +63,33 @@
 	e.now = e.now.Add(core.DefaultTiming().LeaseTerm)
 	require.Empty(t, e.addresses(t))
 }
+
+// While a quarter of the VMs was lost, every second request had to ask for addresses first,
+// and one in four of those that did waited a second for a lost VM.
+func TestAddressesAreKeptLongerWhileVMsAreLost(t *testing.T) {
+	e := newEntryNode(core.Settings{})
+	view := func(leaving bool, names ...core.VMName) []core.EntryView {
+		var lines []core.EntryView
+		for _, vm := range names {
+			lines = append(lines, core.EntryView{Address: core.EntryAddress{VM: vm, Hall: "h", Callers: string(vm), Peers: string(vm)}, Leaving: leaving})
+		}
+		return lines
+	}
+	kept := func() time.Duration {
+		for _, effect := range e.step(core.EntriesAsked{Conn: 1}) {
+			if entries, ok := effect.(core.Entries); ok {
+				return entries.KeepUntil.Sub(e.now)
+			}
+		}
+		return 0
+	}
+	e.lease(t, core.Grant{ViewVersion: 1, View: view(false, "e2", "e3", "e4"), ViewWhole: true})
+	require.Equal(t, 5*time.Second, kept())
+	e.lease(t, core.Grant{ViewVersion: 2, View: view(true, "e4")})
+	e.lease(t, core.Grant{ViewVersion: 3, Gone: []core.VMName{"e4"}})
+	require.Equal(t, 5*time.Second, kept(), "it had said that it leaves")
+	e.lease(t, core.Grant{ViewVersion: 4, Gone: []core.VMName{"e3"}})
+	require.Equal(t, 9*time.Second, kept())
+	e.lease(t, core.Grant{ViewVersion: 5, View: view(false, "e3")})
+	require.Equal(t, 5*time.Second, kept(), "it is back")
+}
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -54,6 +54,8 @@
 	controls    []ControlVM
 	view        []EntryView
 	viewVersion uint64
+	// lost holds the entry VMs that have vanished from view, and when.
+	lost map[VMName]time.Time
 	// halls holds the data hall of each VM in view.
 	halls      map[VMName]string
 	pools      map[string]*pool
@@ -82,6 +84,7 @@
 	n.entry = entry{
 		tenure:     tenure{sent: make(map[uint64]time.Time), turn: n.rand.IntN(math.MaxInt32)},
 		keys:       make(map[string]string),
+		lost:       make(map[VMName]time.Time),
 		pools:      make(map[string]*pool),
 		targets:    make(map[string]*targetState),
 		streams:    make(map[RequestID]*stream),
@@ -327,7 +330,7 @@
 	n.emit(Entries{
 		Conn:      e.Conn,
 		Addresses: addresses,
-		KeepUntil: n.now.Add(n.settings.Timing.KeepEntries),
+		KeepUntil: n.now.Add(n.keepEntries()),
 	})
 }
 
@@ -374,7 +377,7 @@
 // leaveEntry begins the planned stop of an entry VM: it leaves the addresses
 // at once, and takes work until the longest kept answer has run out.
 func (n *Node) leaveEntry() {
-	n.entry.leaveAt = n.now.Add(n.settings.Timing.KeepEntries + n.settings.Timing.RenewEvery)
+	n.entry.leaveAt = n.now.Add(max(n.settings.Timing.KeepEntries, n.settings.Timing.KeepEntriesAfterLoss) + n.settings.Timing.RenewEvery)
 	n.renew()
 }
 
--- a/internal/core/timing.go
+++ b/internal/core/timing.go
@@ -21,6 +21,9 @@
 	ReplaceAfter time.Duration
 	// KeepEntries is how long callers may keep an answer of entry addresses.
 	KeepEntries time.Duration
+	// KeepEntriesAfterLoss is that while entry VMs are lost: the answer names the others,
+	// and to ask for the next may meet a lost VM again.
+	KeepEntriesAfterLoss time.Duration
 	// KeepAnswer is how long a finished answer can be fetched again.
 	KeepAnswer time.Duration
 	// KeepClaim is how long a claim and its record are kept.
@@ -40,21 +43,22 @@
 // DefaultTiming returns the intervals that the measurements in docs/ are for.
 func DefaultTiming() Timing {
 	return Timing{
-		Heartbeat:     100 * time.Millisecond,
-		ElectionMin:   500 * time.Millisecond,
-		ElectionMax:   1000 * time.Millisecond,
-		LeaseTerm:     3 * time.Second,
-		RenewEvery:    500 * time.Millisecond,
-		DriftPerMille: 20,
-		ReplaceAfter:  10 * time.Second,
-		KeepEntries:   5 * time.Second,
-		KeepAnswer:    60 * time.Second,
-		KeepClaim:     24 * time.Hour,
-		Reattach:      10 * time.Second,
-		PeerReply:     300 * time.Millisecond,
-		OrderLife:     2 * time.Second,
-		WatchEvery:    500 * time.Millisecond,
-		StageSilence:  2 * time.Second,
+		Heartbeat:            100 * time.Millisecond,
+		ElectionMin:          500 * time.Millisecond,
+		ElectionMax:          1000 * time.Millisecond,
+		LeaseTerm:            3 * time.Second,
+		RenewEvery:           500 * time.Millisecond,
+		DriftPerMille:        20,
+		ReplaceAfter:         10 * time.Second,
+		KeepEntries:          5 * time.Second,
+		KeepEntriesAfterLoss: 5 * time.Second,
+		KeepAnswer:           60 * time.Second,
+		KeepClaim:            24 * time.Hour,
+		Reattach:             10 * time.Second,
+		PeerReply:            300 * time.Millisecond,
+		OrderLife:            2 * time.Second,
+		WatchEvery:           500 * time.Millisecond,
+		StageSilence:         2 * time.Second,
 	}
 }
 
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -160,6 +160,7 @@
 	for _, vm := range g.Gone {
 		delete(lines, vm)
 	}
+	n.noteLost(lines)
 	n.entry.view = n.entry.view[:0:0]
 	n.entry.halls = make(map[VMName]string, len(lines))
 	for _, vm := range slices.Sorted(maps.Keys(lines)) {
@@ -169,3 +170,41 @@
 	n.entry.viewVersion = g.ViewVersion
 	n.findKeepers()
 }
+
+const (
+	// lossCounts is how long a VM that has vanished from the list counts as lost: one that
+	// was killed is back before, and one that was taken away is asked no more.
+	lossCounts = 20 * time.Second
+	// lossShare is the part of all entry VMs that must be lost for answers to be kept
+	// longer: one look-up in twenty then meets a VM that does not answer.
+	lossShare = 0.05
+)
+
+// noteLost compares the list of entry VMs with the next one: who is gone without having
+// said so is lost.
+func (n *Node) noteLost(next map[VMName]EntryView) {
+	for _, v := range n.entry.view {
+		if _, stays := next[v.Address.VM]; !stays && !v.Leaving {
+			n.entry.lost[v.Address.VM] = n.now
+		}
+	}
+	for vm, at := range n.entry.lost {
+		if _, back := next[vm]; back || n.now.After(at.Add(lossCounts)) {
+			delete(n.entry.lost, vm)
+		}
+	}
+}
+
+// keepEntries is how long a caller should keep the addresses that it is given now.
+func (n *Node) keepEntries() time.Duration {
+	lost := 0
+	for _, at := range n.entry.lost {
+		if !n.now.After(at.Add(lossCounts)) {
+			lost++
+		}
+	}
+	if float64(lost) >= lossShare*float64(lost+len(n.entry.view)) && lost > 0 {
+		return max(n.settings.Timing.KeepEntries, n.settings.Timing.KeepEntriesAfterLoss)
+	}
+	return n.settings.Timing.KeepEntries
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -250,6 +250,7 @@
 	t.RenewEvery = time.Duration(s.Renew)
 	t.ReplaceAfter = time.Duration(s.ReplaceAfter)
 	t.KeepEntries = time.Duration(s.KeepEntries)
+	t.KeepEntriesAfterLoss = time.Duration(s.KeepEntriesAfterLoss)
 	t.StageSilence = time.Duration(s.StageSilence)
 	return t
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -93,7 +93,9 @@
 	Renew        Duration `json:"renew"`
 	ReplaceAfter Duration `json:"replace_after"`
 	KeepEntries  Duration `json:"keep_entries"`
-	StageSilence Duration `json:"stage_silence"`
+	// KeepEntriesAfterLoss is how long callers keep addresses while entry VMs are lost.
+	KeepEntriesAfterLoss Duration `json:"keep_entries_after_loss"`
+	StageSilence         Duration `json:"stage_silence"`
 }
 
 // Policy switches mechanisms of the decision logic on or off, by their names; those that
@@ -177,14 +179,15 @@
 			RequestTime: Duration(60 * time.Second),
 		},
 		Timing: Timing{
-			Heartbeat:    Duration(100 * time.Millisecond),
-			ElectionMin:  Duration(500 * time.Millisecond),
-			ElectionMax:  Duration(1000 * time.Millisecond),
-			Lease:        Duration(3 * time.Second),
-			Renew:        Duration(500 * time.Millisecond),
-			ReplaceAfter: Duration(10 * time.Second),
-			KeepEntries:  Duration(5 * time.Second),
-			StageSilence: Duration(2 * time.Second),
+			Heartbeat:            Duration(100 * time.Millisecond),
+			ElectionMin:          Duration(500 * time.Millisecond),
+			ElectionMax:          Duration(1000 * time.Millisecond),
+			Lease:                Duration(3 * time.Second),
+			Renew:                Duration(500 * time.Millisecond),
+			ReplaceAfter:         Duration(10 * time.Second),
+			KeepEntries:          Duration(5 * time.Second),
+			KeepEntriesAfterLoss: Duration(5 * time.Second),
+			StageSilence:         Duration(2 * time.Second),
 		},
 		LogLevel: LogInfo,
 	}
@@ -306,6 +309,7 @@
 	c.require(t.Renew > 0 && t.Lease >= 3*t.Renew, "/timing/lease", "lease is at least three times renew, or a lost message costs it")
 	c.require(t.Lease >= 2*t.ElectionMax, "/timing/lease", "lease is at least twice election_max, or each election stops the entry VMs")
 	c.require(t.KeepEntries > 0, "/timing/keep_entries", "keep_entries is more than 0s")
+	c.require(t.KeepEntriesAfterLoss >= t.KeepEntries, "/timing/keep_entries_after_loss", "keep_entries_after_loss is at least keep_entries")
 	c.require(t.StageSilence > 0, "/timing/stage_silence", "stage_silence is more than 0s")
 	c.require(t.ReplaceAfter >= 2*t.ElectionMax, "/timing/replace_after", "replace_after is at least twice election_max")
 }
