model: leases over two hops, with three mutants that are refuted

Without the batch's own number, without the wait for the revision, or with a push under a new number the checker finds a VM that works by an old configuration for longer than a lease.

--- a/model/check.sh
+++ b/model/check.sh
@@ -39,6 +39,8 @@
 for m in NO_CLAIM NO_UNKNOWN NO_ATTEMPT NO_PEEK NO_PENDING; do begin claim $m refuted; done
 begin stream "" holds
 for m in NO_EPOCH NO_REPEAT NO_MATCH NO_KEEP NO_FENCEDKEEP; do begin stream $m refuted; done
+begin lease "" holds
+for m in NO_NUMBER NO_APPLIED NO_PUSHNUMBER; do begin lease $m refuted; done
 status=0
 for pid in "${pids[@]}"; do wait "$pid" || status=1; done
 exit $status
