--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -6,7 +6,9 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"path/filepath"
 	"slices"
+	"strings"
 	"text/tabwriter"
 
 	"gonum.org/v1/gonum/stat"
@@ -102,11 +104,17 @@
 	fmt.Fprintln(t, "| policy\t| site\t| days\t| difference\t| standard error\t| 95 % interval\t| broken days\t| verdict\t|")
 	fmt.Fprintln(t, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
 	for _, c := range comparisons {
-		fmt.Fprintf(t, "| %s\t| %s\t| %d\t| %+.3f\t| %.3f\t| %+.3f to %+.3f\t| %d\t| %s\t|\n", c.Policy, c.Site, c.Days, c.Difference, c.StandardError, c.Low, c.High, c.Broken, c.verdict())
+		fmt.Fprintf(t, "| %s\t| %s\t| %d\t| %+.3f\t| %.3f\t| %+.3f to %+.3f\t| %d\t| %s\t|\n", c.Policy, c.siteName(), c.Days, c.Difference, c.StandardError, c.Low, c.High, c.Broken, c.verdict())
 	}
 	return t.Flush()
 }
 
+// siteName is the site's file without folder and ending.
+func (c Comparison) siteName() string {
+	base := filepath.Base(c.Site)
+	return strings.TrimSuffix(base, filepath.Ext(base))
+}
+
 func (c Comparison) verdict() string {
 	switch {
 	case c.WithinSpread():
--- a/internal/experiment/plot.go
+++ b/internal/experiment/plot.go
@@ -42,7 +42,7 @@
 	p.Add(plotter.NewGrid(), bars, marks)
 	names := make([]string, len(comparisons))
 	for i, c := range comparisons {
-		names[len(names)-1-i] = c.Policy + ", " + c.Site
+		names[len(names)-1-i] = c.Policy + ", " + c.siteName()
 	}
 	p.NominalY(names...)
 	return p.Save(plotWidth, plotFrame+rowHeight*vg.Length(len(names)), path)
