--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -127,14 +127,14 @@
 	return targets, l.last, whole
 }
 
-// fleetToTell returns what this VM may tell its holders of the fleet: its own sums where it
+// fleetToReport returns what this VM may tell its holders of the fleet: its own sums where it
 // leads, what the leader last said elsewhere.
-func (n *Node) fleetToTell() *toldFleet {
+func (n *Node) fleetToReport() *fleetReport {
 	if !n.leads() {
-		return &n.forwarding.told
+		return &n.forwarding.report
 	}
 	f := n.leading.fleetNow(n)
-	told := &toldFleet{
+	told := &fleetReport{
 		term: n.replica.hard.Term, leader: n.settings.Self.VM, vms: f.vms, silent: f.silent, moving: f.moving,
 		known: n.knowsWork(), work: n.leading.work, spent: f.spent, spentBy: f.spentBy,
 	}
@@ -145,7 +145,7 @@
 }
 
 // addTo adds to a lease what is known of all entry VMs and targets.
-func (t *toldFleet) addTo(g *Grant, to Renew) {
+func (t *fleetReport) addTo(g *Grant, to Renew) {
 	g.VMs, g.Silent, g.Moving = t.vms, t.silent, t.moving
 	if !t.known {
 		g.WorkUpto = to.WorkSeen
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -73,8 +73,8 @@
 	// batches holds the renewals of the batches under way.
 	batches map[uint64][]batched
 	// held are answers that wait for this VM's copy of the log.
-	held []GrantBatch
-	told toldFleet
+	held   []GrantBatch
+	report fleetReport
 }
 
 // batched is a renewal in a batch.
@@ -83,8 +83,8 @@
 	number uint64
 }
 
-// toldFleet is the fleet as the leader last told it.
-type toldFleet struct {
+// fleetReport is the fleet as the leader last told it.
+type fleetReport struct {
 	term   Term
 	leader VMName
 	vms    int
@@ -107,7 +107,7 @@
 	n.forwarding = forwarding{
 		holders: make(map[VMName]*holder),
 		batches: make(map[uint64][]batched),
-		told: toldFleet{
+		report: fleetReport{
 			total: make(map[relay.TargetKey]relay.Work),
 			work:  newWorkLog(forwarderNumbers(n.settings.Seed)),
 			view:  newEntryList(0),
@@ -209,7 +209,7 @@
 	f.number++
 	delete(f.batches, f.number-keptBatches)
 	b := RenewBatch{
-		Number: f.number, ViewVersion: f.told.view.version, WorkSeen: f.told.seen,
+		Number: f.number, ViewVersion: f.report.view.version, WorkSeen: f.report.seen,
 		Following: n.entryFollowers(), Expected: n.expectedHolders(), Part: n.partOfFleet(),
 	}
 	for _, vm := range f.waiting {
@@ -274,16 +274,16 @@
 // grantBatchTaken takes the leader's answer to a batch.
 func (n *Node) grantBatchTaken(from ReplicaID, b GrantBatch) {
 	f := &n.forwarding
-	if b.Term < f.told.term || n.replica.role == Leader {
+	if b.Term < f.report.term || n.replica.role == Leader {
 		return
 	}
-	f.told.take(from.VM, b)
+	f.report.take(from.VM, b)
 	f.held = append(f.held, b)
 	n.handOnGrants()
 }
 
 // take notes what a leader says of the fleet.
-func (t *toldFleet) take(leader VMName, b GrantBatch) {
+func (t *fleetReport) take(leader VMName, b GrantBatch) {
 	t.term, t.leader = b.Term, leader
 	t.vms, t.silent, t.moving = b.VMs, b.Silent, b.Moving
 	t.spent, t.spentBy = b.Spent, b.SpentBy
@@ -337,7 +337,7 @@
 // it answers: the holder counts from that renewal's sending.
 func (n *Node) grant(h *holder) {
 	c := n.machine.Config
-	fleet := n.fleetToTell()
+	fleet := n.fleetToReport()
 	g := Grant{Term: fleet.term, Leader: fleet.leader, Number: h.granted, Revision: c.Revision, Cluster: n.cluster}
 	base := n.baseOf(h)
 	if deltas, ok := n.leading.deltas.since(base, c.Revision); ok {
