relay, daemon: an answer that is overdue by its own pace has its engines asked

Change: the pauses of one answer are alike (5 in 100 answers have one over 1.99 times the mean), so that each has its own time at which its next event is overdue; the multiple follows the pauses of this VM. Then all engines of its path are asked at once whether they live, within 20 ms. Those that don't are replaced together; those that say that they are slow are left alone, named to all VMs, and asked again before they are used. A stand-in is drawn by the rate at which it reads.

--- a/internal/core/change_log_test.go
+++ b/internal/core/change_log_test.go
@@ -60,3 +60,20 @@
 		return f.loaded()
 	})
 }
+
+// Eleven engines turned twelve times slower. Each of 78 VMs found out by itself, with
+// answers of its own: 300 first events were late.
+func TestAnEngineThatOneVMFindsSlowIsNamedToAll(t *testing.T) {
+	f := started(t, grownFleet)
+	slow := relay.TargetID("i-1").Key()
+	f.found["e0-3"] = relay.Findings{Slow: []relay.TargetKey{slow}}
+	f.run(time.Second)
+	for _, vm := range f.entries() {
+		require.True(t, f.marks[vm][slow].Has(relay.MarkSlow), vm)
+	}
+	clear(f.found)
+	f.run(2 * time.Second)
+	for _, vm := range f.entries() {
+		require.Empty(t, f.marks[vm], vm)
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -203,6 +203,7 @@
 	l.fleet = fleet{at: n.now, work: make(map[relay.TargetKey]relay.Work), spent: make(map[string]relay.Spent)}
 	dead := make(map[relay.TargetKey]int)
 	well := make(map[relay.TargetKey]int)
+	var slow []relay.TargetKey
 	add := func(part FleetPart) {
 		l.fleet.spentBy += part.VMs
 		for service, s := range part.Spent {
@@ -217,6 +218,7 @@
 		for id, vms := range part.Well {
 			well[id] += vms
 		}
+		slow = append(slow, part.Slow...)
 	}
 	add(n.partOfFleet())
 	for _, part := range l.parts {
@@ -227,6 +229,9 @@
 	l.fleet.vms = n.entriesKnown()
 	l.work.take(l.fleet.work)
 	l.fleet.marks = n.marksOf(dead, well)
+	for _, key := range slow {
+		l.fleet.marks[key] = l.fleet.marks[key].With(relay.MarkSlow)
+	}
 	l.marks.take(l.fleet.marks)
 	return l.fleet
 }
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -309,7 +309,10 @@
 		for _, id := range h.renew.Well {
 			part.Well[id]++
 		}
+		part.Slow = append(part.Slow, h.renew.Slow...)
 	}
+	slices.Sort(part.Slow)
+	part.Slow = slices.Compact(part.Slow)
 	return part
 }
 
--- a/internal/core/halls_test.go
+++ b/internal/core/halls_test.go
@@ -34,9 +34,11 @@
 	// work is what each entry VM has under way, learned the newest target each has heard of.
 	work    map[core.VMName]map[relay.TargetKey]relay.Work
 	learned map[core.VMName]map[relay.TargetID]relay.Target
-	fleets  map[core.VMName]core.FleetLearned
-	others  map[core.VMName]map[relay.TargetKey]relay.Work
-	marks   map[core.VMName]map[relay.TargetKey]relay.Mark
+	// found is what each entry VM has found of targets.
+	found  map[core.VMName]relay.Findings
+	fleets map[core.VMName]core.FleetLearned
+	others map[core.VMName]map[relay.TargetKey]relay.Work
+	marks  map[core.VMName]map[relay.TargetKey]relay.Mark
 	// renewed counts, by VM, the renewals that came to it; bytes what it sent.
 	renewed  map[core.VMName]int
 	sent     map[core.VMName]int
@@ -70,6 +72,7 @@
 		fleets: make(map[core.VMName]core.FleetLearned), others: make(map[core.VMName]map[relay.TargetKey]relay.Work),
 		disks: make(map[core.VMName]*core.Recovered), settings: make(map[core.VMName]core.Settings),
 		renewed: make(map[core.VMName]int), sent: make(map[core.VMName]int), bytes: make(map[core.VMName]int),
+		found: make(map[core.VMName]relay.Findings),
 		marks: make(map[core.VMName]map[relay.TargetKey]relay.Mark), kinds: make(map[string]int), decode: decodeEmpty,
 	}
 	for i := range size.controls {
@@ -227,7 +230,7 @@
 		}
 		for i, vm := range f.names {
 			if vm[0] == 'e' && (int(f.now.UnixMilli())/20+i)%10 == 0 {
-				f.step(vm, core.WorkCounted{Work: f.work[vm]})
+				f.step(vm, core.WorkCounted{Work: f.work[vm], Findings: f.found[vm]})
 			}
 			f.step(vm, core.Tick{})
 		}
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -170,6 +170,8 @@
 	// those that have done their part.
 	Dead []relay.TargetKey `cbor:"dead,omitempty"`
 	Well []relay.TargetKey `cbor:"well,omitempty"`
+	// Slow are those that say that they are slow.
+	Slow []relay.TargetKey `cbor:"slow,omitempty"`
 }
 
 // renewal returns the part of a Renew that the leader needs of each entry VM.
@@ -202,6 +204,8 @@
 	// Dead and Well count the entry VMs that found a target so.
 	Dead map[relay.TargetKey]int `cbor:"dead,omitempty"`
 	Well map[relay.TargetKey]int `cbor:"well,omitempty"`
+	// Slow are the targets that have told any of them that they are slow, sorted.
+	Slow []relay.TargetKey `cbor:"slow,omitempty"`
 }
 
 // RenewBatch hands the leader the renewals that a control VM has gathered, and says where
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -140,7 +140,7 @@
 		n.targetSpoke(ev)
 	case WorkCounted:
 		n.entry.work, n.entry.spent = ev.Work, ev.Spent
-		n.entry.dead, n.entry.well = ev.Dead, ev.Well
+		n.entry.findings = ev.Findings
 	case LayersOrdered:
 		n.layersOrdered(ev)
 	case SeedsRead:
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -55,9 +55,8 @@
 type WorkCounted struct {
 	Work map[relay.TargetKey]relay.Work
 	// Spent is what this VM has asked and repeated in the last window, by service.
-	Spent map[string]relay.Spent
-	Dead  []relay.TargetKey
-	Well  []relay.TargetKey
+	Spent    map[string]relay.Spent
+	Findings relay.Findings
 }
 
 // SeedsRead are the control VMs that the settings name now.
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -56,8 +56,8 @@
 	workSeen uint64
 	// marksSeen is that of the newest change of marks.
 	marksSeen uint64
-	// dead and well are the targets that this VM has lately found so.
-	dead, well []relay.TargetKey
+	// findings is what this VM has lately found of targets.
+	findings relay.Findings
 	// controls are the control VMs that live, as the last one that named them said.
 	controls    []ControlVM
 	view        []EntryView
@@ -239,8 +239,9 @@
 		MarksSeen:   n.entry.marksSeen,
 		Work:        n.entry.work,
 		Spent:       n.entry.spent,
-		Dead:        n.entry.dead,
-		Well:        n.entry.well,
+		Dead:        n.entry.findings.Dead,
+		Well:        n.entry.findings.Well,
+		Slow:        n.entry.findings.Slow,
 	}})
 }
 
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -34,6 +34,7 @@
 			f.promptRead()
 			pending = f.handOn(answer, append(pending, buffer[:n]...))
 			f.leaveMoving(ctx)
+			watch.listen()
 		}
 		switch {
 		case err == nil:
@@ -85,7 +86,12 @@
 	if f.events > 0 {
 		f.worstPause = max(f.worstPause, now.Sub(f.lastEvent))
 	}
-	f.events += bytes.Count(events, eventEnd)
+	count := bytes.Count(events, eventEnd)
+	if count == 1 {
+		f.g.paused(f.pace, now.Sub(f.lastEvent))
+	}
+	f.pace = f.pace.With(count, now)
+	f.events += count
 	f.lastEvent = now
 }
 
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -102,6 +102,8 @@
 	events     int
 	lastEvent  time.Time
 	worstPause time.Duration
+	// pace is that of the answer on the present path.
+	pace relay.Pace
 	// after is the id of the last event that the caller has.
 	after string
 	// kept is a failed answer that is given if no other target does better.
@@ -190,7 +192,7 @@
 		first = f.beganAt.Sub(f.call.Arrived).Milliseconds()
 	}
 	f.g.log.Info("request served", "request", f.call.ID, "held_ms", f.askedAt.Sub(f.call.Arrived).Milliseconds(), "first_ms", first, "events", f.events, "worst_pause_ms", f.worstPause.Milliseconds(), "took_ms", time.Since(f.call.Arrived).Milliseconds(),
-		"tries", f.tries, "prompt", f.call.Prompt, "answer", f.call.Answer, "hint", f.call.Hint, "path", path.String())
+		"tries", f.tries, "prompt", f.call.Prompt, "answer", f.call.Answer, "hint", f.call.Hint, "forecast_us", path.Forecast().Microseconds(), "path", path.String())
 }
 
 // choose picks the next path, and waits a little for room where mayWait says so.
@@ -337,12 +339,13 @@
 	header := f.g.platform.Codec.Head(Hop{
 		Call: f.call, Path: path, Organisation: f.organisation, Deadline: f.deadline, After: f.after, Class: f.class,
 	})
-	watch := &watcher{f: f, ctx: ctx, began: time.Now()}
+	f.pace = relay.Pace{}
 	request := &target.Request{
 		Method: f.call.Method, URI: f.call.URI, Host: f.call.Host, Header: header, Body: f.call.Body,
 		Fresh:   f.route.Repeat == relay.RepeatNever,
 		Matches: func(h http.Header) bool { return f.g.platform.Codec.Verdict(0, h).ID == f.call.ID },
 	}
+	watch := &watcher{f: f, ctx: ctx, began: time.Now(), request: request}
 	if f.route.Stream {
 		request.Patience = pauseCheck
 		request.Silent = watch.waitOn
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -74,14 +74,27 @@
 type Engines interface {
 	// Order tells an engine to hold layers.
 	Order(ctx context.Context, o core.OrderLayers) core.OrderOutcome
-	// Stalled returns the requests that stand still at an engine that is first on
-	// their paths, each with the address of the stage that they wait for.
-	Stalled(ctx context.Context, address string) (map[string]string, error)
+	// Report asks an engine how it is. Its error is an ErrEngineSilent where the engine
+	// did not answer.
+	Report(ctx context.Context, address string) (EngineReport, error)
 	// Repath tells the first engine of a path to go on with a request along it: other
 	// engines than before read what it has so far.
 	Repath(ctx context.Context, request string, p relay.Path) error
 }
 
+// ErrEngineSilent says that an engine did not answer at all.
+var ErrEngineSilent = errors.New("the engine does not answer; it is taken to be lost until it does")
+
+// EngineReport is what an engine says of itself. It is some 0.2 s old.
+type EngineReport struct {
+	// Stalled holds the requests that stand still at an engine that is first on their
+	// paths, each with the address of the stage that they wait for.
+	Stalled map[string]string
+	// Pace is how many times longer than usual its steps take at present; 0 where it
+	// does not say.
+	Pace float64
+}
+
 // Call is a caller's request, read whole.
 type Call struct {
 	ID  string
@@ -356,6 +369,52 @@
 	g.daemon.post(core.LayersOrdered{Target: o.Target, Outcome: outcome})
 }
 
+// overdueAfter returns the pause after which the next event of an answer is overdue.
+func (g *Gateway) overdueAfter(p relay.Pace) (time.Duration, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.router.OverdueAfter(p)
+}
+
+// takePaces notes what engines say of their pace.
+func (g *Gateway) takePaces(paces map[relay.TargetID]float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, pace := range paces {
+		g.router.TakePace(id, pace, time.Now())
+	}
+}
+
+// askSlow asks engines that were slow how they are now.
+func (g *Gateway) askSlow(engines []relay.Stage) {
+	for _, e := range engines {
+		g.daemon.tomb.Go(func() error {
+			g.meter.probed()
+			report, err := g.probes.ask(g.daemon.context, e.Address)
+			if err != nil {
+				g.log.Info("engine that was slow does not answer", "target", e.Target, "error", err.Error())
+				return nil
+			}
+			g.takePaces(map[relay.TargetID]float64{e.Target: report.Pace})
+			return nil
+		})
+	}
+}
+
+// isSlow reports whether an engine is left alone since it is slow, and not lost.
+func (g *Gateway) isSlow(id relay.TargetID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.router.Slow(id, time.Now())
+}
+
+// paused notes the pause before an event of an answer.
+func (g *Gateway) paused(before relay.Pace, pause time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.Paused(before, pause)
+}
+
 // upkeepEvery is the interval of a gateway's own housekeeping.
 const upkeepEvery = 200 * time.Millisecond
 
@@ -370,13 +429,14 @@
 			g.mu.Lock()
 			lost := g.leaseHeld && now.After(g.leaseUntil)
 			g.leaseHeld = g.leaseHeld && !lost
-			counted := core.WorkCounted{Work: g.router.Own(), Spent: g.router.Spent(now)}
-			counted.Dead, counted.Well = g.router.Findings(now)
+			due := g.router.SlowDue(now)
+			counted := core.WorkCounted{Work: g.router.Own(), Spent: g.router.Spent(now), Findings: g.router.Findings(now)}
 			g.mu.Unlock()
 			if lost {
 				g.log.Info("lease lost: no leader is heard, callers are refused", "own_targets", len(counted.Work))
 			}
 			g.daemon.post(counted)
+			g.askSlow(due)
 		case <-g.daemon.tomb.Dying():
 			return nil
 		}
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -21,6 +21,10 @@
 	probes   metric.Int64Counter
 	repaths  metric.Int64Counter
 	orders   metric.Int64Counter
+	// asked counts the engines that were asked whether they live, unanswered those that
+	// did not answer in time.
+	asked      metric.Int64Counter
+	unanswered metric.Int64Counter
 }
 
 // latencyBuckets are the bounds of latency histograms, in seconds, around the
@@ -52,6 +56,8 @@
 	g.probes = counter("spoolbank.target.probes")
 	g.repaths = counter("spoolbank.target.repaths")
 	g.orders = counter("spoolbank.target.orders")
+	g.asked = counter("spoolbank.target.overdue.asked")
+	g.unanswered = counter("spoolbank.target.overdue.unanswered")
 	return g, err
 }
 
@@ -76,6 +82,11 @@
 	g.repaths.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("taken", taken)))
 }
 
+func (g *gatewayMetrics) called(engines, silent int) {
+	g.asked.Add(context.Background(), int64(engines))
+	g.unanswered.Add(context.Background(), int64(silent))
+}
+
 func (g *gatewayMetrics) probed() { g.probes.Add(context.Background(), 1) }
 
 func (g *gatewayMetrics) ordered(o core.OrderOutcome) {
--- /dev/null
+++ b/internal/daemon/probes_test.go
@@ -0,0 +1,78 @@
+package daemon_test
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/daemon"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// reportingEngines answer by their address.
+type reportingEngines map[string]func(ctx context.Context) (daemon.EngineReport, error)
+
+func (e reportingEngines) Order(context.Context, core.OrderLayers) core.OrderOutcome {
+	return core.OrderRefused
+}
+
+func (e reportingEngines) Repath(context.Context, string, relay.Path) error { return nil }
+
+func (e reportingEngines) Report(ctx context.Context, address string) (daemon.EngineReport, error) {
+	return e[address](ctx)
+}
+
+func after(wait time.Duration, r daemon.EngineReport, err error) func(ctx context.Context) (daemon.EngineReport, error) {
+	return func(ctx context.Context) (daemon.EngineReport, error) {
+		select {
+		case <-time.After(wait):
+			return r, err
+		case <-ctx.Done():
+			return daemon.EngineReport{}, errors.Join(daemon.ErrEngineSilent, ctx.Err())
+		}
+	}
+}
+
+func pathOver(addresses ...string) relay.Path {
+	var p relay.Path
+	for _, a := range addresses {
+		p.Stages = append(p.Stages, relay.Stage{Target: relay.TargetID("i-" + a), Address: a})
+	}
+	return p
+}
+
+// An engine that is cut off says nothing, and one whose process died refuses the connection.
+// Any answer, also a failure, is a sign of life.
+func TestEnginesThatDoNotAnswerAreLost(t *testing.T) {
+	engines := reportingEngines{
+		"well":    after(2*time.Millisecond, daemon.EngineReport{Pace: 1}, nil),
+		"slow":    after(3*time.Millisecond, daemon.EngineReport{Pace: 12}, nil),
+		"failing": after(2*time.Millisecond, daemon.EngineReport{}, errors.New("status 500")),
+		"refuses": after(time.Millisecond, daemon.EngineReport{}, daemon.ErrEngineSilent),
+		"cut off": after(time.Hour, daemon.EngineReport{}, nil),
+	}
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		silent, paces, certain := daemon.CallEngines(t.Context(), engines, pathOver("well", "slow", "failing", "refuses", "cut off"))
+		require.True(t, certain)
+		require.Equal(t, []relay.TargetID{"i-refuses", "i-cut off"}, silent)
+		require.Equal(t, map[relay.TargetID]float64{"i-well": 1, "i-slow": 12}, paces)
+		require.LessOrEqual(t, time.Since(began), 20*time.Millisecond)
+		time.Sleep(time.Second) // the question to the engine that is cut off ends
+	})
+}
+
+// Where nobody answers it is this VM that is cut off.
+func TestAVMThatNobodyAnswersCallsNobodyLost(t *testing.T) {
+	engines := reportingEngines{"a": after(time.Hour, daemon.EngineReport{}, nil), "b": after(time.Hour, daemon.EngineReport{}, nil)}
+	synctest.Test(t, func(t *testing.T) {
+		_, _, certain := daemon.CallEngines(t.Context(), engines, pathOver("a", "b"))
+		require.False(t, certain)
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/daemon/repath.go
+++ b/internal/daemon/repath.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/relay"
@@ -11,17 +12,19 @@
 // 2 ms, and the answer stands still meanwhile.
 const repathLimit = 100 * time.Millisecond
 
-// repath has the engine that is first on a request's path go on with another engine in
-// the place of a later one. Each stage is tried once, and only once the answer has begun:
-// a request that has not is refused by its engine, and begins elsewhere.
-func (f *forwarding) repath(ctx context.Context, from relay.TargetID, why string) bool {
-	if f.replaced[from] || !f.read {
+// repath has the engine that is first on a request's path go on with other engines in the
+// place of later ones. Each stage is tried once, and only once the answer has begun: a
+// request that has not is refused by its engine, and begins elsewhere.
+func (f *forwarding) repath(ctx context.Context, from []relay.TargetID, why string) bool {
+	if !f.read || slices.ContainsFunc(from, func(id relay.TargetID) bool { return f.replaced[id] }) {
 		return false
 	}
 	if f.replaced == nil {
 		f.replaced = make(map[relay.TargetID]bool)
 	}
-	f.replaced[from] = true
+	for _, id := range from {
+		f.replaced[id] = true
+	}
 	f.g.mu.Lock()
 	path, ok := f.g.router.Substitute(f.lastPath, from, time.Now())
 	f.g.mu.Unlock()
@@ -59,6 +62,6 @@
 	id, moving := f.g.router.MovingOn(f.lastPath)
 	f.g.mu.Unlock()
 	if moving {
-		f.repath(ctx, id, "its engine moves")
+		f.repath(ctx, []relay.TargetID{id}, "its engine moves")
 	}
 }
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/relay"
+	"github.com/spoolbank/spoolbank/internal/target"
 )
 
 // watcher looks after one try of a stream in its pauses. The path is that of the request:
@@ -17,6 +18,80 @@
 	heard time.Time
 	// culprit is the target that the try was given up for.
 	culprit relay.TargetID
+	// request is what the try sent; its patience ends where the next event is overdue.
+	request *target.Request
+	// called says that the engines have been asked in the present pause.
+	called bool
+}
+
+// lateWake is how much later than asked for this process may wake up and still say what was
+// silent meanwhile: a VM that got no processor time has heard nobody.
+const lateWake = 15 * time.Millisecond
+
+// listen sets how long the next event is waited for before waitOn is asked.
+func (w *watcher) listen() {
+	w.called = false
+	w.request.Patience = pauseCheck
+	if after, ok := w.f.g.overdueAfter(w.f.pace); ok && w.worthHurry() {
+		w.request.Patience = min(after, pauseCheck)
+	}
+}
+
+// worthHurry reports whether the answer can still be in time.
+func (w *watcher) worthHurry() bool {
+	bound := w.f.route.Pause
+	return bound > 0 && w.f.worstPause <= bound
+}
+
+// findLost asks all engines on the path who of them lives, and reports whether to wait on:
+// with others in the place of those that are lost, or where none is.
+func (w *watcher) findLost() bool {
+	asked := w.since().Add(w.request.Patience)
+	w.request.Patience = pauseCheck
+	if time.Since(asked) > lateWake {
+		return true
+	}
+	path := w.f.lastPath
+	r := w.f.g.probes.call(w.ctx, path)
+	w.f.g.meter.called(len(path.Stages), len(r.silent))
+	w.f.g.log.Info("engines of an overdue answer are asked", "request", w.f.call.ID, "silent_ms", time.Since(w.since()).Milliseconds(), "mean_ms", w.f.pace.Mean().Milliseconds(), "engines", len(path.Stages), "lost", r.silent, "slow", r.slow(), "certain", r.certain)
+	w.f.g.takePaces(r.paces)
+	if !r.certain || len(r.silent) == 0 {
+		id, slow := w.f.g.suspectOn(path)
+		if !slow {
+			return true
+		}
+		w.culprit = id
+		return w.leave()
+	}
+	for _, id := range r.silent {
+		w.f.g.failed(id, true)
+	}
+	w.culprit = r.silent[0]
+	if !w.f.repath(w.ctx, r.silent, "its engines are lost") {
+		return false
+	}
+	w.culprit = ""
+	w.heard = time.Now()
+	return true
+}
+
+// leave has the answer go on without an engine that is slow, and reports whether to wait for
+// it: it waits too where there is no other engine.
+func (w *watcher) leave() bool {
+	if w.f.repath(w.ctx, []relay.TargetID{w.culprit}, "its engine is slow") {
+		w.heard = time.Now()
+	}
+	w.culprit = ""
+	return w.ctx.Err() == nil
+}
+
+// since returns when the present pause began.
+func (w *watcher) since() time.Time {
+	if w.heard.IsZero() {
+		return w.began
+	}
+	return w.heard
 }
 
 // waitOn is asked in each pause of pauseCheck whether to wait on.
@@ -24,14 +99,18 @@
 	if w.ctx.Err() != nil {
 		return false
 	}
-	since := w.heard
-	if since.IsZero() {
-		since = w.began
-	}
+	since := w.since()
 	if id, ok := w.f.g.suspectOn(w.f.lastPath); ok {
 		w.culprit = id
+		if w.f.g.isSlow(id) {
+			return w.leave()
+		}
 		return w.replace()
 	}
+	if !w.called && w.f.g.policy.Has(relay.OverdueRepair) {
+		w.called = true
+		return w.findLost()
+	}
 	if time.Since(since) < probeAfter || !w.f.g.policy.Has(relay.StallProbe) {
 		return true
 	}
@@ -41,7 +120,7 @@
 // replace has another engine take the place of the one that the request waits for, and
 // reports whether to wait for it.
 func (w *watcher) replace() bool {
-	if w.ctx.Err() != nil || !w.f.repath(w.ctx, w.culprit, "its engine fails") {
+	if w.ctx.Err() != nil || !w.f.repath(w.ctx, []relay.TargetID{w.culprit}, "its engine fails") {
 		return false
 	}
 	w.f.g.failed(w.culprit, true)
@@ -68,7 +147,7 @@
 func (w *watcher) probe() bool {
 	first := w.f.lastPath.First()
 	w.f.g.meter.probed()
-	stalled, err := w.f.g.probes.ask(w.ctx, first.Address)
+	report, err := w.f.g.probes.ask(w.ctx, first.Address)
 	if w.ctx.Err() != nil {
 		return true
 	}
@@ -77,7 +156,7 @@
 		w.culprit = first.Target
 		return true
 	}
-	address, ok := stalled[w.f.call.ID]
+	address, ok := report.Stalled[w.f.call.ID]
 	if !ok {
 		return false
 	}
--- a/internal/relay/fleet_test.go
+++ b/internal/relay/fleet_test.go
@@ -95,7 +95,7 @@
 				return
 			}
 			r.TakePauses(path, 50*time.Millisecond)
-			if next, ok := r.Substitute(path, path.Stages[len(path.Stages)-1].Target, start); ok {
+			if next, ok := r.Substitute(path, []relay.TargetID{path.Stages[len(path.Stages)-1].Target}, start); ok {
 				path = next
 			}
 			r.Release(path, false)
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -76,7 +76,51 @@
 // Suspect reports whether a target is left alone at present.
 func (r *Router) Suspect(id TargetID, now time.Time) bool {
 	t, ok := r.targets[id]
-	return ok && (t.silent || now.Before(t.suspectUntil))
+	return ok && (t.silent || t.doubtful(now))
+}
+
+// doubtful reports whether this VM leaves the target alone: it failed, or is slow.
+func (t *target) doubtful(now time.Time) bool {
+	return now.Before(t.suspectUntil) || t.slow(now)
+}
+
+const (
+	// slowLeast is how many times longer than usual the steps of an engine take that counts
+	// as slow: at twice, it serves half as much as it is planned for.
+	slowLeast = 2.0
+	// slowFirst is how long an engine that says that it is slow is left alone; each time
+	// that it is found slow again doubles it up to suspectMost.
+	slowFirst = time.Second
+	// slowAskAhead is how long before that an engine is asked again: were it used to find
+	// out, all VMs would do so at once, and some 60 answers be late.
+	slowAskAhead = 300 * time.Millisecond
+)
+
+// SlowDue returns the engines that this VM has found slow and is to ask again now.
+func (r *Router) SlowDue(now time.Time) []Stage {
+	var due []Stage
+	for _, t := range r.targets {
+		if now.Before(t.slowUntil) && !now.Before(t.slowUntil.Add(-slowAskAhead)) && t.Takes() {
+			due = append(due, Stage{Target: t.ID, Address: t.Address})
+		}
+	}
+	return due
+}
+
+// TakePace takes what an engine says of how many times longer than usual its steps take. It
+// does not count as lost: what it holds stays where it is.
+func (r *Router) TakePace(id TargetID, pace float64, now time.Time) {
+	t, ok := r.targets[id]
+	if !ok || now.Before(t.slowUntil.Add(-slowAskAhead)) || !r.settings.Policy.Has(SlowEngines) {
+		return
+	}
+	if pace < slowLeast {
+		t.slowness = 0
+		t.slowUntil = time.Time{}
+		return
+	}
+	t.slowUntil = now.Add(min(slowFirst<<min(t.slowness, 4), suspectMost))
+	t.slowness++
 }
 
 const (
@@ -88,21 +132,43 @@
 	refusalsDead = 3
 )
 
-// Findings returns the targets that this VM has lately found dead and done nothing
-// since, and those that have done their part since they last failed.
-func (r *Router) Findings(now time.Time) (dead, well []TargetKey) {
+// Findings is what a VM has lately found of targets, sorted.
+type Findings struct {
+	// Dead are those that have failed and done nothing since, Well those that have done
+	// their part since they last failed.
+	Dead, Well []TargetKey
+	// Slow are those that say that they are slow.
+	Slow []TargetKey
+}
+
+// Findings returns what this VM has lately found.
+func (r *Router) Findings(now time.Time) Findings {
+	var f Findings
 	if !r.settings.Policy.Has(SharedFindings) {
-		return nil, nil
+		return f
 	}
 	for _, t := range r.targets {
 		switch {
 		case now.Before(t.failedAt.Add(findingsKept)):
-			dead = append(dead, t.key)
+			f.Dead = append(f.Dead, t.key)
 		case now.Before(t.succeededAt.Add(findingsKept)):
-			well = append(well, t.key)
+			f.Well = append(f.Well, t.key)
+		}
+		if now.Before(t.slowUntil) {
+			f.Slow = append(f.Slow, t.key)
 		}
 	}
-	slices.Sort(dead)
-	slices.Sort(well)
-	return dead, well
+	slices.Sort(f.Dead)
+	slices.Sort(f.Well)
+	slices.Sort(f.Slow)
+	return f
+}
+
+// Slow reports whether a target is left alone only since it is slow.
+func (r *Router) Slow(id TargetID, now time.Time) bool {
+	t, ok := r.targets[id]
+	return ok && !t.silent && !now.Before(t.suspectUntil) && t.slow(now)
 }
+
+// slow reports whether a target has lately said, here or at another VM, that it is slow.
+func (t *target) slow(now time.Time) bool { return t.slowElsewhere || now.Before(t.slowUntil) }
--- a/internal/relay/mark.go
+++ b/internal/relay/mark.go
@@ -10,6 +10,8 @@
 	// MarkMoving: it was ordered to hold other layers than it says, and takes nothing new for
 	// those that it gives up.
 	MarkMoving
+	// MarkSlow: it has told an entry VM that its steps take much longer than usual.
+	MarkSlow
 )
 
 // Has reports whether a mark is among these.
@@ -41,4 +43,5 @@
 func (t *target) takeMark(m Mark) {
 	t.silent = m.Has(MarkSilent)
 	t.moving = m.Has(MarkMoving)
+	t.slowElsewhere = m.Has(MarkSlow)
 }
--- /dev/null
+++ b/internal/relay/overdue_test.go
@@ -0,0 +1,133 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// pacedAt returns the pace of an answer with a number of events at equal pauses.
+func pacedAt(events int, pause time.Duration) relay.Pace {
+	var p relay.Pace
+	for i := range events {
+		p = p.With(1, start.Add(time.Duration(i)*pause))
+	}
+	return p
+}
+
+// Callers accept a pause of 250 ms. A fixed span of as much, after which an engine was asked
+// another 250 ms later, made every answer late whose engine died: 330 of 8,400 on a day with
+// three losses of three engines. Answers have a mean pause of 46 to 87 ms from the first to
+// the last tenth.
+func TestAnAnswerIsOverdueByItsOwnPace(t *testing.T) {
+	r, _ := newRouter(nil)
+	for _, mean := range []time.Duration{46 * time.Millisecond, 87 * time.Millisecond} {
+		after, known := r.OverdueAfter(pacedAt(10, mean))
+		require.True(t, known)
+		require.Equal(t, 2*mean, after)
+		require.Less(t, after, 200*time.Millisecond)
+	}
+}
+
+func TestAnAnswerThatHasHardlyBegunIsNotOverdue(t *testing.T) {
+	r, _ := newRouter(nil)
+	for events := range 5 {
+		_, known := r.OverdueAfter(pacedAt(events, 50*time.Millisecond))
+		require.False(t, known, "%d events", events)
+	}
+}
+
+// Where pauses differ more than usual, the multiple grows until few are over it; where they
+// are alike, it falls. A loss that stops all answers moves it little.
+func TestTheMultipleFollowsThePausesOfThisVM(t *testing.T) {
+	r, _ := newRouter(nil)
+	pace := pacedAt(10, 50*time.Millisecond)
+	for range 10 {
+		r.Paused(pace, 2*time.Second)
+	}
+	require.Less(t, r.OverdueTimes(), 2.5)
+	for i := range 20_000 {
+		pause := 50 * time.Millisecond
+		if i%20 == 0 {
+			pause = 150 * time.Millisecond
+		}
+		r.Paused(pace, pause)
+	}
+	require.InDelta(t, 3, r.OverdueTimes(), 0.1)
+	for range 2_000_000 {
+		r.Paused(pace, 50*time.Millisecond)
+	}
+	require.InDelta(t, 1.6, r.OverdueTimes(), 0.1)
+}
+
+// When an engine dies all VMs move their answers at once: 130 of them within half a second.
+// All that chose the engine with the least under way read there one after the other.
+func TestStandInsAreDrawnByTheRateAtWhichTheyRead(t *testing.T) {
+	lost := config.Range{First: 30, Last: 55}
+	targets := placed("large", config.Range{First: 0, Last: 30}, lost, config.Range{First: 55, Last: 80})
+	for i, held := range []config.Range{lost, {First: 30, Last: 60}, {First: 25, Last: 55}} {
+		other := placed("large", held)[0]
+		other.ID, other.Address = relay.TargetID(fmt.Sprint("stand-in-", i)), fmt.Sprint("stand-in-", i, ":80")
+		targets = append(targets, other)
+	}
+	drawn := make(map[relay.TargetID]int)
+	const vms = 600
+	for vm := range uint64(vms) {
+		r, route := newRouterWithSeed(nil, vm)
+		r.TakeTargets(targets)
+		r.TakeOthers(nil, true)
+		path := choose(t, r, ask(route), start)
+		next, ok := r.Substitute(path, []relay.TargetID{path.Stages[1].Target}, start)
+		require.True(t, ok)
+		drawn[next.Stages[1].Target]++
+	}
+	require.Len(t, drawn, 3)
+	for id, n := range drawn {
+		require.Greater(t, n, vms/5, "%s: all read at much the same rate", id)
+	}
+}
+
+func TestASlowEngineIsLeftAloneWhileItSaysSo(t *testing.T) {
+	r, route := newRouter(nil)
+	r.TakeTargets(twoOfEach())
+	slow := choose(t, r, ask(route), start).Stages[1].Target
+	r.TakePace(slow, 12, start)
+	for range 20 {
+		require.False(t, choose(t, r, ask(route), start).Passes(slow))
+	}
+	require.True(t, r.Slow(slow, start))
+	require.Empty(t, r.Findings(start).Dead, "it is not lost: what it holds stays there")
+	require.Equal(t, []relay.TargetKey{slow.Key()}, r.Findings(start).Slow)
+	require.Empty(t, r.SlowDue(start))
+
+	soon := start.Add(800 * time.Millisecond)
+	require.Len(t, r.SlowDue(soon), 1, "it is asked before it is used again")
+	r.TakePace(slow, 12, soon)
+	require.True(t, r.Slow(slow, start.Add(2*time.Second)), "found slow again, it is left alone for longer")
+	r.TakePace(slow, 1, start.Add(2700*time.Millisecond))
+	require.False(t, r.Slow(slow, start.Add(2700*time.Millisecond)))
+}
+
+// Where no path goes without it, a slow engine serves.
+func TestASlowEngineThatNobodyReplacesServes(t *testing.T) {
+	r, route := newRouter(nil)
+	r.TakeTargets(placed("large", config.Range{First: 0, Last: 30}, config.Range{First: 30, Last: 55}, config.Range{First: 55, Last: 80}))
+	r.TakePace("a-large-1", 12, start)
+	require.True(t, choose(t, r, ask(route), start).Passes("a-large-1"))
+}
+
+// Reports are the engines' own: nonsense changes nothing.
+func TestNonsensePacesAreIgnored(t *testing.T) {
+	r, _ := newRouter(nil)
+	r.TakeTargets(twoOfEach())
+	for _, pace := range []float64{0, -1, 0.2, 1} {
+		r.TakePace("a-large-0", pace, start)
+		require.False(t, r.Suspect("a-large-0", start), "pace %g", pace)
+	}
+	r.TakePace("i-unknown", 12, start)
+}
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -192,7 +192,7 @@
 		c := r.costsOf(e, kind, a, t)
 		c.layersMost = r.layersMost(e, kind, a, t)
 		c.mayBegin = r.load(t).Requests < e.Slots && t.own.Requests < r.connLimit(s)
-		c.suspect = t.silent || now.Before(t.suspectUntil)
+		c.suspect = t.silent || t.doubtful(now)
 		if c.layersMost > 0 {
 			out = append(out, c)
 		}
--- a/internal/relay/policy.go
+++ b/internal/relay/policy.go
@@ -40,6 +40,8 @@
 	StallProbe
 	RepairMoves
 	PipeCaution
+	OverdueRepair
+	SlowEngines
 	mechanismCount
 )
 
@@ -69,6 +71,8 @@
 	LeaveMoving:      {"leave_moving", "running answers stay on engines that are to move"},
 	StallProbe:       {"stall_probe", "an engine is not asked which requests stand still"},
 	RepairMoves:      {"repair_moves", "a hall that lacks layers waits for empty engines"},
+	OverdueRepair:    {"overdue_repair", "an answer that stands still waits until its engine is known to be lost"},
+	SlowEngines:      {"slow_engines", "an engine that says that it is slow is used like any other"},
 	PipeCaution:      {"pipe_caution", "a pipe between halls costs the time of one request"},
 }
 
--- a/internal/relay/policy_test.go
+++ b/internal/relay/policy_test.go
@@ -115,7 +115,7 @@
 	relay.SharedFindings: func(p relay.Policy) any {
 		r, _ := routerUnder(p, plain(2))
 		r.Failed("p0", true, start)
-		dead, _ := r.Findings(start)
+		dead := r.Findings(start).Dead
 		return len(dead)
 	},
 	relay.RepeatShares: func(p relay.Policy) any {
@@ -145,7 +145,7 @@
 	relay.StageReplacement: func(p relay.Policy) any {
 		r, route := routerUnder(p, twoOfEach())
 		path, _ := r.Choose(ask(route), start)
-		_, ok := r.Substitute(path, path.Stages[1].Target, start)
+		_, ok := r.Substitute(path, []relay.TargetID{path.Stages[1].Target}, start)
 		return ok
 	},
 	relay.LeaveMoving: func(p relay.Policy) any {
@@ -155,6 +155,16 @@
 		_, moving := r.MovingOn(path)
 		return moving
 	},
+	relay.OverdueRepair: func(p relay.Policy) any {
+		r, _ := routerUnder(p, nil)
+		_, known := r.OverdueAfter(pacedAt(10, 50*time.Millisecond))
+		return known
+	},
+	relay.SlowEngines: func(p relay.Policy) any {
+		r, _ := routerUnder(p, twoOfEach())
+		r.TakePace("a-large-0", 12, start)
+		return r.Suspect("a-large-0", start)
+	},
 	relay.RepairMoves: func(p relay.Policy) any {
 		holders := placed("large", config.Range{First: 0, Last: 30}, config.Range{First: 0, Last: 30}, config.Range{First: 55, Last: 80})
 		return len(p.Plan(engine(), holders))
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -77,6 +77,10 @@
 // First returns the stage that gets the request.
 func (p Path) First() Stage { return p.Stages[0] }
 
+// Forecast returns the time of one pass over all stages by the load at the choice, without
+// waits: the least pause between two events; 0 for plain services.
+func (p Path) Forecast() time.Duration { return p.pass.loaded }
+
 // Passes reports whether the path runs over a target.
 func (p Path) Passes(id TargetID) bool {
 	return slices.ContainsFunc(p.Stages, func(s Stage) bool { return s.Target == id })
@@ -111,6 +115,11 @@
 	suspectUntil time.Time
 	fullness     int
 	fullUntil    time.Time
+	// slowness grows each time that it is found slow again after it was left alone.
+	slowness  int
+	slowUntil time.Time
+	// slowElsewhere says that another VM has been told so.
+	slowElsewhere bool
 	// failedAt is when it last failed for certain, zero once it has done its part.
 	failedAt    time.Time
 	succeededAt time.Time
@@ -145,7 +154,8 @@
 	// changing counts the changes of halls on the paths under way.
 	changing int
 	// waits holds, by hall, how much longer a pass takes with the waits before it.
-	waits map[string]average
+	waits   map[string]average
+	overdue overdueTimes
 	// meanPause is the mean pause between the events of the answers of late, in
 	// nanoseconds.
 	meanPause average
@@ -445,7 +455,7 @@
 		if !t.Takes() || t.silent || t.moving || now.Before(t.fullUntil) || slices.Contains(a.Avoid, t.ID) {
 			continue
 		}
-		if !suspects && now.Before(t.suspectUntil) {
+		if !suspects && t.doubtful(now) {
 			continue
 		}
 		usable = append(usable, t)
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -324,17 +324,17 @@
 	bad, good := path.Stages[0].Target, path.Stages[1].Target
 	r.Failed(bad, true, start)
 	r.Succeeded(good, start)
-	dead, well := r.Findings(start.Add(time.Second))
-	require.Equal(t, []relay.TargetKey{bad.Key()}, dead)
-	require.Equal(t, []relay.TargetKey{good.Key()}, well)
+	found := r.Findings(start.Add(time.Second))
+	require.Equal(t, []relay.TargetKey{bad.Key()}, found.Dead)
+	require.Equal(t, []relay.TargetKey{good.Key()}, found.Well)
 	r.Succeeded(bad, start.Add(time.Second))
-	dead, _ = r.Findings(start.Add(time.Second))
-	require.Empty(t, dead)
+	found = r.Findings(start.Add(time.Second))
+	require.Empty(t, found.Dead)
 	for range 3 {
 		r.Refused(good, start.Add(time.Second))
 	}
-	dead, _ = r.Findings(start.Add(time.Second))
-	require.Equal(t, []relay.TargetKey{good.Key()}, dead)
+	found = r.Findings(start.Add(time.Second))
+	require.Equal(t, []relay.TargetKey{good.Key()}, found.Dead)
 }
 
 // After a loss of power of all VMs 1,000 callers came back at once, and each of 76 VMs
--- a/internal/relay/substitute.go
+++ b/internal/relay/substitute.go
@@ -12,26 +12,32 @@
 // stages keep what they have. A run that begins anew reads them through all stages, costs
 // a repeat, and loses the pause until then.
 
-// Substitute returns a path with another engine in the place of one of its later stages,
-// and counts the request as under way on it in place of the path given. The engine is one
-// of the same hall, since a stage elsewhere crosses the pipes twice with each token.
-func (r *Router) Substitute(p Path, id TargetID, now time.Time) (Path, bool) {
+// Substitute returns a path with other engines in the place of some of its later stages,
+// and counts the request as under way on it in place of the path given. The engines are of
+// the same hall, since a stage elsewhere crosses the pipes twice with each token.
+func (r *Router) Substitute(p Path, ids []TargetID, now time.Time) (Path, bool) {
 	s, ok := r.services[p.Service]
-	at := slices.IndexFunc(p.Stages, func(s Stage) bool { return s.Target == id })
-	if !ok || s.Engine == nil || at <= 0 || !r.settings.Policy.Has(StageReplacement) {
+	if !ok || s.Engine == nil || len(ids) == 0 || !r.settings.Policy.Has(StageReplacement) {
 		return Path{}, false
 	}
 	var avoid []TargetID
 	for _, stage := range p.Stages {
 		avoid = append(avoid, stage.Target)
 	}
-	best := r.standIn(s, Ask{Prompt: p.tokens, Avoid: avoid}, p.Stages[at], p.Stages[0].hall, now)
-	if best == nil {
-		return Path{}, false
-	}
 	next := p
 	next.Stages = slices.Clone(p.Stages)
-	next.Stages[at] = Stage{Target: best.ID, Address: best.Address, Layers: p.Stages[at].Layers, hall: best.Hall}
+	for _, id := range ids {
+		at := slices.IndexFunc(p.Stages, func(s Stage) bool { return s.Target == id })
+		if at <= 0 {
+			return Path{}, false
+		}
+		best := r.standIn(s, Ask{Prompt: p.tokens, Avoid: avoid}, p.Stages[at], p.Stages[0].hall, now)
+		if best == nil {
+			return Path{}, false
+		}
+		avoid = append(avoid, best.ID)
+		next.Stages[at] = Stage{Target: best.ID, Address: best.Address, Layers: p.Stages[at].Layers, hall: best.Hall}
+	}
 	r.count(p, -1)
 	r.count(next, 1)
 	return next, true
@@ -43,18 +49,26 @@
 	r.count(p, 1)
 }
 
-// standIn returns the engine of a hall that holds the layers of a stage, has room, and has
-// the least under way; nil if there is none.
+// standIn draws an engine of a hall that holds the layers of a stage and has room; nil if
+// there is none. An answer stands still until its new engine has read what it has so far,
+// and when an engine dies all VMs move their answers at once: each engine is drawn with a
+// probability that is proportional to the rate at which it reads, so that all are done at
+// about the same time. The least of waits that are each multiplied by an exponential variate
+// falls on one with a probability proportional to its inverse.
 func (r *Router) standIn(s *Service, a Ask, stage Stage, hall string, now time.Time) *target {
 	var best *target
+	soonest := 0.0
 	for _, t := range r.usable(s.Name, a, now, false) {
 		kind, ok := s.Engine.accelerator(t.Accelerator)
 		holds := t.Layers.First <= stage.Layers.First && t.Layers.Last >= stage.Layers.Last
 		if !ok || !holds || t.Hall != hall || r.layersMost(s.Engine, kind, a, t) < stage.Layers.Len() {
 			continue
 		}
-		if best == nil || r.load(t).Requests < r.load(best).Requests {
-			best = t
+		load := r.load(t)
+		share := float64(t.Layers.Len()) / float64(s.Engine.Layers)
+		wait := float64(load.Unread+a.Prompt) / s.Engine.readRate(kind, load, share) * r.rand.ExpFloat64()
+		if best == nil || wait < soonest {
+			best, soonest = t, wait
 		}
 	}
 	return best
--- a/internal/relay/substitute_test.go
+++ b/internal/relay/substitute_test.go
@@ -42,7 +42,7 @@
 	path := choose(t, r, ask(route), start)
 	r.Begun(path)
 	lost := path.Stages[1].Target
-	next, ok := r.Substitute(path, lost, start)
+	next, ok := r.Substitute(path, []relay.TargetID{lost}, start)
 	require.True(t, ok)
 	requireWhole(t, next)
 	require.Equal(t, path.First(), next.First())
@@ -58,11 +58,11 @@
 	r, route := newRouter(nil)
 	r.TakeTargets(twoOfEach())
 	path := choose(t, r, ask(route), start)
-	_, ok := r.Substitute(path, path.First().Target, start)
+	_, ok := r.Substitute(path, []relay.TargetID{path.First().Target}, start)
 	require.False(t, ok, "the first stage has the connection")
-	_, ok = r.Substitute(path, path.Stages[2].Target, start)
+	_, ok = r.Substitute(path, []relay.TargetID{path.Stages[2].Target}, start)
 	require.False(t, ok, "only another hall has the layers")
-	_, ok = r.Substitute(path, "i-other", start)
+	_, ok = r.Substitute(path, []relay.TargetID{"i-other"}, start)
 	require.False(t, ok, "it is not on the path")
 }
 
@@ -73,7 +73,7 @@
 	path := choose(t, r, ask(route), start)
 	r.Begun(path)
 	before := r.Own()
-	next, ok := r.Substitute(path, path.Stages[1].Target, start)
+	next, ok := r.Substitute(path, []relay.TargetID{path.Stages[1].Target}, start)
 	require.True(t, ok)
 	require.NotEqual(t, before, r.Own())
 	r.Restore(next, path)
