core, relay: engines load in turn, and no more than are of use

Change: the plan of an empty fleet is kept and ordered in turn, halls by turns, eight times as many at a time as load at full speed. A fleet that serves loads more only where a hall has under three copies of a layer or a twentieth of its memory in use.

--- a/internal/core/engine_fleet_test.go
+++ b/internal/core/engine_fleet_test.go
@@ -19,8 +19,10 @@
 	*hallFleet
 	engines map[relay.TargetID]*loadingEngine
 	ids     []relay.TargetID
-	// loads counts the orders that were carried out.
-	loads int
+	// loads counts the orders that were carried out, loading those under way.
+	loads, loading int
+	// atOnce is how many engines load at full speed; 0 if all do.
+	atOnce int
 }
 
 // loadingEngine is an engine that may be carrying out an order.
@@ -28,7 +30,8 @@
 	target relay.Target
 	speaks core.VMName
 	order  core.OrderLayers
-	until  time.Time
+	// left is what is left of a load at full speed.
+	left   time.Duration
 	beatAt time.Time
 }
 
@@ -95,22 +98,19 @@
 	for _, o := range orders {
 		e := f.engines[o.Target]
 		outcome := core.OrderRefused
-		if e.until.IsZero() {
+		if e.left <= 0 {
 			outcome = core.OrderBegun
 			e.order = o.OrderLayers
-			e.until = f.now.Add(engineLoad * time.Duration(o.Layers.Len()) / 80)
+			e.left = engineLoad * time.Duration(o.Layers.Len()) / 80
 			f.loads++
+			f.loading++
 		}
 		f.step(o.by, core.LayersOrdered{Target: o.Target, Outcome: outcome})
 	}
 }
 
 func (f *engineFleet) tickEngine(e *loadingEngine) {
-	if !e.until.IsZero() && !f.now.Before(e.until) {
-		e.target.Layers = e.order.Layers
-		e.until = time.Time{}
-		e.beatAt = f.now
-	}
+	f.load(e)
 	if f.now.Before(e.beatAt) {
 		return
 	}
@@ -119,6 +119,32 @@
 	f.step(e.speaks, core.TargetSpoke{Conn: 1, Target: e.target})
 }
 
+// load carries a load on for a tick.
+func (f *engineFleet) load(e *loadingEngine) {
+	if e.left <= 0 {
+		return
+	}
+	e.left -= tickEvery / time.Duration(max(1, (f.loading+f.atOnce-1)/max(f.atOnce, 1)*min(f.atOnce, 1)))
+	if e.left <= 0 {
+		e.target.Layers = e.order.Layers
+		e.beatAt = f.now
+		f.loading--
+	}
+}
+
+// copies returns the least number of engines that hold a layer in a hall.
+func (f *engineFleet) copies(hall string) int {
+	counts := make([]int, 80)
+	for _, id := range f.ids {
+		if t := f.engines[id].target; t.Hall == hall {
+			for i := t.Layers.First; i < t.Layers.Last; i++ {
+				counts[i]++
+			}
+		}
+	}
+	return slices.Min(counts)
+}
+
 // until runs until done holds, and returns the time that it took.
 func (f *engineFleet) until(what string, limit time.Duration, done func() bool) time.Duration {
 	began := f.now
@@ -169,3 +195,50 @@
 		}
 	}
 }
+
+// The store of weights serves 14 loads at full speed, and 3,000 engines are empty at a start.
+// All were ordered at once: each hall had its first copy of the model after 45 s, when the
+// others had theirs.
+func TestHallsGetTheirFirstCopiesSoon(t *testing.T) {
+	f := newEngineFleet(t, hundredsFleet, 3000)
+	f.atOnce = 14
+	f.decode = func(text []byte) (*relay.Document, error) {
+		d, err := fullDocument(text)
+		d.Services[0].Engine.LoadsAtOnce = f.atOnce
+		return d, err
+	}
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
+	f.run(time.Second)
+	f.put(1)
+	took := f.until("each hall has three copies", 10*time.Second, func() bool {
+		return f.copies("hall0") >= 3 && f.copies("hall1") >= 3 && f.copies("hall2") >= 3
+	})
+	t.Logf("three copies in each hall after %s and %d loads", took, f.loads)
+	require.Less(t, took, 7*time.Second)
+}
+
+// A fleet that has ten times what it is asked loads no more: each load takes a part of the
+// store from others.
+func TestAFleetThatHasEnoughLoadsNoMore(t *testing.T) {
+	f := newEngineFleet(t, smallFleet, 900)
+	f.decode = func(text []byte) (*relay.Document, error) {
+		d, err := fullDocument(text)
+		d.Services[0].Engine.LoadsAtOnce = 1
+		return d, err
+	}
+	f.atOnce = 1
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
+	f.run(4 * time.Second)
+	f.put(1)
+	enough := func() bool { return f.copies("hall0") >= 3 && f.copies("hall1") >= 3 && f.copies("hall2") >= 3 }
+	f.until("each hall has three copies", 90*time.Second, enough)
+	busy := f.ids[slices.IndexFunc(f.ids, func(id relay.TargetID) bool { return f.engines[id].target.Layers.Len() > 0 })]
+	f.work["e0-0"] = map[relay.TargetKey]relay.Work{busy.Key(): {Requests: 2, Tokens: 2000}}
+	f.run(3 * time.Second)
+	loads := f.loads
+	f.run(20 * time.Second)
+	require.Equal(t, loads, f.loads)
+	f.work["e0-0"] = map[relay.TargetKey]relay.Work{busy.Key(): {Requests: 90, Tokens: 200_000_000}}
+	f.run(10 * time.Second)
+	require.Greater(t, f.loads, loads, "in use, it loads more")
+}
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"slices"
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/core/config"
@@ -71,6 +72,9 @@
 type placing struct {
 	decoded decoded
 	lookAt  time.Time
+	// queued is what the plan of a fleet that held nothing has not been ordered yet, by
+	// service.
+	queued map[string][]relay.Assignment
 	// orders holds what was ordered and is not yet seen to be held.
 	orders map[relay.TargetID]layerOrder
 	// known is the number of engines at the last look, and settledAt when the
@@ -113,7 +117,42 @@
 	if !holding && n.now.Before(p.settledAt) {
 		return
 	}
-	for _, a := range n.settings.Policy.Plan(s.Engine, engines) {
+	n.orderSome(s, n.assignments(s, engines, holding))
+}
+
+// assignments returns what is to be ordered next, the most urgent first. What was planned
+// for a fleet that held nothing is kept until it is ordered: a plan for what is left would
+// be another one.
+func (n *Node) assignments(s *relay.Service, engines []relay.Target, holding bool) []relay.Assignment {
+	p := &n.leading.placing
+	if !holding {
+		p.queued[s.Name] = n.settings.Policy.Plan(s.Engine, engines)
+	}
+	empty := make(map[relay.TargetID]bool)
+	for _, t := range engines {
+		empty[t.ID] = t.Layers.Len() == 0
+	}
+	p.queued[s.Name] = slices.DeleteFunc(p.queued[s.Name], func(a relay.Assignment) bool { return !empty[a.Target] })
+	if holding && !s.Engine.NeedsMore(engines) {
+		return nil
+	}
+	if queued := p.queued[s.Name]; len(queued) > 0 {
+		return queued
+	}
+	return n.settings.Policy.Plan(s.Engine, engines)
+}
+
+// loadsAhead is how many times more engines load at a time than load at full speed: that
+// one is done is known up to a heartbeat later, in which the store is not to rest.
+const loadsAhead = 8
+
+// orderSome orders no more engines than can load at a time: all that load share a store. Of
+// 3,000 that were all ordered at once none held anything for 45 s.
+func (n *Node) orderSome(s *relay.Service, assignments []relay.Assignment) {
+	for _, a := range assignments {
+		if most := s.Engine.LoadsAtOnce; most > 0 && len(n.leading.placing.orders) >= loadsAhead*most {
+			return
+		}
 		n.orderLayers(s.Engine, a)
 	}
 }
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -162,15 +162,33 @@
 		return e.planAsOne(units)
 	}
 	segments := segmentsOf(e.cutsAfter(halls[0]))
-	var out []Assignment
+	var byHall [][]Assignment
 	for _, h := range halls {
 		assigned, left := e.cover(h, segments)
-		out = append(out, assigned...)
+		byHall = append(byHall, assigned)
 		rest = append(rest, left...)
 	}
 	slices.SortFunc(rest, compareUnits)
 	assigned, _ := e.cover(rest, segments)
-	return append(out, assigned...)
+	return append(byTurns(byHall), assigned...)
+}
+
+// byTurns puts lists together, one of each in turn, so that all halls get their first copies
+// first.
+func byTurns(lists [][]Assignment) []Assignment {
+	var out []Assignment
+	for i := 0; ; i++ {
+		added := false
+		for _, l := range lists {
+			if i < len(l) {
+				out = append(out, l[i])
+				added = true
+			}
+		}
+		if !added {
+			return out
+		}
+	}
 }
 
 // planAsOne plans without regard to halls.
--- /dev/null
+++ b/internal/relay/spare.go
@@ -0,0 +1,65 @@
+package relay
+
+// This file says whether a fleet that serves is to load more engines.
+//
+// Each load takes a part of a store that all engines share, and a fleet that was sized for
+// an event has ten times what a quiet hour asks for. What is loaded before the first
+// requests come is loaded in any case, as far as time allows.
+
+const (
+	// enoughUse is the part of the memory for requests in use below which a hall has
+	// enough: it then bears twenty times what it is asked.
+	enoughUse = 0.05
+	// enoughCopies is the engines that hold each layer in a hall that has enough: two may
+	// be lost.
+	enoughCopies = 3
+)
+
+// NeedsMore reports whether empty engines are to load layers: while nothing is under way, or
+// where a hall that could hold the model lacks copies or is in use.
+func (e *Engine) NeedsMore(targets []Target) bool {
+	halls := make(map[string][]unit)
+	work := 0
+	for _, t := range targets {
+		kind, ok := e.accelerator(t.Accelerator)
+		if !ok || !t.Takes() {
+			continue
+		}
+		work += t.Load
+		halls[t.Hall] = append(halls[t.Hall], unit{target: t, kind: kind, comfort: e.comfort(kind)})
+	}
+	if work == 0 {
+		return true
+	}
+	for _, units := range halls {
+		if !e.hasEnough(units) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasEnough reports whether a hall has enough, or could not hold the model anyway.
+func (e *Engine) hasEnough(units []unit) bool {
+	size, used, room := 0, 0, 0
+	counts := make([]int, e.Layers)
+	for _, u := range units {
+		size += u.comfort
+		layers := u.target.Layers
+		if layers.Len() <= 0 || layers.Last > e.Layers {
+			continue
+		}
+		used += u.target.Load
+		room += e.tokenLayers(u.kind, layers.Len())
+		hold(counts, layers)
+	}
+	if size < e.Layers {
+		return true
+	}
+	for _, copies := range counts {
+		if copies < enoughCopies {
+			return false
+		}
+	}
+	return float64(used) < enoughUse*float64(room)
+}
