--- a/internal/relay/repeat_test.go
+++ b/internal/relay/repeat_test.go
@@ -48,3 +48,18 @@
 		})
 	}
 }
+
+// An answer whose engines had said nothing for 60 ms was given up at a start, when its VM
+// had no repeat left: it could not go on elsewhere, and its caller lost it.
+func TestWhetherItCouldBeRepeatedIsKnownBeforeATryIsGivenUp(t *testing.T) {
+	r, route := newRouter(engines(today))
+	sent := relay.Attempts{Route: route, Service: "s", Asked: 1, Sent: 1, Ran: 1, Reached: true, Begun: true}
+	for range 1000 {
+		require.True(t, r.CouldRepeat(sent, start), "to look takes nothing")
+	}
+	r.TakeVMs(100000)
+	require.False(t, r.CouldRepeat(sent, start))
+	ran := sent
+	ran.Asked, ran.Sent, ran.Ran = 2, 2, 2
+	require.False(t, r.CouldRepeat(ran, start), "its route allows two targets")
+}
