core, relay: who turns to another control VM is told of what differs

Cause (a lead of docs/CAPACITY.md, not confirmed by a log): at 300 VMs and 3,000 targets control VMs had no processor time left, with 2.2 MB a second; the reducer takes 20 ms a second there. It lacks VMs that turn to control VMs they don't know: each was told of all targets.

Change: the asker sends 64 sums over what it knows, and is told of the buckets that differ.

--- a/internal/core/engine_fleet_test.go
+++ b/internal/core/engine_fleet_test.go
@@ -242,3 +242,34 @@
 	f.run(10 * time.Second)
 	require.Greater(t, f.loads, loads, "in use, it loads more")
 }
+
+// At 300 VMs a control VM that was late had its holders turn to others, each of which told
+// them of all targets anew: 225 KB a turn, which made those late.
+func TestAVMThatTurnsToAnotherControlVMIsToldOfLittle(t *testing.T) {
+	f := newEngineFleet(t, hundredsFleet, 3000)
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
+	f.run(time.Second)
+	f.put(1)
+	f.until("all engines hold layers", 20*time.Second, f.loaded)
+	f.run(2 * time.Second)
+	for _, entry := range f.names {
+		for _, control := range f.names {
+			if entry[0] == 'e' && control[0] == 'c' && f.halls[entry] == "hall2" && f.halls[control] == "hall2" {
+				f.apart[[2]core.VMName{entry, control}] = true
+				f.apart[[2]core.VMName{control, entry}] = true
+			}
+		}
+	}
+	f.measured = true
+	f.run(3 * time.Second)
+	leaving := f.engines[f.ids[7]]
+	leaving.target.Leaving = true
+	leaving.beatAt = f.now
+	f.run(time.Second)
+	t.Log("bytes of words on targets in 4 s", f.kinds["TargetNews"])
+	require.Less(t, f.kinds["TargetNews"], 6_000_000, "bytes of words on targets in 4 s")
+	for _, vm := range f.entries() {
+		require.Len(t, f.learned[vm], len(f.ids), vm)
+		require.True(t, f.learned[vm][f.ids[7]].Leaving, vm)
+	}
+}
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -104,6 +104,8 @@
 	// OwnOnly asks for the targets that speak to the one asked: the asker has been told
 	// of all others.
 	OwnOnly bool `cbor:"own_only,omitempty"`
+	// Digest is set where the asker has been told of targets, and never by the one asked.
+	Digest relay.Digest `cbor:"digest,omitempty"`
 	// Hall is the asker's. Away says of an entry VM that no control VM of it has answered.
 	Hall string `cbor:"hall,omitempty"`
 	Away bool   `cbor:"away,omitempty"`
@@ -352,10 +354,12 @@
 	if source == "" || source == n.settings.Self.VM {
 		return
 	}
-	at := n.registry.followed[source]
-	n.send(source, Message{Follow: &Follow{
-		Life: at.life, After: at.after, Hall: n.settings.Address.Hall, Away: !n.entry.tenure.homeAt.IsZero(),
-	}})
+	at, known := n.registry.followed[source]
+	ask := Follow{Life: at.life, After: at.after, Hall: n.settings.Address.Hall, Away: !n.entry.tenure.homeAt.IsZero()}
+	if !known && n.registry.whole {
+		ask.Digest = n.registry.targets.Digest()
+	}
+	n.send(source, Message{Follow: &ask})
 }
 
 // followControls asks all other control VMs for what is new. Until one of them has told
@@ -413,17 +417,26 @@
 		present.after = max(present.after, present.sent)
 	}
 	if !f.OwnOnly {
-		targets := n.registry.targets.Since(present.after)
-		whole := present.after == 0
-		if whole {
-			targets = n.live(targets)
-		}
-		n.tell(from, present, targets, TargetNews{Whole: whole})
+		n.tellAll(from, present, f.Digest)
 		return
 	}
 	n.tell(from, present, n.registry.targets.OwnSince(present.after), TargetNews{})
 }
 
+// tellAll sends a follower all that is new to it. Who has nothing from this VM is told of
+// the targets that live, or of those that its digest lacks.
+func (n *Node) tellAll(vm VMName, f *follower, d relay.Digest) {
+	whole := f.after == 0
+	targets := n.registry.targets.Since(f.after)
+	switch {
+	case whole && len(d) > 0:
+		targets = n.registry.targets.Unlike(d)
+	case whole:
+		targets = n.live(targets)
+	}
+	n.tell(vm, f, targets, TargetNews{Whole: whole})
+}
+
 // push sends what is new to all who follow: to entry VMs all of it, to control VMs what
 // this one has heard. Most of them are at the same change, so that what is new is looked up
 // once for each change.
--- a/internal/relay/registry_test.go
+++ b/internal/relay/registry_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -77,3 +78,26 @@
 	require.Len(t, r.Since(first), 1)
 	require.Len(t, r.All(), 2)
 }
+
+// Two VMs that were told the same by others compare by sums, and are told of what differs.
+func TestRegistriesAreComparedBySums(t *testing.T) {
+	a, b := relay.NewRegistry(), relay.NewRegistry()
+	for i := range 300 {
+		target := word(relay.TargetID(fmt.Sprint("i-", i)), 1)
+		a.Hear(target, start)
+		target.Call = 9
+		b.Learn(target, start)
+	}
+	require.Empty(t, a.Unlike(b.Digest()), "the numbers of messages don't count")
+	changed := word("i-7", 10)
+	changed.Layers = config.Range{First: 3, Last: 9}
+	a.Hear(changed, start)
+	a.Hear(word("i-new", 1), start)
+	unlike := a.Unlike(b.Digest())
+	require.Less(t, len(unlike), 30)
+	for _, target := range unlike {
+		b.Learn(target, start)
+	}
+	require.Empty(t, a.Unlike(b.Digest()))
+	require.Len(t, a.Unlike(relay.Digest{1, 2}), 301, "sums of another kind tell nothing")
+}
