--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -4,8 +4,8 @@
 	"fmt"
 	"maps"
 	"math"
-	"slices"
 	"runtime"
+	"slices"
 	"testing"
 	"time"
 
