relay, daemon: an answer in the middle is not cut for want of a repeat

On mix a stream that an engine had preempted was refused by the next one, and cut. The budget went to requests that had not begun: 2,787 refusals by full engines, of which 2,025 came from three that hold twice the layers of their neighbours.

Ruled out: the fleet's bound itself (1,659 repeats in 34 s, half of it).

Change: a part of the pooled budget is kept back for answers in the middle, as a part of a VM's own is; such an answer waits for a repeat, as it does for room, until its caller has got nothing for 1.8 s; where its route allows no other targets it goes on with those that it has run on; it may be asked for of more than four. A denial is a type.

Tests: MayRepeat returns a Denial in place of a flag and a text. The check that a stream in the middle may not run on a third target is replaced by two: that it begins only where it has run, and that one that has not begun may not. TestStreamsInTheMiddleHaveBudgetThatOthersMayNotTake failed first.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -65,9 +66,8 @@
 	wholeLimit = 256 << 10
 	// eventBuffer is the size of reads from a stream, in bytes.
 	eventBuffer = 4 << 10
-	// resumeTime is how long a room is looked for that a broken stream can go on
-	// in, and resumePause the wait between two looks.
-	resumeTime  = 900 * time.Millisecond
+	// resumePause is the wait between two looks for a room, or a repeat, that a broken
+	// stream can go on with: a place falls free every few hundredths of a second.
 	resumePause = 30 * time.Millisecond
 	// callerPatience bounds the wait of a call from its arrival: callers give a stream up
 	// after 2 s without an event, and the first one takes some 100 ms.
@@ -86,8 +86,10 @@
 	flush        func()
 
 	service string
-	avoid   []relay.TargetID
-	tries   int
+	// avoid holds the targets that broke off, and full those that took nothing.
+	avoid []relay.TargetID
+	full  []relay.TargetID
+	tries int
 	// attempts is what became of the tries before the present one.
 	attempts relay.Attempts
 	// begun says that the caller has got the head of an answer.
@@ -114,8 +116,8 @@
 	// last is what the last try ended with, for the log.
 	last     string
 	lastPath relay.Path
-	// replaced holds the stages that another engine was asked to take the place of.
-	replaced map[relay.TargetID]bool
+	// replaceAt is when another engine may be looked for again in the place of a stage.
+	replaceAt map[relay.TargetID]time.Time
 }
 
 // wholeAnswer is an answer that was read to its end.
@@ -180,7 +182,8 @@
 			return
 		}
 		f.g.log.Info("try failed", "request", f.call.ID, "try", f.tries, "result", r.String(), "cause", f.last, "path", path.String(), "begun", f.begun)
-		if refusal := f.mayRepeat(r); refusal != nil {
+		f.noteAttempt(r, path)
+		if refusal := f.awaitRepeat(ctx); refusal != nil {
 			f.end(ctx, refusal)
 			return
 		}
@@ -200,23 +203,38 @@
 
 // choose picks the next path, and waits a little for room where mayWait says so.
 func (f *forwarding) choose(ctx context.Context) (relay.Path, *relay.Refusal) {
-	until := time.Now().Add(resumeTime)
-	if patient := f.call.Arrived.Add(callerPatience); patient.Before(until) && !f.begun {
-		until = patient
-	}
+	until := f.waitUntil()
 	for {
 		path, refusal := f.g.choose(f)
-		if refusal == nil || !f.mayWait() || time.Now().After(until) {
-			return path, refusal
-		}
-		select {
-		case <-time.After(resumePause):
-		case <-ctx.Done():
+		if refusal == nil || !f.mayWait() || !f.pause(ctx, until) {
 			return path, refusal
 		}
 	}
 }
 
+// waitUntil is how long a request waits for room, or for a repeat: a caller gives an answer
+// up that has brought nothing for callerPatience.
+func (f *forwarding) waitUntil() time.Time {
+	since := f.call.Arrived
+	if f.begun {
+		since = f.lastEvent
+	}
+	return since.Add(callerPatience)
+}
+
+// pause waits before another look, and reports false where the wait is over.
+func (f *forwarding) pause(ctx context.Context, until time.Time) bool {
+	if !time.Now().Before(until) {
+		return false
+	}
+	select {
+	case <-time.After(resumePause):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // mayWait reports whether a request waits for room. A stream that its caller has a part
 // of does, in this answer or one that broke off: refusing it would throw away what was
 // done. So does any call of a VM that has just started and takes no more than its share.
@@ -238,7 +256,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	path, refusal := g.router.Choose(relay.Ask{
-		Route: f.route, Service: f.service, Avoid: f.avoid,
+		Route: f.route, Service: f.service, Avoid: f.avoided(), Only: g.router.OnlyOn(f.attempts),
 		Prompt: f.call.Prompt, Most: f.call.Answer, Hint: f.call.Hint, Begun: f.begun, Resumed: f.resumed(),
 	}, now)
 	if refusal == nil && f.tries == 0 {
@@ -283,39 +301,70 @@
 	g.router.Succeeded(id, time.Now())
 }
 
-// mayRepeat returns why the request may not go to another target, or nil.
-func (f *forwarding) mayRepeat(r result) *relay.Refusal {
-	now := time.Now()
-	f.attempts.Asked++
-	f.attempts.Reached = r != resultNotSent
-	if f.attempts.Reached {
-		f.attempts.Sent++
+// avoided returns the targets that are not asked again. One that had no room is, by a
+// stream in the middle: it can't be told to come back.
+func (f *forwarding) avoided() []relay.TargetID {
+	if f.begun {
+		return f.avoid
+	}
+	return slices.Concat(f.avoid, f.full)
+}
+
+// noteAttempt takes what became of a try.
+func (f *forwarding) noteAttempt(r result, path relay.Path) {
+	f.attempts = f.attemptsAfter(r, path)
+}
+
+// attemptsAfter returns the tries with one that ended so.
+func (f *forwarding) attemptsAfter(r result, path relay.Path) relay.Attempts {
+	a := f.attempts
+	a.Asked++
+	a.Reached = r != resultNotSent
+	if a.Reached {
+		a.Sent++
 	}
-	if r == resultBroken {
-		f.attempts.Ran++
+	if first := path.First().Target; r == resultBroken && !slices.Contains(a.Ran, first) {
+		a.Ran = append(slices.Clone(a.Ran), first)
+	}
+	a.Route, a.Service, a.Begun = f.route, f.service, f.begun
+	return a
+}
+
+// awaitRepeat returns why the request may not go to another target, or nil. A stream in the
+// middle waits for a repeat: the budget refills as its window moves on, and to cut it would
+// throw away what was done.
+func (f *forwarding) awaitRepeat(ctx context.Context) *relay.Refusal {
+	until := f.waitUntil()
+	for {
+		denial := f.mayRepeat()
+		switch {
+		case denial == relay.NotDenied:
+			return nil
+		case !f.begun || !denial.Passes() || !f.pause(ctx, until):
+			return f.denied(denial)
+		}
 	}
-	f.attempts.Route, f.attempts.Service, f.attempts.Begun = f.route, f.service, f.begun
+}
+
+// mayRepeat takes a repeat, or returns why there is none.
+func (f *forwarding) mayRepeat() relay.Denial {
 	f.g.mu.Lock()
-	ok, reason := f.g.router.MayRepeat(f.attempts, now)
-	f.g.mu.Unlock()
-	switch {
-	case ok:
-		return nil
-	case f.attempts.Ran > 0:
-		return &relay.Refusal{Kind: relay.RefusedUnknownRun, Reason: "its target broke off: " + f.last + "; " + reason}
+	defer f.g.mu.Unlock()
+	return f.g.router.MayRepeat(f.attempts, time.Now())
+}
+
+// denied returns the refusal of a request that may not go to another target.
+func (f *forwarding) denied(d relay.Denial) *relay.Refusal {
+	if len(f.attempts.Ran) > 0 {
+		return &relay.Refusal{Kind: relay.RefusedUnknownRun, Reason: "its target broke off: " + f.last + "; " + d.String()}
 	}
-	return &relay.Refusal{Kind: relay.RefusedNotTaken, RetryAt: now.Add(comeBackAtOnce), Reason: "no target took it: " + f.last + "; " + reason}
+	return &relay.Refusal{Kind: relay.RefusedNotTaken, RetryAt: time.Now().Add(comeBackAtOnce), Reason: "no target took it: " + f.last + "; " + d.String()}
 }
 
 // couldRepeat reports whether the request may go to another target if its present try is
 // given up.
 func (f *forwarding) couldRepeat() bool {
-	a := f.attempts
-	a.Asked++
-	a.Sent++
-	a.Ran++
-	a.Reached = true
-	a.Route, a.Service, a.Begun = f.route, f.service, f.begun
+	a := f.attemptsAfter(resultBroken, f.lastPath)
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
 	return f.g.router.CouldRepeat(a, time.Now())
@@ -332,7 +381,7 @@
 		f.giveWhole(f.kept)
 		return
 	}
-	if f.attempts.Ran > 0 && refusal.NotRun() {
+	if len(f.attempts.Ran) > 0 && refusal.NotRun() {
 		refusal = &relay.Refusal{Kind: relay.RefusedUnknownRun, Reason: refusal.Reason}
 	}
 	f.g.refuse(f.w, f.call, refusal, f)
@@ -422,7 +471,7 @@
 	}
 	f.last = "target " + culprit.Address + " answered " + strconv.Itoa(answer.Status) + ", not run"
 	f.g.refusedBy(culprit.Target)
-	f.avoid = append(f.avoid, culprit.Target)
+	f.full = append(f.full, culprit.Target)
 	return resultNotRun
 }
 
--- a/internal/daemon/repath.go
+++ b/internal/daemon/repath.go
@@ -12,22 +12,28 @@
 // 2 ms, and the answer stands still meanwhile.
 const repathLimit = 100 * time.Millisecond
 
+// repathAgain is the wait before another engine is looked for once more in the place of the
+// same one: places fall free every few hundredths of a second, and a look at each event of
+// an answer would cost as much as choosing a path.
+const repathAgain = 250 * time.Millisecond
+
 // repath has the engine that is first on a request's path go on with other engines in the
-// place of later ones. Each stage is tried once, and only once the answer has begun: a
-// request that has not is refused by its engine, and begins elsewhere.
+// place of later ones, once the answer has begun: a request that has not is refused by its
+// engine, and begins elsewhere.
 func (f *forwarding) repath(ctx context.Context, from []relay.TargetID, why string) bool {
 	f.pauseExplained = true
-	if !f.read || slices.ContainsFunc(from, func(id relay.TargetID) bool { return f.replaced[id] }) {
+	now := time.Now()
+	if !f.read || slices.ContainsFunc(from, func(id relay.TargetID) bool { return now.Before(f.replaceAt[id]) }) {
 		return false
 	}
-	if f.replaced == nil {
-		f.replaced = make(map[relay.TargetID]bool)
+	if f.replaceAt == nil {
+		f.replaceAt = make(map[relay.TargetID]time.Time)
 	}
 	for _, id := range from {
-		f.replaced[id] = true
+		f.replaceAt[id] = now.Add(repathAgain)
 	}
 	f.g.mu.Lock()
-	path, ok := f.g.router.Substitute(f.lastPath, from, time.Now())
+	path, ok := f.g.router.Substitute(f.lastPath, from, now)
 	f.g.mu.Unlock()
 	if !ok {
 		return false
--- a/internal/relay/ask.go
+++ b/internal/relay/ask.go
@@ -1,5 +1,7 @@
 package relay
 
+import "slices"
+
 // Ask is what a path is wanted for.
 type Ask struct {
 	Route *Route
@@ -10,6 +12,9 @@
 	Prompt, Most, Hint int
 	// Avoid lists targets that have failed this request.
 	Avoid []TargetID
+	// Only lists the targets that it may begin on, also where they have failed it; empty
+	// for any.
+	Only []TargetID
 	// Begun says that the caller has a part of the answer already.
 	Begun bool
 	// Resumed says that the caller has a part of it, from this answer or one before.
@@ -44,3 +49,13 @@
 
 // held returns the tokens of memory that the request takes, on average.
 func (a Ask) held() int { return a.Prompt + int(heldShare*float64(a.answer)) }
+
+// avoids reports whether the request may not pass a target.
+func (a Ask) avoids(id TargetID) bool {
+	return slices.Contains(a.Avoid, id) && !slices.Contains(a.Only, id)
+}
+
+// mayBegin reports whether the request may begin on a target.
+func (a Ask) mayBegin(id TargetID) bool {
+	return len(a.Only) == 0 || slices.Contains(a.Only, id)
+}
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -25,7 +25,11 @@
 	budgetCaution = 0.95
 	// notBegunShare is the part of a VM's own budget for requests whose callers have got
 	// nothing yet: they can be told to come back, and a stream in the middle can't.
-	notBegunShare = 0.6
+	// pooledNotBegunShare is that of what all VMs have together, which is divided more
+	// finely: what is kept back covers the loss of an engine that 130 streams pass, of a
+	// bound of 900.
+	notBegunShare       = 0.6
+	pooledNotBegunShare = 0.85
 	// youngShare is the part of the fixed number that a process has at its start; it
 	// grows to the whole within a window. What the process before it on this VM has
 	// spent is not known.
@@ -118,10 +122,14 @@
 	return total
 }
 
-// spendOfSums takes one repeat, if what all VMs have left has it.
-func (b *budget) spendOfSums(now time.Time, t BudgetTerms, spent Spent, heard, vms int) bool {
+// spendOfSums takes one repeat, if what all VMs have left has it. Whole says that it may
+// take the last one.
+func (b *budget) spendOfSums(now time.Time, t BudgetTerms, spent Spent, heard, vms int, whole bool) bool {
 	known := float64(max(vms, heard, 1))
 	allowed := budgetCaution * (t.Share*float64(spent.Requests) + t.Fixed*float64(heard)/known)
+	if !whole {
+		allowed *= pooledNotBegunShare
+	}
 	part := (allowed - float64(spent.Repeats)) / float64(max(heard, 1))
 	if float64(b.recent.total(now, sumsKept)+1) > part {
 		return false
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -143,7 +143,22 @@
 	candidates := r.candidates(s, a, engines, now)
 	reached := make([]reach, e.Layers+1)
 	reached[0].ok = true
-	ends := bordersOf(e, candidates)
+	whole := config.Range{Last: e.Layers}
+	r.span(e, a, candidates, whole, reached)
+	if !reached[e.Layers].ok {
+		return Path{}, 0, false
+	}
+	stages, changes := stagesTo(reached, whole)
+	if changes > 0 && !a.Begun && r.changing+changes > r.changesMost(e) {
+		return Path{}, 0, false
+	}
+	return Path{Service: s.Name, Stages: stages, tokens: a.held(), prompt: a.Prompt, changes: changes, pass: reached[e.Layers].pass}, time.Duration(reached[e.Layers].cost), true
+}
+
+// span finds the best ways from the beginning of some layers, which is reached, to each
+// position within them.
+func (r *Router) span(e *Engine, a Ask, candidates []candidate, layers config.Range, reached []reach) {
+	ends := bordersOf(e, candidates, layers)
 	for _, at := range ends {
 		if !reached[at].ok {
 			continue
@@ -152,28 +167,20 @@
 			r.extend(e, a, &candidates[i], at, ends, reached)
 		}
 	}
-	if !reached[e.Layers].ok {
-		return Path{}, 0, false
-	}
-	stages, changes := stagesTo(reached, e.Layers)
-	if changes > 0 && !a.Begun && r.changing+changes > r.changesMost(e) {
-		return Path{}, 0, false
-	}
-	return Path{Service: s.Name, Stages: stages, tokens: a.held(), prompt: a.Prompt, changes: changes, pass: reached[e.Layers].pass}, time.Duration(reached[e.Layers].cost), true
 }
 
 // bordersOf returns the positions at which a path may pass from one engine to the
-// next, sorted: where the layers of an engine begin or end.
-func bordersOf(e *Engine, candidates []candidate) []int {
+// next within some layers, sorted: where the layers of an engine begin or end.
+func bordersOf(e *Engine, candidates []candidate, layers config.Range) []int {
 	is := make([]bool, e.Layers+1)
-	is[0], is[e.Layers] = true, true
+	is[layers.First], is[layers.Last] = true, true
 	for i := range candidates {
 		is[candidates[i].Layers.First] = true
 		is[candidates[i].Layers.Last] = true
 	}
 	var borders []int
-	for at, border := range is {
-		if border {
+	for at := layers.First; at <= layers.Last; at++ {
+		if is[at] {
 			borders = append(borders, at)
 		}
 	}
@@ -192,7 +199,7 @@
 		kind = kind.Slowed(t.slowdown(now))
 		c := r.costsOf(e, kind, a, t)
 		c.layersMost = r.layersMost(e, kind, a, t)
-		c.mayBegin = r.load(t).Requests < e.Slots && t.own.Requests < r.connLimit(s)
+		c.mayBegin = a.mayBegin(t.ID) && r.load(t).Requests < e.Slots && t.own.Requests < r.connLimit(s)
 		c.suspect = t.silent || now.Before(t.suspectUntil)
 		if c.layersMost > 0 {
 			out = append(out, c)
@@ -336,13 +343,13 @@
 	return time.Duration(pipeCaution * once)
 }
 
-// stagesTo follows the best way to a position back to its beginning, and counts
+// stagesTo follows the best way over some layers back to its beginning, and counts
 // the changes of halls on it. An engine that the way leaves and comes back to runs the
 // layers between itself: it holds them, and a path names no engine twice.
-func stagesTo(reached []reach, at int) (stages []Stage, changes int) {
+func stagesTo(reached []reach, layers config.Range) (stages []Stage, changes int) {
 	var hops []reach
 	var ends []int
-	for at > 0 {
+	for at := layers.Last; at > layers.First; {
 		hops = append(hops, reached[at])
 		ends = append(ends, at)
 		at = reached[at].from
--- a/internal/relay/repeat_test.go
+++ b/internal/relay/repeat_test.go
@@ -14,18 +14,21 @@
 func TestWhatWasNotSentIsNoRepeat(t *testing.T) {
 	r, route := newRouter(engines(today))
 	r.TakeVMs(100000)
-	_, reason := r.MayRepeat(relay.Attempts{Route: route, Service: "s", Asked: 1, Sent: 1, Reached: true}, start)
-	require.Equal(t, "the budget of repeats is used up", reason)
-	ok, reason := r.MayRepeat(relay.Attempts{Route: route, Service: "s", Asked: 1}, start)
-	require.True(t, ok, reason)
-	ok, _ = r.MayRepeat(relay.Attempts{Route: route, Service: "s", Asked: 4}, start)
-	require.False(t, ok, "not without end")
+	denial := r.MayRepeat(relay.Attempts{Route: route, Service: "s", Asked: 1, Sent: 1, Reached: true}, start)
+	require.Equal(t, relay.DeniedBudget, denial)
+	require.Equal(t, "the budget of repeats is used up", denial.String())
+	denial = r.MayRepeat(relay.Attempts{Route: route, Service: "s", Asked: 1}, start)
+	require.Equal(t, relay.NotDenied, denial)
+	denial = r.MayRepeat(relay.Attempts{Route: route, Service: "s", Asked: 4}, start)
+	require.Equal(t, relay.DeniedAsked, denial, "not without end")
 }
 
 func TestWhoMayBeAskedAgain(t *testing.T) {
 	once := relay.Route{Repeat: relay.RepeatNever, MaxTargets: 1}
 	never := relay.Route{Repeat: relay.RepeatNever, MaxTargets: 3}
 	resume := relay.Route{Repeat: relay.RepeatResume, MaxTargets: 2}
+	one := []relay.TargetID{"i-1"}
+	twice := []relay.TargetID{"i-1", "i-2"}
 	tests := []struct {
 		name     string
 		attempts relay.Attempts
@@ -34,17 +37,19 @@
 		{"one target allowed, not reached", relay.Attempts{Route: &once, Asked: 1}, true},
 		{"one target allowed, refused by it", relay.Attempts{Route: &once, Asked: 1, Sent: 1, Reached: true}, false},
 		{"may run once, refused", relay.Attempts{Route: &never, Asked: 1, Sent: 1, Reached: true}, true},
-		{"may run once, may have run", relay.Attempts{Route: &never, Asked: 1, Sent: 1, Ran: 1, Reached: true}, false},
-		{"may run once, may have run, then not reached", relay.Attempts{Route: &never, Asked: 2, Sent: 1, Ran: 1}, false},
-		{"resumes, ran once", relay.Attempts{Route: &resume, Asked: 1, Sent: 1, Ran: 1, Reached: true}, true},
-		{"resumes, ran twice", relay.Attempts{Route: &resume, Asked: 2, Sent: 2, Ran: 2, Reached: true}, false},
+		{"may run once, may have run", relay.Attempts{Route: &never, Asked: 1, Sent: 1, Ran: one, Reached: true}, false},
+		{"may run once, may have run, then not reached", relay.Attempts{Route: &never, Asked: 2, Sent: 1, Ran: one}, false},
+		{"resumes, ran once", relay.Attempts{Route: &resume, Asked: 1, Sent: 1, Ran: one, Reached: true}, true},
+		{"resumes, ran twice", relay.Attempts{Route: &resume, Asked: 2, Sent: 2, Ran: twice, Reached: true}, false},
+		{"resumes, asked by many in vain", relay.Attempts{Route: &resume, Asked: 5, Sent: 5, Ran: one, Reached: true}, false},
+		{"in the middle, asked by many in vain", relay.Attempts{Route: &resume, Asked: 5, Sent: 5, Ran: one, Begun: true, Reached: true}, true},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			r, _ := newRouter(engines(today))
 			test.attempts.Service = "s"
-			ok, _ := r.MayRepeat(test.attempts, start.Add(time.Second))
-			require.Equal(t, test.may, ok)
+			denial := r.MayRepeat(test.attempts, start.Add(time.Second))
+			require.Equal(t, test.may, denial == relay.NotDenied, denial)
 		})
 	}
 }
@@ -53,13 +58,51 @@
 // had no repeat left: it could not go on elsewhere, and its caller lost it.
 func TestWhetherItCouldBeRepeatedIsKnownBeforeATryIsGivenUp(t *testing.T) {
 	r, route := newRouter(engines(today))
-	sent := relay.Attempts{Route: route, Service: "s", Asked: 1, Sent: 1, Ran: 1, Reached: true, Begun: true}
+	sent := relay.Attempts{Route: route, Service: "s", Asked: 1, Sent: 1, Ran: []relay.TargetID{"i-1"}, Reached: true, Begun: true}
 	for range 1000 {
 		require.True(t, r.CouldRepeat(sent, start), "to look takes nothing")
 	}
 	r.TakeVMs(100000)
 	require.False(t, r.CouldRepeat(sent, start))
 	ran := sent
-	ran.Asked, ran.Sent, ran.Ran = 2, 2, 2
-	require.False(t, r.CouldRepeat(ran, start), "its route allows two targets")
+	ran.Begun = false
+	ran.Asked, ran.Sent, ran.Ran = 2, 2, []relay.TargetID{"i-1", "i-2"}
+	require.Equal(t, relay.DeniedRoute, r.MayRepeat(ran, start), "its route allows two targets")
+}
+
+// A day that replaced 16 engines one after the other: requests that had not begun took the
+// budget as they were refused by full engines, 997 times in 34 s, and 26 streams that broke
+// off in the middle were cut for want of it.
+func TestStreamsInTheMiddleHaveBudgetThatOthersMayNotTake(t *testing.T) {
+	r, _ := newRouter(nil)
+	r.TakeVMs(10)
+	r.TakeSpent(map[string]relay.Spent{"s": {Requests: 1000, Repeats: 340}}, 10, start)
+	granted := 0
+	for r.Repeat("s", false, start) {
+		granted++
+	}
+	require.Zero(t, granted, "340 of 400 are used, and a request that has not begun can come back")
+	for r.Repeat("s", true, start) {
+		granted++
+	}
+	require.Equal(t, 4, granted, "a tenth of what is left")
+}
+
+// An answer in the middle that has run on as many targets as its route allows goes on with
+// those: 5 of 26 that were cut had no other way.
+func TestAnAnswerInTheMiddleGoesOnWithTargetsThatRanIt(t *testing.T) {
+	r, route := newRouter(nil)
+	r.TakeTargets(twoOfEach())
+	ran := relay.Attempts{Route: route, Service: "s", Ran: []relay.TargetID{"a-large-0"}, Begun: true}
+	require.Empty(t, r.OnlyOn(ran), "one target more is allowed")
+	ran.Ran = []relay.TargetID{"a-large-0", "a-large-3"}
+	only := r.OnlyOn(ran)
+	require.Equal(t, ran.Ran, only)
+	a := ask(route)
+	a.Avoid = []relay.TargetID{"a-large-0"}
+	a.Only = []relay.TargetID{"a-large-0"}
+	require.Equal(t, relay.TargetID("a-large-0"), choose(t, r, a, start).First().Target, "also where it broke off")
+
+	r.TakeMarks(map[relay.TargetKey]relay.Mark{relay.TargetID("a-large-3").Key(): relay.MarkSilent}, true)
+	require.Empty(t, r.OnlyOn(ran), "one that has ended does not count")
 }
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -339,10 +339,10 @@
 // Repeat takes a repeat from the budget of a service. Begun says that the caller
 // has a part of its answer.
 func (r *Router) Repeat(service string, begun bool, now time.Time) bool {
+	whole := begun || !r.settings.Policy.Has(RepeatShares)
 	if now.Before(r.sums.until) && r.settings.Policy.Has(PooledRepeats) {
-		return r.budget(service).spendOfSums(now, r.settings.Budget, r.sums.spent[service], r.sums.vms, r.vms)
+		return r.budget(service).spendOfSums(now, r.settings.Budget, r.sums.spent[service], r.sums.vms, r.vms, whole)
 	}
-	whole := begun || !r.settings.Policy.Has(RepeatShares)
 	return r.budget(service).spend(now, r.settings.Budget, r.vms, now.Sub(r.settings.Started), whole)
 }
 
@@ -456,7 +456,7 @@
 func (r *Router) usable(service string, a Ask, now time.Time, suspects bool) []*target {
 	var usable []*target
 	for _, t := range r.members[service] {
-		if !t.Takes() || t.silent || t.moving || now.Before(t.fullUntil) || slices.Contains(a.Avoid, t.ID) {
+		if !t.Takes() || t.silent || t.moving || now.Before(t.fullUntil) || a.avoids(t.ID) {
 			continue
 		}
 		if !suspects && now.Before(t.suspectUntil) {
--- a/internal/relay/substitute.go
+++ b/internal/relay/substitute.go
@@ -12,6 +12,9 @@
 // stages keep what they have. A run that begins anew reads them through all stages, costs
 // a repeat, and loses the pause until then.
 
+// stagesMost bounds the stages of a path that an engine takes.
+const stagesMost = 32
+
 // Substitute returns a path with other engines in the place of some of its later stages,
 // and counts the request as under way on it in place of the path given. The engines are of
 // the same hall, since a stage elsewhere crosses the pipes twice with each token.
@@ -31,12 +34,18 @@
 		if at <= 0 {
 			return Path{}, false
 		}
-		best := r.standIn(s, Ask{Prompt: p.tokens, Avoid: avoid}, p.Stages[at], p.Stages[0].hall, now)
-		if best == nil {
+		stages := r.standIns(s, Ask{Prompt: p.tokens, Avoid: avoid, answer: 1}, p.Stages[at], p.Stages[0], now)
+		if len(stages) == 0 {
 			return Path{}, false
 		}
-		avoid = append(avoid, best.ID)
-		next.Stages[at] = Stage{Target: best.ID, Address: best.Address, Layers: p.Stages[at].Layers, hall: best.Hall}
+		for _, stage := range stages {
+			avoid = append(avoid, stage.Target)
+		}
+		at = slices.IndexFunc(next.Stages, func(s Stage) bool { return s.Target == id })
+		next.Stages = slices.Replace(next.Stages, at, at+1, stages...)
+	}
+	if len(next.Stages) > stagesMost {
+		return Path{}, false
 	}
 	r.count(p, -1)
 	r.count(next, 1)
@@ -49,6 +58,25 @@
 	r.count(p, 1)
 }
 
+// standIns returns the stages that take the place of one: a single engine, or several that
+// hold its layers between them; none where its hall has no room. A hall whose engines hold
+// unlike ranges has several more often than one.
+func (r *Router) standIns(s *Service, a Ask, lost, first Stage, now time.Time) []Stage {
+	if best := r.standIn(s, a, lost, first.hall, now); best != nil {
+		return []Stage{{Target: best.ID, Address: best.Address, Layers: lost.Layers, hall: best.Hall}}
+	}
+	hall := slices.DeleteFunc(r.usable(s.Name, a, now, false), func(t *target) bool { return t.Hall != first.hall })
+	candidates := r.candidates(s, a, hall, now)
+	reached := make([]reach, s.Engine.Layers+1)
+	reached[lost.Layers.First] = reach{ok: true}
+	r.span(s.Engine, a, candidates, lost.Layers, reached)
+	if !reached[lost.Layers.Last].ok {
+		return nil
+	}
+	stages, _ := stagesTo(reached, lost.Layers)
+	return stages
+}
+
 // standIn draws an engine of a hall that holds the layers of a stage and has room; nil if
 // there is none. An answer stands still until its new engine has read what it has so far,
 // and when an engine dies all VMs move their answers at once: each engine is drawn with a
--- a/internal/relay/substitute_test.go
+++ b/internal/relay/substitute_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -91,3 +92,25 @@
 	require.True(t, moving)
 	require.Equal(t, path.Stages[1].Target, id)
 }
+
+// A hall of engines that hold unlike ranges had no single one for a lost stage, and its
+// answers stood still until they were cut.
+func TestSeveralEnginesTakeThePlaceOfOne(t *testing.T) {
+	r, route := newRouter(nil)
+	first := config.Range{First: 0, Last: 30}
+	lost := config.Range{First: 30, Last: 55}
+	targets := placed("large", first, lost, config.Range{First: 55, Last: 80},
+		config.Range{First: 25, Last: 40}, config.Range{First: 40, Last: 60})
+	r.TakeTargets(targets)
+	r.Failed(targets[3].ID, true, start)
+	path := choose(t, r, ask(route), start)
+	require.Equal(t, lost, path.Stages[1].Layers)
+	later := start.Add(time.Second)
+	next, ok := r.Substitute(path, []relay.TargetID{path.Stages[1].Target}, later)
+	require.True(t, ok)
+	requireWhole(t, next)
+	require.Len(t, next.Stages, 4)
+	require.Equal(t, path.First(), next.First())
+	r.Release(next, false)
+	require.Empty(t, r.Own())
+}
