daemon, core: what control costs is logged by kind

Change: bytes of messages by kind and time of steps by event are counted and logged every 5 s; a step of over 20 ms has a line.

--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"reflect"
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/core/config"
@@ -48,6 +49,17 @@
 	Begin       *Begin         `cbor:"begin,omitempty"`
 }
 
+// Kind names the one field that is set, for logs and metrics.
+func (m Message) Kind() string {
+	v := reflect.ValueOf(m)
+	for i := range v.NumField() {
+		if !v.Field(i).IsNil() {
+			return v.Type().Field(i).Name
+		}
+	}
+	return "none"
+}
+
 // Vote asks for a vote, or, with Pre, whether one would be given.
 type Vote struct {
 	Term      Term  `cbor:"term"`
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -274,6 +274,7 @@
 	d.log.Info("daemon starts", "name", d.settings.Name, "hall", d.settings.Hall, "roles", d.settings.Roles, "policy", d.settings.Policy.Relay().String())
 	d.tomb.Go(d.loop)
 	d.tomb.Go(d.tickLoop)
+	d.tomb.Go(d.metrics.traffic.loop)
 	if d.folder != nil {
 		d.tomb.Go(d.diskLoop)
 		d.tomb.Go(d.hintsLoop)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -27,6 +27,7 @@
 	tokens   metric.Int64Counter
 	answers  metric.Int64Counter
 	byEvent  map[string]metric.MeasurementOption
+	traffic  *traffic
 }
 
 func newMetrics(d *Daemon) (*metrics, error) {
@@ -49,6 +50,9 @@
 	if m.answers, err = meter.Int64Counter("spoolbank.answers"); err != nil {
 		return nil, err
 	}
+	if m.traffic, err = newTraffic(d, meter); err != nil {
+		return nil, err
+	}
 	return m, d.observe(meter)
 }
 
@@ -111,6 +115,7 @@
 		m.byEvent[name] = option
 	}
 	m.steps.Record(context.Background(), took.Seconds(), option)
+	m.traffic.stepped(event, took)
 }
 
 var (
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -175,7 +175,7 @@
 	}
 	for e := first; ; {
 		d.metrics.sent()
-		if err := stream.MsgSend(e, wire.Encoding{}); err != nil {
+		if err := stream.MsgSend(e, counted{note: d.metrics.traffic.sentMessage}); err != nil {
 			return err
 		}
 		select {
@@ -211,7 +211,7 @@
 	name, secure := wire.PeerName(stream.Context())
 	for {
 		var e core.Envelope
-		if err := stream.MsgRecv(&e, wire.Encoding{}); err != nil {
+		if err := stream.MsgRecv(&e, counted{note: s.daemon.metrics.traffic.tookMessage}); err != nil {
 			return err
 		}
 		if secure && string(e.From.VM) != name {
--- /dev/null
+++ b/internal/daemon/traffic.go
@@ -0,0 +1,168 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+	"storj.io/drpc"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/wire"
+)
+
+// This file says what control costs a process: the bytes of messages to and from other VMs
+// by kind, and the time that the Node takes by event. Both are counted, and logged in short
+// now and then, so that a log alone shows which kind has grown.
+
+const (
+	// trafficEvery is the interval of the log line: a line costs some 0.1 ms, and what
+	// control costs changes over seconds.
+	trafficEvery = 5 * time.Second
+	// trafficKinds bounds the kinds that a line names, those that cost most first.
+	trafficKinds = 6
+	// stepSlow is the time of a step of the Node that is logged by itself: leases are
+	// renewed every 0.5 s and votes asked for after as much, so that few such steps delay
+	// both.
+	stepSlow = 20 * time.Millisecond
+)
+
+// tally is how often something came, and what it cost: bytes or nanoseconds.
+type tally struct {
+	count int
+	cost  int64
+}
+
+// traffic counts what control costs since the last line.
+type traffic struct {
+	daemon *Daemon
+	bytes  metric.Int64Counter
+	mu     sync.Mutex
+	sent   map[string]tally
+	taken  map[string]tally
+	steps  map[string]tally
+}
+
+func newTraffic(d *Daemon, meter metric.Meter) (*traffic, error) {
+	bytes, err := meter.Int64Counter("spoolbank.peer.bytes", metric.WithUnit("By"))
+	if err != nil {
+		return nil, err
+	}
+	t := &traffic{daemon: d, bytes: bytes}
+	t.reset()
+	return t, nil
+}
+
+func (t *traffic) reset() {
+	t.sent, t.taken, t.steps = make(map[string]tally), make(map[string]tally), make(map[string]tally)
+}
+
+func add(to map[string]tally, kind string, cost int64) {
+	next := to[kind]
+	next.count++
+	next.cost += cost
+	to[kind] = next
+}
+
+// sentMessage notes a message to another VM.
+func (t *traffic) sentMessage(kind string, bytes int) {
+	t.bytes.Add(context.Background(), int64(bytes), metric.WithAttributes(attribute.String("way", "sent"), attribute.String("kind", kind)))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	add(t.sent, kind, int64(bytes))
+}
+
+// tookMessage notes a message from another VM.
+func (t *traffic) tookMessage(kind string, bytes int) {
+	t.bytes.Add(context.Background(), int64(bytes), metric.WithAttributes(attribute.String("way", "received"), attribute.String("kind", kind)))
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	add(t.taken, kind, int64(bytes))
+}
+
+// stepped notes a step of the Node. One that is slow is logged.
+func (t *traffic) stepped(event core.Event, took time.Duration) {
+	kind := stepKind(event)
+	t.mu.Lock()
+	add(t.steps, kind, int64(took))
+	t.mu.Unlock()
+	if took >= stepSlow {
+		t.daemon.log.Info("step is slow", "event", kind, "took_ms", took.Milliseconds())
+	}
+}
+
+// stepKind names an event, and for one that is a message its kind.
+func stepKind(event core.Event) string {
+	if r, ok := event.(core.Received); ok {
+		return r.Envelope.Body.Kind()
+	}
+	return strings.TrimPrefix(fmt.Sprintf("%T", event), "core.")
+}
+
+// loop logs what control has cost until the daemon ends.
+func (t *traffic) loop() error {
+	ticker := time.NewTicker(trafficEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			t.log()
+		case <-t.daemon.tomb.Dying():
+			return nil
+		}
+	}
+}
+
+func (t *traffic) log() {
+	t.mu.Lock()
+	sent, taken, steps := t.sent, t.taken, t.steps
+	t.reset()
+	t.mu.Unlock()
+	t.daemon.log.Info("cost of control", "sent_bytes", most(sent, 1), "received_bytes", most(taken, 1), "steps_us", most(steps, int64(time.Microsecond)))
+}
+
+// most returns the kinds that cost most as KIND=COUNT/COST, and the sum.
+func most(tallies map[string]tally, unit int64) string {
+	kinds := make([]string, 0, len(tallies))
+	sum := tally{}
+	for kind, t := range tallies {
+		kinds = append(kinds, kind)
+		sum.count += t.count
+		sum.cost += t.cost
+	}
+	sort.Slice(kinds, func(i, j int) bool { return tallies[kinds[i]].cost > tallies[kinds[j]].cost })
+	parts := []string{fmt.Sprintf("all=%d/%d", sum.count, sum.cost/unit)}
+	for _, kind := range kinds[:min(len(kinds), trafficKinds)] {
+		parts = append(parts, fmt.Sprintf("%s=%d/%d", kind, tallies[kind].count, tallies[kind].cost/unit))
+	}
+	return strings.Join(parts, " ")
+}
+
+// counted is the encoding of messages on a link, which notes their sizes.
+type counted struct {
+	wire.Encoding
+	note func(kind string, bytes int)
+}
+
+// Marshal implements drpc.Encoding.
+func (c counted) Marshal(msg drpc.Message) ([]byte, error) {
+	data, err := c.Encoding.Marshal(msg)
+	if e, ok := msg.(*core.Envelope); ok && err == nil {
+		c.note(e.Body.Kind(), len(data))
+	}
+	return data, err
+}
+
+// Unmarshal implements drpc.Encoding.
+func (c counted) Unmarshal(data []byte, msg drpc.Message) error {
+	err := c.Encoding.Unmarshal(data, msg)
+	if e, ok := msg.(*core.Envelope); ok && err == nil {
+		c.note(e.Body.Kind(), len(data))
+	}
+	return err
+}
