relay, daemon: only targets that have ended are left out of those that ran a request

Change: a target that ran a request counts until it has signed off, or two connections in a row to it have not come about.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -66,6 +66,9 @@
 	wholeLimit = 256 << 10
 	// eventBuffer is the size of reads from a stream, in bytes.
 	eventBuffer = 4 << 10
+	// unreachedEnded is the connections in a row that must not come about for a target to
+	// count as ended: one may be lost where all VMs connect at once.
+	unreachedEnded = 2
 	// resumePause is the wait between two looks for a room, or a repeat, that a broken
 	// stream can go on with: a place falls free every few hundredths of a second.
 	resumePause = 30 * time.Millisecond
@@ -113,6 +116,8 @@
 	after string
 	// kept is a failed answer that is given if no other target does better.
 	kept *wholeAnswer
+	// unreached counts by target how often no connection came about.
+	unreached map[relay.TargetID]int
 	// last is what the last try ended with, for the log.
 	last     string
 	lastPath relay.Path
@@ -312,6 +317,12 @@
 
 // noteAttempt takes what became of a try.
 func (f *forwarding) noteAttempt(r result, path relay.Path) {
+	if r == resultNotSent {
+		if f.unreached == nil {
+			f.unreached = make(map[relay.TargetID]int)
+		}
+		f.unreached[path.First().Target]++
+	}
 	f.attempts = f.attemptsAfter(r, path)
 }
 
@@ -323,8 +334,12 @@
 	if a.Reached {
 		a.Sent++
 	}
-	if first := path.First().Target; r == resultBroken && !slices.Contains(a.Ran, first) {
+	first := path.First().Target
+	switch {
+	case r == resultBroken && !slices.Contains(a.Ran, first):
 		a.Ran = append(slices.Clone(a.Ran), first)
+	case f.unreached[first] >= unreachedEnded:
+		a.Ran = slices.DeleteFunc(slices.Clone(a.Ran), func(id relay.TargetID) bool { return id == first })
 	}
 	a.Route, a.Service, a.Begun = f.route, f.service, f.begun
 	return a
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -11,7 +11,8 @@
 	// Asked counts the targets that were tried in vain, and Sent those of them that a byte
 	// of the request went to.
 	Asked, Sent int
-	// Ran holds the targets that may have run it, each once.
+	// Ran holds the targets that may have run it, each once, without those that were found
+	// to have ended since.
 	Ran []TargetID
 	// Reached says that the last one is among Sent.
 	Reached bool
@@ -82,14 +83,15 @@
 
 // OnlyOn returns the targets that a request may still begin on; nil for any. A request may
 // run on as many targets as its route allows, and an answer in the middle goes on with
-// those that it has run on. Targets that have ended since do not count.
+// those that it has run on. Those that have signed off since do not count; one that is
+// silent, or that VMs find dead, may live.
 func (r *Router) OnlyOn(a Attempts) []TargetID {
 	if len(a.Ran) == 0 {
 		return nil
 	}
 	var live []TargetID
 	for _, id := range a.Ran {
-		if t, ok := r.targets[id]; ok && !t.Gone && !t.silent {
+		if t, ok := r.targets[id]; ok && !t.Gone {
 			live = append(live, id)
 		}
 	}
--- a/internal/relay/repeat_test.go
+++ b/internal/relay/repeat_test.go
@@ -103,6 +103,9 @@
 	a.Only = []relay.TargetID{"a-large-0"}
 	require.Equal(t, relay.TargetID("a-large-0"), choose(t, r, a, start).First().Target, "also where it broke off")
 
-	r.TakeMarks(map[relay.TargetKey]relay.Mark{relay.TargetID("a-large-3").Key(): relay.MarkSilent}, true)
-	require.Empty(t, r.OnlyOn(ran), "one that has ended does not count")
+	r.TakeMarks(map[relay.TargetKey]relay.Mark{relay.TargetID("a-large-0").Key(): relay.MarkSilent}, true)
+	require.Equal(t, ran.Ran, r.OnlyOn(ran), "one that VMs find dead may live")
+	require.Equal(t, relay.TargetID("a-large-0"), choose(t, r, a, start).First().Target, "and is asked")
+	r.TakeTargets([]relay.Target{{ID: "a-large-3", Call: 9, Leaving: true, Gone: true}})
+	require.Empty(t, r.OnlyOn(ran), "one that has signed off does not count")
 }
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -456,7 +456,7 @@
 func (r *Router) usable(service string, a Ask, now time.Time, suspects bool) []*target {
 	var usable []*target
 	for _, t := range r.members[service] {
-		if !t.Takes() || t.silent || t.moving || now.Before(t.fullUntil) || a.avoids(t.ID) {
+		if !t.Takes() || t.silent && !slices.Contains(a.Only, t.ID) || t.moving || now.Before(t.fullUntil) || a.avoids(t.ID) {
 			continue
 		}
 		if !suspects && now.Before(t.suspectUntil) {
