core, cmd: the leader tells what a plan bears; `spoolbank bound`

Cause: nobody could see what a plan was made with or what it bears, and a cost model that can't be planned with was silent: no plan, no word.

Change: once a plan the leader notes the engines by kind, the answers in progress and a second that it bears, the usual sizes, and the rate without the three engines whose loss costs most; gauges spoolbank.plan.answers and spoolbank.plan.rate say what the layers bear that engines hold, each second. Faults of a cost model are noted with their field when they change; the plan of before stands. `spoolbank bound FILE` says what any plan for a fleet could hold at most, by memory and by work, beside what the plan holds, with losses and at a rate.

Tests: the two notes, a faulty document that moves nothing, the command on three kinds of fleets and on bad files. Seen red: a note for each look while engines register.

--- a/cmd/spoolbank/cmd/root.go
+++ b/cmd/spoolbank/cmd/root.go
@@ -64,7 +64,7 @@
 		ShortHelp: "ask and command a spoolbank deployment",
 		Flags:     r.flags,
 		Subcommands: []*ff.Command{
-			r.runCommand(), r.applyCommand(), r.dumpCommand(), r.logCommand(), r.keyCommand(), r.policyCommand(), r.helpCommand(),
+			r.runCommand(), r.applyCommand(), r.dumpCommand(), r.logCommand(), r.keyCommand(), r.policyCommand(), r.boundCommand(), r.helpCommand(),
 		},
 		Exec: func(context.Context, []string) error {
 			return &exitError{exitUsage, errors.New("no subcommand; `spoolbank help` shows examples")}
--- a/internal/core/halls_test.go
+++ b/internal/core/halls_test.go
@@ -18,6 +18,8 @@
 // hallFleet is a fleet of control and entry VMs in data halls, whose messages take a tick
 // and whose disks take no time.
 type hallFleet struct {
+	// notes is what VMs have noted for their logs.
+	notes []core.Note
 	t     require.TestingT
 	now   time.Time
 	nodes map[core.VMName]*core.Node
@@ -169,6 +171,8 @@
 			f.takeFleet(vm, e)
 		case core.OrderLayers:
 			f.orders = append(f.orders, givenOrder{OrderLayers: e, by: vm})
+		case core.Note:
+			f.notes = append(f.notes, e)
 		}
 	}
 	if synced > 0 {
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -81,8 +81,20 @@
 	// first plan may be made.
 	known     int
 	settledAt time.Time
+	// told is what was last noted of a service's plan and faults, holds what the layers
+	// that engines hold bear, and holdsAt when that is worked out again.
+	told    map[string]planNotes
+	holds   map[string]relay.Capacity
+	holdsAt time.Time
 }
 
+// planNotes is what was last noted of a service: each is noted again when it changes.
+type planNotes struct{ faults, plan string }
+
+// holdsEvery is the interval between two looks at what the layers that engines hold bear:
+// the figure is for operators, who look at it every few seconds.
+const holdsEvery = time.Second
+
 type layerOrder struct {
 	layers config.Range
 	// until is when it is taken to have come to nothing.
@@ -114,9 +126,11 @@
 		p.settledAt = n.now.Add(placeSettle)
 	}
 	p.known = max(p.known, len(engines))
+	n.lookAtHolds(s, engines)
 	if !holding && n.now.Before(p.settledAt) {
 		return
 	}
+	n.noteFaults(s, engines)
 	n.orderSome(s, n.assignments(s, engines, holding))
 }
 
@@ -127,6 +141,7 @@
 	p := &n.leading.placing
 	if !holding {
 		p.queued[s.Name] = n.settings.Policy.Plan(s.Engine, engines)
+		n.notePlan(s, engines, p.queued[s.Name])
 	}
 	empty := make(map[relay.TargetID]bool)
 	for _, t := range engines {
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -46,6 +46,10 @@
 	View          int             `json:"entry_vms"`
 	Stopping      bool            `json:"stopping"`
 	Violations    int             `json:"violations"`
+	// PlanAnswers and PlanRate are the answers in progress and a second that the layers bear
+	// which engines hold, as the leader works them out; 0 elsewhere.
+	PlanAnswers int `json:"plan_answers"`
+	PlanRate    int `json:"plan_answers_per_s"`
 	// Policy names the mechanisms that are switched off.
 	Policy string `json:"policy"`
 }
@@ -67,6 +71,8 @@
 		Load: n.load(), View: len(n.entry.view), Violations: len(n.Check()),
 		Policy: n.settings.Policy.String(),
 	}
+	answers, rate := n.planHolds()
+	s.PlanAnswers, s.PlanRate = int(answers), int(rate)
 	for _, p := range n.entry.pools {
 		s.Queued += p.queue.length
 	}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -76,6 +76,8 @@
 		"spoolbank.entry.streams":       func(s core.Status) int64 { return int64(s.Streams) },
 		"spoolbank.entry.calls":         func(s core.Status) int64 { return int64(s.Calls) },
 		"spoolbank.entry.queued":        func(s core.Status) int64 { return int64(s.Queued) },
+		"spoolbank.plan.answers":        func(s core.Status) int64 { return int64(s.PlanAnswers) },
+		"spoolbank.plan.rate":           func(s core.Status) int64 { return int64(s.PlanRate) },
 		"spoolbank.invariant.violation": func(s core.Status) int64 { return int64(s.Violations) },
 	} {
 		if err := add(name, value); err != nil {
