relay: a bound on the rate that counts the load of steps

Change: each engine counts with the layers that are best for it, and with the steps of all the answers that these leave memory for; by the inequality of Cauchy and Schwarz no plan bears more than their sum.

--- a/internal/relay/bound.go
+++ b/internal/relay/bound.go
@@ -9,17 +9,20 @@
 // This file says what any plan of a fleet could hold at most.
 //
 // Answers in progress are bounded by the memory that is left beside one copy of the
-// weights. Let M be the answers that the engines of one kind have memory for over all
-// layers, and D the time of an answer that runs on this kind alone. A path that runs a
-// part x of its layers on each kind takes the sum of x*D, and the memory of each kind in
-// the part x for that long; so each answer takes the sum of x/D, over the kinds, times that
-// time of the sum of M/D, and by the inequality of Cauchy and Schwarz that is at least 1.
-// No plan bears more than the sum of M/D answers a second, and chains of like engines come
-// nearest to it. Engines also work for each token that they write or read, however many
-// answers share a pass, which bounds the rate for itself.
+// weights. For the rate, let an engine hold n of L layers and memory for b answers, and let
+// D be the time of an answer that ran on engines like it alone, with b on each. An answer
+// takes memory on all engines of its path for the mean of their D, weighted by their parts
+// of the layers; so it takes the sum of part/D over its engines for that long, which by the
+// inequality of Cauchy and Schwarz is at least 1. The engines together have the sum of
+// n*b/(L*D), and no plan bears more answers a second. Few layers leave memory for many
+// answers, which make steps long; of all n the best counts. Chains of like engines come
+// nearest to the bound.
 //
-// Limits: layers count as divisible, pipes and slots as without bound, and steps as with
-// one answer alone: no plan reaches the bound.
+// Engines also work for each token that they write or read, however many answers share a
+// pass, which bounds the rate for itself.
+//
+// Limits: engines count as holding what is best for themselves, whether the layers add up
+// or not, pipes and slots as without bound, and ways between engines as without time.
 
 // Most is what any plan for a fleet could hold at most.
 type Most struct {
@@ -29,40 +32,32 @@
 	// taken for, and by what engines work for each token.
 	RateByMemory float64 `json:"rate_by_memory"`
 	RateByWork   float64 `json:"rate_by_work"`
-	// Tokens is the tokens written a second, by work.
-	Tokens float64 `json:"tokens"`
 }
 
 // MostOf returns what any plan for targets could hold at most.
 func (e *Engine) MostOf(targets []Target) Most {
 	var m Most
-	spare := float64(e.Layers) * e.LayerBytes
-	kinds := e.kindsOf(targets)
-	// The copy of the weights takes the memory that is worth least.
-	slices.SortFunc(kinds, func(a, b Accelerator) int { return cmp.Compare(b.Pace, a.Pace) })
-	for _, k := range kinds {
-		left := max(k.Bytes-spare, 0)
-		spare = max(spare-k.Bytes, 0)
-		answers := left / max(e.TokenBytes*e.usual(), 1)
-		m.Answers += answers
-		m.RateByMemory += answers / max(e.timeAlone(k), 1/maxRate)
+	bytes := -float64(e.Layers) * e.LayerBytes
+	for _, k := range e.kindsOf(targets) {
+		bytes += k.Bytes
+		m.RateByMemory += e.mostRate(k)
 		m.RateByWork += 1 / max(e.workFor(k), 1/maxRate)
 	}
-	if spare > 0 {
+	if bytes < 0 {
 		return Most{}
 	}
-	m.Tokens = m.RateByWork * float64(e.UsualAnswer)
+	m.Answers = bytes / max(e.TokenBytes*e.usual(), 1)
 	return m
 }
 
-// MostAfter returns what MostOf does once the engines are lost whose memory is worth most.
+// MostAfter returns what MostOf does once the engines are lost that add most to the rate.
 func (e *Engine) MostAfter(targets []Target, losses int) Most {
-	left := slices.Clone(targets)
-	value := func(t Target) float64 {
+	rate := func(t Target) float64 {
 		kind, _ := e.accelerator(t.Accelerator)
-		return kind.Bytes / max(e.timeAlone(kind), 1/maxRate)
+		return e.mostRate(kind)
 	}
-	slices.SortStableFunc(left, func(a, b Target) int { return cmp.Compare(value(b), value(a)) })
+	left := slices.Clone(targets)
+	slices.SortStableFunc(left, func(a, b Target) int { return cmp.Compare(rate(b), rate(a)) })
 	return e.MostOf(left[min(losses, len(left)):])
 }
 
@@ -77,11 +72,16 @@
 	return kinds
 }
 
-// timeAlone is the time of an answer over all layers on one kind, in seconds, with no
-// other answer there.
-func (e *Engine) timeAlone(k Accelerator) float64 {
-	step := float64(e.StepBase) + e.perAnswer()
-	return waitShare * step * k.Pace * float64(max(e.UsualAnswer, 1)) / float64(time.Second)
+// mostRate is the most that one engine adds to the rate of answers.
+func (e *Engine) mostRate(k Accelerator) float64 {
+	most := 0.0
+	for n := 1; n <= min(e.maxLayers(k), e.Layers); n++ {
+		answers := e.answersAt(k, n)
+		step := float64(e.StepBase) + answers*e.perAnswer()
+		alone := waitShare * step * k.Pace * float64(max(e.UsualAnswer, 1)) / float64(time.Second)
+		most = max(most, float64(n)/float64(e.Layers)*answers/max(alone, 1/maxRate))
+	}
+	return most
 }
 
 // workFor is the seconds that engines of a kind work for one answer, beside others.
