--- a/internal/relay/capacity.go
+++ b/internal/relay/capacity.go
@@ -236,8 +236,9 @@
 	return total
 }
 
-// shares is the number of equal shares of the answers in progress of which each counts with
-// its own time.
+// shares is the number of equal shares of the answers in progress, each of which counts with
+// the time of its slowest answer: the rate is at most what it says, and less by no more
+// than one share's.
 const shares = 16
 
 // rateOf returns the rate at which so many answers in progress end.
@@ -257,13 +258,16 @@
 // maxRate keeps the rate of a model whose steps take no time finite, in answers a second.
 const maxRate = 1e6
 
+// rounding is how far sums of the same parts may differ.
+const rounding = 1e-9
+
 // addSteps adds the time of a step over a stretch to that of each share of the answers, of
 // which the first take the fastest engines.
 func addSteps(steps *[shares]float64, s stretch, share float64) {
 	at, upto := 0, s.rooms[0].answers
 	for k := range steps {
-		place := share * (float64(k) + 0.5)
-		for place >= upto && at+1 < len(s.rooms) {
+		place := share * float64(k+1)
+		for place > upto*(1+rounding) && at+1 < len(s.rooms) {
 			at++
 			upto += s.rooms[at].answers
 		}
