core, relay: engines load while others still register, and no more than are needed

Change: a first plan is made as soon as the engines known in each hall could hold the model eight times. A hall has enough once it would bear its part of another one's requests with half of its memory free; before, once a twentieth was in use, so that a fleet with ten times what it needs went on loading.

TestLoadsBeginWhileEnginesRegister: three copies in each hall 2.5 s after the first engine registered; 16.4 s without (seen red).

--- a/internal/core/engine_fleet_test.go
+++ b/internal/core/engine_fleet_test.go
@@ -207,6 +207,31 @@
 	require.Less(t, took, 7*time.Second)
 }
 
+// The load: 3,000 engines register at 320 a second, for as long as there is until the first
+// request. The first plan waited until no more came, 10.7 s after the first had, and 47
+// engines were ordered to load 2 s after the first request.
+func TestLoadsBeginWhileEnginesRegister(t *testing.T) {
+	f := newEngineFleet(t, hundredsFleet, 3000)
+	f.atOnce = 14
+	f.decode = func(text []byte) (*relay.Document, error) {
+		d, err := fullDocument(text)
+		d.Services[0].Engine.LoadsAtOnce = f.atOnce
+		return d, err
+	}
+	for i, id := range f.ids {
+		f.engines[id].beatAt = f.now.Add(5*time.Second + time.Second*time.Duration(i)/320)
+	}
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
+	f.run(time.Second)
+	f.put(1)
+	f.run(f.engines[f.ids[0]].beatAt.Sub(f.now))
+	took := f.until("each hall has three copies", 20*time.Second, func() bool {
+		return f.copies("hall0") >= 3 && f.copies("hall1") >= 3 && f.copies("hall2") >= 3
+	})
+	t.Logf("three copies in each hall %s after the first engine registered, and %d loads", took, f.loads)
+	require.Less(t, took, 8*time.Second, "before the last has registered")
+}
+
 // A fleet that has ten times what it is asked loads no more: each load takes a part of the
 // store from others.
 func TestAFleetThatHasEnoughLoadsNoMore(t *testing.T) {
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -127,7 +127,7 @@
 	}
 	p.known = max(p.known, len(engines))
 	n.lookAtHolds(s, engines)
-	if !holding && n.now.Before(p.settledAt) {
+	if !holding && n.now.Before(p.settledAt) && !s.Engine.MayBegin(engines) {
 		return
 	}
 	n.noteFaults(s, engines)
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -104,8 +104,7 @@
 	// OwnOnly asks for the targets that speak to the one asked: the asker has been told
 	// of all others.
 	OwnOnly bool `cbor:"own_only,omitempty"`
-	// Came says that this tells that the last news have come: it is answered only where
-	// there are more.
+	// Came says that this only tells that the last news have come.
 	Came bool `cbor:"came,omitempty"`
 	// Digest is set where the asker has been told of targets, and never by the one asked.
 	Digest relay.Digest `cbor:"digest,omitempty"`
@@ -419,7 +418,11 @@
 	if !present.takePlace(f.positionIn(n.settings.Seed), n.now) {
 		return
 	}
-	if f.Came && n.registry.targets.Change() == present.after {
+	if f.Came {
+		// What changed meanwhile goes out with the next push, with what else changes until
+		// then: told at once, each of 3,000 targets that load would be a message of its own
+		// to each follower.
+		n.registry.news = n.registry.news || n.registry.targets.Change() > present.after
 		return
 	}
 	if !f.OwnOnly {
--- a/internal/relay/spare.go
+++ b/internal/relay/spare.go
@@ -8,8 +8,13 @@
 
 const (
 	// enoughUse is the part of the memory for requests in use below which a hall has
-	// enough: it then bears twenty times what it is asked.
-	enoughUse = 0.05
+	// enough, where it would bear its part of what another hall is asked beside its own:
+	// requests come unevenly, and pauses grow with what is under way.
+	enoughUse = 0.5
+	// beginCopies is how often the engines of each hall could hold the model once a first
+	// plan need not wait for others: the engines that come later then take what the fewest
+	// hold, as those that are replaced do. A smaller fleet is planned as a whole.
+	beginCopies = 8
 	// enoughCopies is the engines that hold each layer in a hall that has enough: two may
 	// be lost.
 	enoughCopies = 3
@@ -34,17 +39,38 @@
 		return true
 	}
 	wanted := e.wantedBy(all, "")
+	use := enoughUse
+	if len(halls) > 1 {
+		use *= float64(len(halls)-1) / float64(len(halls))
+	}
 	for _, units := range halls {
-		if !e.hasEnough(units, wanted) {
+		if !e.hasEnough(units, wanted, use) {
 			return true
 		}
 	}
 	return false
 }
 
-// hasEnough reports whether a hall has enough, or could not hold the model anyway with
-// memory for so many tokens in each engine.
-func (e *Engine) hasEnough(units []unit, tokens int) bool {
+// MayBegin reports whether a first plan may be made for these engines, though more may
+// come: a fleet of thousands registers for as long as it has until the first request.
+func (e *Engine) MayBegin(targets []Target) bool {
+	layers := make(map[string]int)
+	for _, t := range targets {
+		if kind, ok := e.accelerator(t.Accelerator); ok && t.Takes() {
+			layers[t.Hall] += e.layersFor(kind, int(e.usual()))
+		}
+	}
+	for _, n := range layers {
+		if n < beginCopies*e.Layers {
+			return false
+		}
+	}
+	return len(layers) > 0
+}
+
+// hasEnough reports whether a hall has enough and uses less than a part of its memory, or
+// could not hold the model anyway with memory for so many tokens in each engine.
+func (e *Engine) hasEnough(units []unit, tokens int, use float64) bool {
 	size, used, room := 0, 0, 0
 	counts := make([]int, e.Layers)
 	for _, u := range units {
@@ -65,5 +91,5 @@
 			return false
 		}
 	}
-	return float64(used) < enoughUse*float64(room)
+	return float64(used) < use*float64(room)
 }
