core: a VM whose hall's control VMs are gone asks those of other halls next

Cause: TestAVMThatTurnsToAnotherControlVMIsToldOfLittle failed once the loads of the fleet came earlier: of 94 VMs that were cut off from the control VMs of their hall one asked these six twice, the second time among all others, sorted by name, and followed nobody for 4 s. Which VM it was hung on the phase.

Change: the control VMs of the own hall are asked once, then those of others. News that are not confirmed in time are sent again by themselves; whether news came is heard also of a follower that is served elsewhere.

--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -208,6 +208,8 @@
 	id    ReplicaID
 	after uint64
 	until time.Time
+	// came is the change that it has said it has.
+	came uint64
 	// sent is the change that what is on its way brings it to, and resendAt when that
 	// counts as lost, zero where nothing is on its way. lost counts how often in a row.
 	sent     uint64
@@ -326,6 +328,7 @@
 		n.follow()
 	}
 	n.saveTargets(false)
+	n.registry.news = n.registry.news || n.newsLost()
 	if n.registry.news && !n.now.Before(n.registry.pushAt) {
 		n.registry.news = false
 		n.registry.pushAt = n.now.Add(time.Duration(len(n.registry.followers)) * pushCost)
@@ -337,6 +340,16 @@
 	}
 }
 
+// newsLost reports whether news to a follower were not confirmed in time.
+func (n *Node) newsLost() bool {
+	for _, f := range n.registry.followers {
+		if f.lost > 0 && !n.now.Before(f.resendAt) {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) followInterval() time.Duration {
 	switch {
 	case n.settings.Control:
@@ -399,7 +412,14 @@
 // followAsked answers one who follows this VM's registry. Who asks under another
 // life is told from the beginning.
 func (n *Node) followAsked(id ReplicaID, f Follow) {
-	if !n.settings.Control || !f.Beats && len(n.elsewhere(f.Hall, f.Away)) > 0 {
+	if !n.settings.Control {
+		return
+	}
+	if f.Came {
+		n.newsCame(id, f)
+		return
+	}
+	if !f.Beats && len(n.elsewhere(f.Hall, f.Away)) > 0 {
 		return
 	}
 	from := id.VM
@@ -408,23 +428,13 @@
 		present = &follower{id: id}
 		n.registry.followers[from] = present
 	}
-	if !f.Came {
-		// One that follows another VM by now still says what has come.
-		present.until = n.now.Add(followLife)
-		present.askedAt = n.now
-	}
+	present.until = n.now.Add(followLife)
+	present.askedAt = n.now
 	present.hall = f.Hall
 	present.beats = f.Beats
 	if !present.takePlace(f.positionIn(n.settings.Seed), n.now) {
 		return
 	}
-	if f.Came {
-		// What changed meanwhile goes out with the next push, with what else changes until
-		// then: told at once, each of 3,000 targets that load would be a message of its own
-		// to each follower.
-		n.registry.news = n.registry.news || n.registry.targets.Change() > present.after
-		return
-	}
 	if !f.OwnOnly {
 		n.tellAll(from, present, f.Digest)
 		return
@@ -432,6 +442,18 @@
 	n.tell(from, present, n.newsAfter(present.after, true), TargetNews{})
 }
 
+// newsCame takes a follower's word that news have come. What changed meanwhile goes out with
+// the next push, with what else changes until then: told at once, each of 3,000 targets that
+// load would be a message of its own to each follower. One that follows another VM by now
+// still says so, and is not kept for it.
+func (n *Node) newsCame(id ReplicaID, f Follow) {
+	present, ok := n.registry.followers[id.VM]
+	if !ok || present.id != id || !present.takePlace(f.positionIn(n.settings.Seed), n.now) {
+		return
+	}
+	n.registry.news = n.registry.news || n.registry.targets.Change() > present.after
+}
+
 // positionIn returns the last change of a life that the asker has, 0 where it has none.
 func (f Follow) positionIn(life uint64) uint64 {
 	if f.Life != life {
@@ -447,6 +469,7 @@
 		f.resendAt = time.Time{}
 		f.lost = 0
 	}
+	f.came = after
 	if now.Before(f.resendAt) {
 		return false
 	}
@@ -490,6 +513,9 @@
 		if n.now.Before(f.resendAt) {
 			continue
 		}
+		if f.lost > 0 {
+			f.after = f.came
+		}
 		at := place{after: f.after, own: f.beats}
 		targets, known := news[at]
 		if !known {
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -189,19 +189,19 @@
 	}
 }
 
-// seek picks the control VM to ask next: those of the own hall, each once, and then any
-// other, until one of them grants a lease. Away says that the own hall was asked in vain.
+// seek picks the control VM to ask next: those of the own hall, each once, then all others,
+// and so on in turn until one of them grants a lease. Away says that the own hall was asked
+// in vain.
 func (n *Node) seek() (vm VMName, away bool) {
 	t := &n.entry.tenure
-	at := t.turn + t.tries
 	home := n.homeControls()
-	away = len(home) > 0 && t.tries >= len(home)
+	others := slices.DeleteFunc(n.controlVMs(), func(vm VMName) bool { return slices.Contains(home, vm) })
+	at := t.tries % (len(home) + len(others))
 	t.tries++
-	if len(home) > 0 && !away {
-		return home[t.tries-1], false
+	if at < len(home) {
+		return home[at], t.tries > len(home)
 	}
-	known := n.controlVMs()
-	return known[at%len(known)], away
+	return others[(t.turn+at)%len(others)], len(home) > 0
 }
 
 // renew asks for the next lease.
