platform, core, daemon: what other writers say wrongly names no target

Cause: any state but one counted as ready, fields that were missing read as zero, an address could be any text, names were matched in any case (an extra field `service` replaced `Service`), a number as high as a sign-off's shut out every later word, and a service that no document names was kept, spread to all VMs and saved. One hint that could not be decoded voided all of them, one stalled request that could not be read an engine's whole report.

Change: typed decoding in platform/ (fields.go) that names the field, the kind of fault and what to send; such a word gets a 400, one line per writer in 10 s (64 writers at the most, internal/daemon/unusable.go) and a count by reason (spoolbank.target.words.unusable). A word of a service that no document names is acknowledged and held back at its control VM (internal/core/unnamed.go) until a document names it: refused, its target would try all control VMs each 1.2 s, and it would have to speak again after the change. Before the first document words are spread as before, for a target that leaves must be known of. Reports keep their good entries, hints too. Documents of absurd size (layers, or layers without a size) are refused, as no plan can be made with them.

Ruled out: holding back before the first document as well (a control VM that came back without its disk would keep the word that a target leaves from the others); refusing with 503.

--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -48,6 +48,8 @@
 type TargetHeard struct {
 	Conn  ConnID
 	Taken bool
+	// HeldBack says that no document names the target's service.
+	HeldBack bool
 }
 
 // WorkCounted is what this VM has under way at targets, and which of them it has
@@ -186,6 +188,7 @@
 	saveAt      time.Time
 	// silentAt is when to look again whether other targets are silent.
 	silentAt time.Time
+	unnamed  unnamed
 }
 
 type position struct {
@@ -223,6 +226,7 @@
 		targets:   relay.NewRegistry(),
 		followers: make(map[VMName]*follower),
 		followed:  make(map[VMName]position),
+		unnamed:   unnamed{targets: relay.NewRegistry()},
 	}
 	n.registry.completeAt = n.now.Add(silentAfter)
 	for _, t := range hints {
@@ -278,12 +282,21 @@
 		n.emit(TargetHeard{Conn: s.Conn})
 		return
 	}
-	if n.registry.targets.Hear(s.Target, n.now) {
-		n.note("target said something new", string(s.Target.ID))
-		n.registry.news = true
-		n.saveTargets(s.Target.Leaving)
+	heldBack := n.heldBack(s.Target)
+	if !heldBack {
+		n.hear(s.Target)
 	}
-	n.emit(TargetHeard{Conn: s.Conn, Taken: true})
+	n.emit(TargetHeard{Conn: s.Conn, Taken: true, HeldBack: heldBack})
+}
+
+// hear spreads a target's own word.
+func (n *Node) hear(t relay.Target) {
+	if !n.registry.targets.Hear(t, n.now) {
+		return
+	}
+	n.note("target said something new", string(t.ID))
+	n.registry.news = true
+	n.saveTargets(t.Leaving)
 }
 
 // hearsLeader reports whether this control VM is in touch with a quorum: it
@@ -322,6 +335,9 @@
 		n.registry.followAt = n.now.Add(n.followInterval())
 		n.follow()
 	}
+	if n.settings.Control {
+		n.tickUnnamed()
+	}
 	n.saveTargets(false)
 	if n.registry.news && !n.now.Before(n.registry.pushAt) {
 		n.registry.news = false
--- /dev/null
+++ b/internal/core/unnamed_test.go
@@ -0,0 +1,136 @@
+package core_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// namingNode is a control VM alone, whose documents name the services that their texts
+// list.
+type namingNode struct {
+	*core.Node
+	now   time.Time
+	saved []relay.Target
+}
+
+func newNamingNode(first string) *namingNode {
+	self := core.ReplicaID{VM: "c1", Incarnation: 1}
+	n := &namingNode{now: time.Unix(100, 0)}
+	state := config.State{}
+	if first != "" {
+		state.Document = config.Document{Version: 1, Source: []byte(first)}
+	}
+	n.Node = core.New(core.Settings{
+		Self: self, Cluster: "c", Control: true, ControlVMs: []core.VMName{"c1"}, Voters: 1, SnapshotEvery: 100,
+		Timing: core.DefaultTiming(), Seed: 4,
+		DecodeDocument: func(text []byte) (*relay.Document, error) {
+			d := &relay.Document{Version: 1}
+			for _, name := range strings.Fields(string(text)) {
+				d.Services = append(d.Services, relay.Service{Name: name})
+			}
+			return d, nil
+		},
+	}, core.Recovered{Snapshot: core.Snapshot{Index: 1, Term: 1, Members: core.NewMembership(self), Machine: core.Machine{Config: state}}}, n.now)
+	n.run(2 * time.Second)
+	return n
+}
+
+func (n *namingNode) step(event core.Event) []core.Effect {
+	effects := n.Step(n.now, event)
+	settle(n.Node, n.now, effects)
+	for _, effect := range effects {
+		if save, ok := effect.(core.SaveTargets); ok {
+			n.saved = save.Targets
+		}
+	}
+	return effects
+}
+
+func (n *namingNode) run(d time.Duration) {
+	for until := n.now.Add(d); n.now.Before(until); {
+		n.now = n.now.Add(20 * time.Millisecond)
+		n.step(core.Tick{})
+	}
+}
+
+// speak hands the node a target's word, and returns what the target is answered.
+func (n *namingNode) speak(t relay.Target) core.TargetHeard {
+	for _, effect := range n.step(core.TargetSpoke{Conn: 1, Target: t}) {
+		if heard, ok := effect.(core.TargetHeard); ok {
+			return heard
+		}
+	}
+	return core.TargetHeard{}
+}
+
+func (n *namingNode) put(version uint64, text string) {
+	n.step(core.DocumentPut{Conn: 2, Document: config.Document{Version: version, Source: []byte(text)}})
+}
+
+// The target of a service that no document names reached every VM and the disk.
+func TestATargetOfNoNamedServiceStaysApart(t *testing.T) {
+	n := newNamingNode("s")
+	good := relay.Target{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Call: 1}
+	require.Equal(t, core.TargetHeard{Conn: 1, Taken: true}, n.speak(good))
+	heard := n.speak(relay.Target{ID: "i-2", Service: "nowhere", Address: "10.0.0.2:80", Call: 1})
+	require.Equal(t, core.TargetHeard{Conn: 1, Taken: true, HeldBack: true}, heard, "it is acknowledged, or it would try every control VM")
+	n.run(time.Second)
+	require.Equal(t, []relay.Target{good}, follow(n.Node, n.now))
+	require.Equal(t, []relay.Target{good}, n.saved)
+}
+
+func TestAWordOfNoNamedServiceReplacesNothing(t *testing.T) {
+	n := newNamingNode("s")
+	good := relay.Target{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Call: 1}
+	n.speak(good)
+	n.speak(relay.Target{ID: "i-1", Service: "nowhere", Address: "10.0.0.9:80", Call: 2, Leaving: true})
+	n.run(time.Second)
+	require.Equal(t, []relay.Target{good}, follow(n.Node, n.now))
+}
+
+func TestATargetIsTakenOnceItsServiceIsNamed(t *testing.T) {
+	n := newNamingNode("s")
+	early := relay.Target{ID: "i-2", Service: "next", Address: "10.0.0.2:80", Call: 1}
+	leaving := relay.Target{ID: "i-3", Service: "next", Address: "10.0.0.3:80", Call: 2, Leaving: true}
+	n.speak(early)
+	n.speak(leaving)
+	require.Empty(t, follow(n.Node, n.now))
+	n.put(2, "s next")
+	n.run(time.Second)
+	require.Equal(t, []relay.Target{early, leaving}, follow(n.Node, n.now), "it hasn't spoken again")
+}
+
+func TestTargetsSpeakBeforeTheFirstDocument(t *testing.T) {
+	n := newNamingNode("")
+	n.speak(relay.Target{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Call: 1})
+	n.put(1, "s")
+	n.run(time.Second)
+	require.Len(t, follow(n.Node, n.now), 1)
+}
+
+// Anybody may send any number of such words.
+func TestWhatIsHeldBackIsBounded(t *testing.T) {
+	n := newNamingNode("s")
+	const many = 3100
+	for i := range many {
+		n.speak(relay.Target{ID: relay.TargetID(fmt.Sprint("i-", i)), Service: "next", Call: 1})
+	}
+	n.put(2, "s next")
+	n.run(time.Second)
+	require.Len(t, follow(n.Node, n.now), 3000)
+	n.speak(relay.Target{ID: "i-1", Service: "nowhere", Call: 1})
+	n.run(10 * time.Second)
+	n.put(3, "s next nowhere")
+	n.run(time.Second)
+	for _, target := range follow(n.Node, n.now) {
+		require.Equal(t, "next", target.Service, "a target that fell silent meanwhile isn't taken")
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -158,6 +158,9 @@
 		return core.Recovered{}, nil
 	}
 	f, recovered, err := openFolder(d.settings.Data)
+	if err == nil && f.badHints != nil {
+		d.log.Info("hints of targets are not all used", "error", f.badHints.Error())
+	}
 	d.folder = f
 	return recovered, err
 }
--- a/internal/daemon/disk.go
+++ b/internal/daemon/disk.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"syscall"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/renameio/v2"
 
 	"github.com/spoolbank/spoolbank/internal/core"
@@ -77,6 +78,8 @@
 	lock     *os.File
 	log      *os.File
 	identity identity
+	// badHints says what was wrong with the hints, if anything was.
+	badHints error
 }
 
 // openFolder opens a data folder, makes it where there is none, and reads it.
@@ -195,13 +198,25 @@
 	if err := f.readLog(&recovered); err != nil {
 		return core.Recovered{}, err
 	}
-	if _, err := f.readWhole(fileTargets, &recovered.Targets); err != nil {
-		// Without hints targets are heard anew.
-		recovered.Targets = nil
-	}
+	recovered.Targets = f.readTargets()
 	return recovered, nil
 }
 
+// readTargets returns the hints that can be used. Targets that it does without are heard
+// anew.
+func (f *folder) readTargets() []relay.Target {
+	var entries []cbor.RawMessage
+	if _, err := f.readWhole(fileTargets, &entries); err != nil {
+		f.badHints = err
+		return nil
+	}
+	targets, bad := decodeHints(entries)
+	if bad > 0 {
+		f.badHints = fmt.Errorf("%d of %d hints can't be decoded, the others are kept", bad, len(entries))
+	}
+	return targets
+}
+
 // saveTargets keeps hints: they are synced, since they are for a loss of power.
 func (f *folder) saveTargets(targets []relay.Target) error {
 	data, err := wire.Marshal(targets)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -124,6 +124,7 @@
 	probes    probes
 	meter     *gatewayMetrics
 	policy    relay.Policy
+	unusable  lineLimit
 
 	mu     sync.Mutex
 	router *relay.Router
@@ -177,7 +178,14 @@
 	conn, results := ask[core.TargetHeard](g.daemon)
 	defer g.daemon.answers.Delete(conn)
 	g.daemon.post(core.TargetSpoke{Conn: conn, Target: t})
-	return wait(ctx, results, core.TargetHeard{}).Taken
+	heard := wait(ctx, results, core.TargetHeard{})
+	if heard.HeldBack {
+		g.Unusable(string(t.ID), &UnusableError{
+			Subject: "target " + string(t.ID), Field: "service " + t.Service, Reason: UnusableService,
+			Remedy: "put a document that names the service, or stop the target",
+		})
+	}
+	return heard.Taken
 }
 
 // EntryAddresses returns the addresses that a caller in a hall should use, and
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -25,6 +25,8 @@
 	// did not answer in time.
 	asked      metric.Int64Counter
 	unanswered metric.Int64Counter
+	// unused counts what other writers sent and is not used.
+	unused metric.Int64Counter
 }
 
 // latencyBuckets are the bounds of latency histograms, in seconds, around the
@@ -58,6 +60,7 @@
 	g.orders = counter("spoolbank.target.orders")
 	g.asked = counter("spoolbank.target.overdue.asked")
 	g.unanswered = counter("spoolbank.target.overdue.unanswered")
+	g.unused = counter("spoolbank.target.words.unusable")
 	return g, err
 }
 
@@ -87,6 +90,10 @@
 	g.unanswered.Add(context.Background(), int64(silent))
 }
 
+func (g *gatewayMetrics) unusable(reason UnusableReason) {
+	g.unused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(reason))))
+}
+
 func (g *gatewayMetrics) probed() { g.probes.Add(context.Background(), 1) }
 
 func (g *gatewayMetrics) ordered(o core.OrderOutcome) {
--- a/internal/daemon/hints.go
+++ b/internal/daemon/hints.go
@@ -1,6 +1,25 @@
 package daemon
 
-import "github.com/spoolbank/spoolbank/internal/relay"
+import (
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
+	"github.com/spoolbank/spoolbank/internal/wire"
+)
+
+// decodeHints returns the hints that name a target to use, and how many don't. Each stands
+// for itself.
+func decodeHints(entries []cbor.RawMessage) (targets []relay.Target, bad int) {
+	for _, entry := range entries {
+		var t relay.Target
+		if err := wire.Unmarshal(entry, &t); err != nil || t.ID == "" || t.Service == "" || t.Address == "" || t.Layers.First < 0 || t.Layers.Len() < 0 {
+			bad++
+			continue
+		}
+		targets = append(targets, t)
+	}
+	return targets, bad
+}
 
 // hints hands the newest hints of targets to the goroutine that saves them. Saving waits
 // for the disk; the log has a goroutine of its own, so that hints never hold it up.
--- a/internal/relay/document.go
+++ b/internal/relay/document.go
@@ -154,6 +154,11 @@
 	Idle          time.Duration
 }
 
+// Names reports whether the document has a service of that name.
+func (d Document) Names(service string) bool {
+	return slices.ContainsFunc(d.Services, func(s Service) bool { return s.Name == service })
+}
+
 // InvalidError says why a document can't be taken.
 type InvalidError struct {
 	Subject string
@@ -178,6 +183,9 @@
 			return invalid("service "+s.Name, "the name is empty or given twice")
 		}
 		services[s.Name] = true
+		if err := s.validateEngine(); err != nil {
+			return err
+		}
 	}
 	if err := d.validateRoutes(services); err != nil {
 		return err
@@ -185,6 +193,24 @@
 	return d.validateKeys()
 }
 
+// layersMost bounds the layers of a model: fifty times those of the largest that the users
+// run. Plans take memory for each.
+const layersMost = 4096
+
+// validateEngine reports what no plan can be made with.
+func (s Service) validateEngine() error {
+	e := s.Engine
+	switch {
+	case e == nil || e.Layers <= 0:
+		return nil
+	case e.Layers > layersMost:
+		return invalid("service "+s.Name, fmt.Sprintf("it has more than %d layers", layersMost))
+	case e.LayerBytes <= 0 || e.TokenBytes <= 0:
+		return invalid("service "+s.Name, "the memory of a layer or of a token is not above 0")
+	}
+	return nil
+}
+
 func (d Document) validateRoutes(services map[string]bool) error {
 	places := make(map[string]bool, len(d.Routes))
 	for _, r := range d.Routes {
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -196,6 +196,17 @@
 	return e.target, ok
 }
 
+// Len returns the number of targets.
+func (r *Registry) Len() int { return len(r.targets) }
+
+// Drop forgets a target.
+func (r *Registry) Drop(id TargetID) {
+	if at, known := slices.BinarySearch(r.names, id); known {
+		r.names = slices.Delete(r.names, at, at+1)
+		delete(r.targets, id)
+	}
+}
+
 // Change returns the number of the newest change.
 func (r *Registry) Change() uint64 { return r.change }
 
