daemon, platform: 408, 421, 429 and 503 are said only of what has not run

Cause, found by listing every place that writes one: a request that went out again after its kept connection broke, and was then rejected, was answered 503 though the first sending may have run; a target's own 408, 429 or 503 that doesn't say that it has not run was handed on; the product's own interface gave 429 and 503 with `ran: unknown` in the body; a document or a target's word that was not decided in time was answered 503 and could be taken later.

Ruled out: counting the first sending as a run in Attempts, which would take a target away from requests whose connection was merely forgotten.

Seen red first: TestARejectedRepeatOnANewConnectionIsNoPromise (503), TestATargetsOwnStatusIsNoPromise (408), TestOnlyWhatHasNotRunIsRefusedWithAPromise (503 of "entry_without_lease, ran: yes").

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -335,6 +335,9 @@
 	if status == 0 {
 		status = statusOf(r.Kind)
 	}
+	if r.Ran != core.RanNo && promises(status) {
+		status = http.StatusBadGateway
+	}
 	if !r.RetryAt.IsZero() {
 		seconds := math.Ceil(time.Until(r.RetryAt).Seconds())
 		w.Header().Set("Retry-After", strconv.Itoa(max(int(seconds), 0)))
@@ -370,6 +373,11 @@
 	return http.StatusServiceUnavailable
 }
 
+// promises reports whether a status tells callers that a request has not run.
+func promises(status int) bool {
+	return status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 func writeJSON(w http.ResponseWriter, status int, value any) {
 	var body bytes.Buffer
 	encoder := json.NewEncoder(&body)
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"github.com/go-logr/logr"
+
+	"github.com/spoolbank/spoolbank/internal/core"
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
@@ -16,6 +19,31 @@
 // Pass reports whether a line on a writer may be written, and how many were withheld.
 func (l *lineLimit) Pass(writer string, now time.Time) (bool, int) { return l.pass(writer, now) }
 
+// NewGatewayAlone returns the gateway of an entry VM that has a lease, a document and
+// targets, and no control VM.
+func NewGatewayAlone(p Platform, document *relay.Document, targets []relay.Target) (*Gateway, error) {
+	d := &Daemon{log: logr.Discard(), platform: &p, events: make(chan core.Event, eventQueue)}
+	d.context, d.cancel = context.WithCancel(context.Background())
+	var err error
+	if d.metrics, err = newMetrics(d); err != nil {
+		return nil, err
+	}
+	g, err := newGateway(d, p)
+	if err != nil {
+		return nil, err
+	}
+	g.started = time.Time{} // long ago: it waits for nobody
+	g.leaseUntil = time.Now().Add(time.Hour)
+	g.router.TakeVMs(1)
+	g.router.TakeDocument(document)
+	g.router.TakeTargets(targets)
+	g.router.TakeOthers(nil, true)
+	return g, nil
+}
+
+// WriteRefusal gives a caller of the product's own interface its refusal.
+var WriteRefusal = writeRefusal
+
 // CallEngines asks the engines of a path who of them lives.
 func CallEngines(ctx context.Context, e Engines, p relay.Path) (silent []relay.TargetID, paces map[relay.TargetID]float64, certain bool) {
 	q := probes{engines: e, known: make(map[string]*probe)}
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -116,6 +116,9 @@
 	lastPath relay.Path
 	// replaced holds the stages that another engine was asked to take the place of.
 	replaced map[relay.TargetID]bool
+	// doubt says that a sending of which nothing was heard was followed by another within
+	// one try: what its target says of the second doesn't speak for the first.
+	doubt bool
 }
 
 // wholeAnswer is an answer that was read to its end.
@@ -332,7 +335,7 @@
 		f.giveWhole(f.kept)
 		return
 	}
-	if f.attempts.Ran > 0 && refusal.NotRun() {
+	if (f.doubt || f.attempts.Ran > 0) && refusal.NotRun() {
 		refusal = &relay.Refusal{Kind: relay.RefusedUnknownRun, Reason: refusal.Reason}
 	}
 	f.g.refuse(f.w, f.call, refusal, f)
@@ -369,6 +372,7 @@
 	}
 	answer, err := f.g.exchanger.Do(ctx, first.Address, request)
 	if errors.Is(err, target.ErrStale) && ctx.Err() == nil && f.mayAskAgain() {
+		f.doubt = true
 		request.Fresh = true
 		answer, err = f.g.exchanger.Do(ctx, first.Address, request)
 	}
@@ -383,9 +387,23 @@
 	if f.route.Stream && answer.Status == http.StatusOK {
 		return f.stream(ctx, path, watch, answer)
 	}
+	if verdict.Promise {
+		return f.unproven(path, answer)
+	}
 	return f.whole(ctx, path, watch, answer)
 }
 
+// unproven takes an answer whose status would tell the caller that its request has not
+// run, of a target that doesn't say so itself.
+func (f *forwarding) unproven(path relay.Path, answer *target.Answer) result {
+	drain(answer)
+	first := path.First()
+	f.last = "target " + first.Address + " answered " + strconv.Itoa(answer.Status) + ", and not that it has not run"
+	f.g.failed(first.Target, false)
+	f.avoid = append(f.avoid, first.Target)
+	return resultBroken
+}
+
 // mayAskAgain reports whether a request whose kept connection was gone may be sent
 // on a new one. A forgotten connection brings nothing to its target; one that broke
 // at this moment may have, so that it counts as a repeat.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -66,6 +66,9 @@
 	ID string
 	// NotRun says that the target has not run the request.
 	NotRun bool
+	// Promise says that the status tells callers that the request has not run: it is
+	// handed on only where NotRun is set too.
+	Promise bool
 	// AtFault is the address of the target that could not do its part, if told.
 	AtFault string
 }
@@ -172,9 +175,20 @@
 	return wait(ctx, results, core.DocumentAnswer{Result: core.Result{Kind: core.ResultInterrupted}})
 }
 
-// HearTarget takes a target's word. It returns false where the target should
-// tell another control VM.
-func (g *Gateway) HearTarget(ctx context.Context, t relay.Target) bool {
+// Hearing is what became of a target's word.
+type Hearing int
+
+const (
+	// HearingUndecided: it may have been taken, which is not known in time.
+	HearingUndecided Hearing = iota
+	// HearingRefused: it was not; the target should tell another control VM.
+	HearingRefused
+	// HearingTaken: it was.
+	HearingTaken
+)
+
+// HearTarget takes a target's word.
+func (g *Gateway) HearTarget(ctx context.Context, t relay.Target) Hearing {
 	conn, results := ask[core.TargetHeard](g.daemon)
 	defer g.daemon.answers.Delete(conn)
 	g.daemon.post(core.TargetSpoke{Conn: conn, Target: t})
@@ -185,7 +199,13 @@
 			Remedy: "put a document that names the service, or stop the target",
 		})
 	}
-	return heard.Taken
+	switch {
+	case heard.Taken:
+		return HearingTaken
+	case heard.Conn != 0:
+		return HearingRefused
+	}
+	return HearingUndecided
 }
 
 // EntryAddresses returns the addresses that a caller in a hall should use, and
--- /dev/null
+++ b/internal/daemon/promises_test.go
@@ -0,0 +1,229 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/daemon"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// promises are the statuses that tell a caller that its request has not run and never
+// will.
+var promises = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// plainCodec is a protocol that says with a header what a request is and whether it ran.
+type plainCodec struct{}
+
+func (plainCodec) Head(h daemon.Hop) http.Header { return http.Header{"Id": {h.Call.ID}} }
+
+func (plainCodec) Verdict(status int, h http.Header) daemon.Verdict {
+	return daemon.Verdict{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Promise: slices.Contains(promises, status)}
+}
+
+func (plainCodec) Refuse(w http.ResponseWriter, r *relay.Refusal, _ time.Time) {
+	if r.NotRun() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusBadGateway)
+}
+
+// step is what a scripted target does with a request: it runs it or not, and answers with
+// a text, or closes the connection where there is none.
+type step struct {
+	runs bool
+	text string
+}
+
+var (
+	served   = step{true, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2\r\n\r\nok"}
+	rejected = step{false, "HTTP/1.1 503 No\r\nId: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"}
+	lost     = step{true, ""}
+)
+
+// worker is a target that does one step after the other.
+type worker struct {
+	address string
+	ran     atomic.Int32
+	next    atomic.Int32
+	steps   []step
+}
+
+func newWorker(t *testing.T, steps ...step) *worker {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	w := &worker{address: l.Addr().String(), steps: steps}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go w.serve(conn)
+		}
+	}()
+	return w
+}
+
+func (w *worker) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		s := w.steps[min(int(w.next.Add(1)), len(w.steps))-1]
+		if s.runs {
+			w.ran.Add(1)
+		}
+		if _, err := io.WriteString(conn, s.text); err != nil || s.text == "" {
+			return
+		}
+	}
+}
+
+// entry is a gateway before some workers.
+func newEntry(t *testing.T, repeat relay.Repeat, targets int, workers ...*worker) *daemon.Gateway {
+	t.Helper()
+	document := &relay.Document{
+		Version:  1,
+		Services: []relay.Service{{Name: "s", MaxConns: 100}},
+		Routes: []relay.Route{{
+			Name: "r", Host: "h", Prefix: "/", Repeat: repeat, Timeout: 5 * time.Second, Objective: time.Second,
+			MaxTargets: targets, Anonymous: true, Shares: []relay.Share{{Service: "s", Weight: 1}},
+		}},
+	}
+	var known []relay.Target
+	for _, w := range workers {
+		known = append(known, relay.Target{ID: relay.TargetID(w.address), Service: "s", Address: w.address, Slots: 10, Call: 1})
+	}
+	budget := relay.BudgetTerms{Share: 1, Fixed: 100, Window: 10 * time.Second}
+	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Router: relay.Settings{Seed: 1, Started: time.Now(), Budget: budget}}, document, known)
+	require.NoError(t, err)
+	return g
+}
+
+// ask sends one request, and returns the status that its caller gets.
+func ask(t *testing.T, g *daemon.Gateway) int {
+	t.Helper()
+	w := httptest.NewRecorder()
+	now := time.Now()
+	g.Serve(t.Context(), w, &daemon.Call{ID: "a", Arrived: now, Deadline: now.Add(5 * time.Second), Method: http.MethodPost, URI: "/", Path: "/", Host: "h"})
+	return w.Code
+}
+
+func TestWhatNoTargetTookIsSaidNotToHaveRun(t *testing.T) {
+	for _, repeat := range []relay.Repeat{relay.RepeatNever, relay.RepeatAlways} {
+		w := newWorker(t, rejected)
+		require.Equal(t, http.StatusServiceUnavailable, ask(t, newEntry(t, repeat, 2, w)))
+		require.Zero(t, w.ran.Load())
+	}
+}
+
+func TestWhatNoTargetCouldBeAskedIsSaidNotToHaveRun(t *testing.T) {
+	require.Equal(t, http.StatusServiceUnavailable, ask(t, newEntry(t, relay.RepeatNever, 2)))
+	gone := newWorker(t, served)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	gone.address = l.Addr().String()
+	require.NoError(t, l.Close())
+	require.Equal(t, http.StatusServiceUnavailable, ask(t, newEntry(t, relay.RepeatNever, 2, gone)))
+}
+
+func TestALostAnswerIsNoPromise(t *testing.T) {
+	for _, repeat := range []relay.Repeat{relay.RepeatNever, relay.RepeatAlways} {
+		w := newWorker(t, lost)
+		require.Equal(t, http.StatusBadGateway, ask(t, newEntry(t, repeat, 2, w)))
+		require.Positive(t, w.ran.Load())
+	}
+}
+
+// The answer of the first target was lost, and the second took nothing.
+func TestAnotherTargetsWordDoesNotSpeakForTheFirst(t *testing.T) {
+	first, second := newWorker(t, lost, rejected), newWorker(t, lost, rejected)
+	// Either may be asked first; each loses its first answer and rejects what follows.
+	require.Equal(t, http.StatusBadGateway, ask(t, newEntry(t, relay.RepeatAlways, 3, first, second)))
+}
+
+// A kept connection broke after the request was sent on it, the request was sent again on
+// a new one, and the target rejected that: the caller was told that it had not run.
+func TestARejectedRepeatOnANewConnectionIsNoPromise(t *testing.T) {
+	w := newWorker(t, served, lost, rejected)
+	g := newEntry(t, relay.RepeatAlways, 1, w)
+	require.Equal(t, http.StatusOK, ask(t, g))
+	status := ask(t, g)
+	require.EqualValues(t, 2, w.ran.Load(), "it ran behind the lost answer")
+	require.EqualValues(t, 3, w.next.Load(), "it was sent again")
+	require.Equal(t, http.StatusBadGateway, status)
+}
+
+// A target that answers so without saying that it did not run the request may have run it.
+func TestATargetsOwnStatusIsNoPromise(t *testing.T) {
+	for _, code := range []string{"408 Timeout", "429 Many", "503 Down"} {
+		for _, repeat := range []relay.Repeat{relay.RepeatNever, relay.RepeatAlways} {
+			w := newWorker(t, step{true, "HTTP/1.1 " + code + "\r\nId: a\r\nContent-Length: 0\r\n\r\n"})
+			require.Equal(t, http.StatusBadGateway, ask(t, newEntry(t, repeat, 2, w)), code)
+		}
+	}
+}
+
+func TestACallerThatLeavesGetsNoPromise(t *testing.T) {
+	w := newWorker(t, served)
+	g := newEntry(t, relay.RepeatNever, 2, w)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	recorder := httptest.NewRecorder()
+	now := time.Now()
+	g.Serve(ctx, recorder, &daemon.Call{ID: "a", Arrived: now, Deadline: now.Add(time.Second), Method: http.MethodPost, URI: "/", Path: "/", Host: "h"})
+	require.NotContains(t, promises, recorder.Code)
+}
+
+// The product's own interface said 503 or 429 of requests that may have run, with the
+// truth in the body alone.
+func TestOnlyWhatHasNotRunIsRefusedWithAPromise(t *testing.T) {
+	for _, kind := range []core.RefusalKind{
+		core.RefusedKey, core.RefusedPipeline, core.RefusedService, core.RefusedRequest, core.RefusedTooLarge, core.RefusedNoLease,
+		core.RefusedLeaving, core.RefusedLimit, core.RefusedOverload, core.RefusedDeadline, core.RefusedNoTarget, core.RefusedBroken,
+		core.RefusedMoved, core.RefusedLost, core.RefusedUnknown, core.RefusedConflict, core.RefusedControl, core.RefusedUnprocessed,
+	} {
+		for _, ran := range []core.Ran{core.RanNo, core.RanYes, core.RanUnknown} {
+			w := httptest.NewRecorder()
+			daemon.WriteRefusal(w, "id", core.Refusal{Kind: kind, Ran: ran}, 0)
+			if ran != core.RanNo {
+				require.NotContains(t, promises, w.Code, "%s, ran: %s", kind, ran)
+			}
+		}
+	}
+	w := httptest.NewRecorder()
+	daemon.WriteRefusal(w, "id", core.Refusal{Kind: core.RefusedLimit, Ran: core.RanNo}, 0)
+	require.Equal(t, http.StatusTooManyRequests, w.Code)
+}
+
+// What is not decided in time may be taken later.
+func TestWhatIsUndecidedIsNotRefused(t *testing.T) {
+	g := newEntry(t, relay.RepeatNever, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	require.Equal(t, daemon.HearingUndecided, g.HearTarget(ctx, relay.Target{ID: "i-1"}))
+	require.Equal(t, core.ResultInterrupted, g.PutDocument(ctx, config.Document{Version: 1}).Kind)
+	require.Equal(t, core.ResultInterrupted, g.ReadDocument(ctx).Result.Kind)
+}
