daemon: a stream that nothing else can go on with is waited for

Cause: a stream whose engine was suspected, or said that it stands still, was given up although the budget of repeats was used up, so that it ended cut where the engine might have gone on. The check for that stood only where engines are asked who lives.

Change: replace waits on where a try that is given up could not be followed by another.

Seen red first: TestAStreamThatNothingElseCanGoOnWithIsWaitedFor (cut).

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -41,6 +41,9 @@
 	return g, nil
 }
 
+// Suspect marks a target as found dead at a gateway.
+func Suspect(g *Gateway, id relay.TargetID) { g.failed(id, true) }
+
 // WriteRefusal gives a caller of the product's own interface its refusal.
 var WriteRefusal = writeRefusal
 
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -121,11 +121,16 @@
 }
 
 // replace has another engine take the place of the one that the request waits for, and
-// reports whether to wait for it.
+// reports whether to wait on: for the other engine, or because a try that is given up could
+// not be followed by another. An engine that is silent may still go on, or its own end may
+// be told in time.
 func (w *watcher) replace() bool {
-	if w.ctx.Err() != nil || !w.f.repath(w.ctx, []relay.TargetID{w.culprit}, "its engine fails") {
+	if w.ctx.Err() != nil {
 		return false
 	}
+	if !w.f.repath(w.ctx, []relay.TargetID{w.culprit}, "its engine fails") {
+		return !w.f.couldRepeat()
+	}
 	w.f.g.failed(w.culprit, true)
 	w.culprit = ""
 	w.heard = time.Now()
--- /dev/null
+++ b/internal/daemon/watcher_test.go
@@ -0,0 +1,106 @@
+package daemon_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/daemon"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// pausing is a target whose stream stands still after its first event until it is told to
+// go on. It reports whether the connection was given up meanwhile.
+type pausing struct {
+	address string
+	begun   chan struct{}
+	goOn    chan struct{}
+	givenUp chan struct{}
+}
+
+func newPausing(t *testing.T) *pausing {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	p := &pausing{address: l.Addr().String(), begun: make(chan struct{}), goOn: make(chan struct{}), givenUp: make(chan struct{})}
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		p.serve(conn)
+	}()
+	return p
+}
+
+func (p *pausing) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	if _, err := http.ReadRequest(reader); err != nil {
+		return
+	}
+	go func() {
+		_, _ = reader.ReadByte() // nothing else is sent on it
+		close(p.givenUp)
+	}()
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 13\r\n\r\nid: 1\n\n"); err != nil {
+		return
+	}
+	close(p.begun)
+	<-p.goOn
+	_, _ = io.WriteString(conn, "x: 2\n\n") // who has given it up reads nothing
+}
+
+// mute is engines that answer no question.
+type mute struct{ daemon.Engines }
+
+func (mute) Report(context.Context, string) (daemon.EngineReport, error) {
+	return daemon.EngineReport{}, daemon.ErrEngineSilent
+}
+
+// The streams of a suspected engine were cut beside a change of the document, though the
+// budget of repeats was used up and nothing else could go on with them.
+func TestAStreamThatNothingElseCanGoOnWithIsWaitedFor(t *testing.T) {
+	p := newPausing(t)
+	document := &relay.Document{
+		Version:  1,
+		Services: []relay.Service{{Name: "s", MaxConns: 100}},
+		Routes: []relay.Route{{
+			Name: "r", Host: "h", Prefix: "/", Repeat: relay.RepeatResume, Stream: true, Timeout: 20 * time.Second, Objective: time.Second,
+			Pause: 200 * time.Millisecond, MaxTargets: 2, Anonymous: true, Shares: []relay.Share{{Service: "s", Weight: 1}},
+		}},
+	}
+	target := relay.Target{ID: "i-1", Service: "s", Address: p.address, Slots: 10, Call: 1}
+	noRepeats := relay.BudgetTerms{Window: 10 * time.Second}
+	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: mute{}, Router: relay.Settings{Seed: 1, Started: time.Now(), Budget: noRepeats}}, document, []relay.Target{target})
+	require.NoError(t, err)
+	whole := make(chan string, 1)
+	go func() {
+		w := httptest.NewRecorder()
+		defer func() {
+			if recover() != nil {
+				whole <- "cut"
+				return
+			}
+			whole <- w.Body.String()
+		}()
+		now := time.Now()
+		g.Serve(t.Context(), w, &daemon.Call{ID: "a", Arrived: now, Deadline: now.Add(20 * time.Second), Method: http.MethodPost, URI: "/", Path: "/", Host: "h", Answer: 10})
+	}()
+	<-p.begun
+	daemon.Suspect(g, target.ID)
+	select {
+	case <-p.givenUp:
+	case <-time.After(time.Second): // four looks at a stream that stands still
+	}
+	close(p.goOn)
+	require.Equal(t, "id: 1\n\nx: 2\n\n", <-whole)
+}
