daemon: a caller that leaves lets everything of its request go

Cause: where a caller's end was met while an event was written to it, the call ended with a panic before its path was released: its engines counted as busy with it for good, at this VM and by its reports everywhere. And a call whose caller left while it was held was still sent to a target on a kept connection.

Change: a path is released however its try ends; nothing is sent once the caller's connection has ended; such calls have an outcome of their own in spoolbank.gateway.answers ("caller left", before "timeout" or "unknown run") and one line.

Seen red first: TestACallerThatIsFoundGoneLeavesNothingUnderWay (1 under way), TestNothingIsSentForACallerThatHasLeft (sent again). Green before and after: TestACallerThatLeavesEndsItsTries, TestATryThatIsReplacedHasEnded, which hold that a cancel reaches the first engine of every try.

--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/relay"
@@ -71,8 +70,7 @@
 	}
 	f.countEvents(whole)
 	if _, err := f.w.Write(whole); err != nil {
-		f.last = "caller left: " + err.Error()
-		panic(http.ErrAbortHandler)
+		f.abandon(err)
 	}
 	f.flush()
 	return append([]byte(nil), data[end+len(eventEnd):]...)
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -44,6 +44,17 @@
 // Suspect marks a target as found dead at a gateway.
 func Suspect(g *Gateway, id relay.TargetID) { g.failed(id, true) }
 
+// UnderWay returns how many requests a gateway has under way at targets.
+func UnderWay(g *Gateway) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	total := 0
+	for _, w := range g.router.Own() {
+		total += w.Requests
+	}
+	return total
+}
+
 // WriteRefusal gives a caller of the product's own interface its refusal.
 var WriteRefusal = writeRefusal
 
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -167,11 +167,8 @@
 			f.askedAt = time.Now()
 		}
 		f.service = path.Service
-		f.lastPath = path
-		f.read = false
-		r := f.try(ctx, path)
+		r := f.tryAndRelease(ctx, path)
 		path = f.lastPath
-		f.g.release(path, f.read)
 		f.tries++
 		if r == resultDone {
 			f.notePauses(path)
@@ -190,6 +187,20 @@
 	}
 }
 
+// tryAndRelease sends the request along a path once, and lets the path go however that
+// ends: a call that is cut ends with a panic.
+func (f *forwarding) tryAndRelease(ctx context.Context, path relay.Path) result {
+	f.lastPath = path
+	f.read = false
+	defer func() { f.g.release(f.lastPath, f.read) }()
+	if ctx.Err() != nil {
+		// Its caller left, or its time ended, while it was held here.
+		f.last = ctx.Err().Error()
+		return resultGone
+	}
+	return f.try(ctx, path)
+}
+
 // served notes an answer that was given whole.
 func (f *forwarding) served(path relay.Path) {
 	f.g.meter.served(f.call.Arrived)
@@ -326,9 +337,14 @@
 
 // end gives the caller a final answer that is not a served one.
 func (f *forwarding) end(ctx context.Context, refusal *relay.Refusal) {
+	if callerLeft(ctx) {
+		f.g.meter.left()
+		f.g.log.Info("caller left", "request", f.call.ID, "after_ms", time.Since(f.call.Arrived).Milliseconds(), "tries", f.tries, "begun", f.begun, "path", f.lastPath.String())
+		panic(http.ErrAbortHandler)
+	}
 	if f.begun {
 		f.g.meter.refused(relay.RefusedUnknownRun)
-		f.g.log.Info("stream cut", "request", f.call.ID, "after", f.after, "reason", refusal.Reason, "tries", f.tries, "path", f.lastPath.String(), "caller_gone", errors.Is(context.Cause(ctx), context.Canceled))
+		f.g.log.Info("stream cut", "request", f.call.ID, "after", f.after, "reason", refusal.Reason, "tries", f.tries, "path", f.lastPath.String())
 		panic(http.ErrAbortHandler)
 	}
 	if f.kept != nil {
@@ -341,6 +357,18 @@
 	f.g.refuse(f.w, f.call, refusal, f)
 }
 
+// callerLeft reports whether a call's context ended with its caller's connection rather
+// than with its time.
+func callerLeft(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
+
+// abandon ends a call whose caller's connection can't be written to.
+func (f *forwarding) abandon(cause error) {
+	f.g.meter.left()
+	f.last = "caller left: " + cause.Error()
+	f.g.log.Info("caller left", "request", f.call.ID, "after_ms", time.Since(f.call.Arrived).Milliseconds(), "tries", f.tries, "begun", f.begun, "path", f.lastPath.String(), "error", cause.Error())
+	panic(http.ErrAbortHandler)
+}
+
 func (g *Gateway) refuse(w http.ResponseWriter, call *Call, r *relay.Refusal, f *forwarding) {
 	now := time.Now()
 	g.meter.refused(r.Kind)
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -75,6 +75,10 @@
 	g.answers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", kind.String())))
 }
 
+var attrLeft = metric.WithAttributeSet(attribute.NewSet(attribute.String("outcome", "caller left")))
+
+func (g *gatewayMetrics) left() { g.answers.Add(context.Background(), 1, attrLeft) }
+
 func (g *gatewayMetrics) firstEvent(arrived time.Time) {
 	g.first.Record(context.Background(), time.Since(arrived).Seconds())
 }
--- /dev/null
+++ b/internal/daemon/leaving_test.go
@@ -0,0 +1,119 @@
+package daemon_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/daemon"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// pausingEntry is a gateway before one target whose stream stands still.
+func pausingEntry(t *testing.T, targets ...relay.Target) *daemon.Gateway {
+	t.Helper()
+	document := &relay.Document{
+		Version:  1,
+		Services: []relay.Service{{Name: "s", MaxConns: 100}},
+		Routes: []relay.Route{{
+			Name: "r", Host: "h", Prefix: "/", Repeat: relay.RepeatResume, Stream: true, Timeout: 20 * time.Second, Objective: time.Second,
+			Pause: 200 * time.Millisecond, MaxTargets: 2, Anonymous: true, Shares: []relay.Share{{Service: "s", Weight: 1}},
+		}},
+	}
+	budget := relay.BudgetTerms{Share: 1, Fixed: 100, Window: 10 * time.Second}
+	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: mute{}, Router: relay.Settings{Seed: 1, Started: time.Now(), Budget: budget}}, document, targets)
+	require.NoError(t, err)
+	return g
+}
+
+// serve has a gateway serve one call, and returns what is closed at its end.
+func serve(ctx context.Context, g *daemon.Gateway, w http.ResponseWriter) <-chan struct{} {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		defer func() { _ = recover() }() // a call that is cut ends so
+		now := time.Now()
+		g.Serve(ctx, w, &daemon.Call{ID: "a", Arrived: now, Deadline: now.Add(20 * time.Second), Method: http.MethodPost, URI: "/", Path: "/", Host: "h", Answer: 10})
+	}()
+	return done
+}
+
+func closed(t *testing.T, what string, c <-chan struct{}) {
+	t.Helper()
+	select {
+	case <-c:
+	case <-time.After(patience):
+		require.Fail(t, what)
+	}
+}
+
+// The first engine hears of it by the end of its connection, and tells the other stages.
+func TestACallerThatLeavesEndsItsTries(t *testing.T) {
+	p := newPausing(t)
+	g := pausingEntry(t, relay.Target{ID: "i-1", Service: "s", Address: p.address, Slots: 10, Call: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := serve(ctx, g, httptest.NewRecorder())
+	closed(t, "the stream begins", p.begun)
+	cancel()
+	closed(t, "the engine's connection ends", p.givenUp)
+	closed(t, "the call ends", done)
+	require.Zero(t, daemon.UnderWay(g))
+}
+
+// deaf is a caller that has closed its connection.
+type deaf struct{ *httptest.ResponseRecorder }
+
+func (deaf) Write([]byte) (int, error) { return 0, errors.New("broken pipe") }
+
+// Each caller whose end was met while an event was written left its request counted as
+// under way at its engines for good.
+func TestACallerThatIsFoundGoneLeavesNothingUnderWay(t *testing.T) {
+	p := newPausing(t)
+	g := pausingEntry(t, relay.Target{ID: "i-1", Service: "s", Address: p.address, Slots: 10, Call: 1})
+	done := serve(t.Context(), g, deaf{httptest.NewRecorder()})
+	closed(t, "the engine's connection ends", p.givenUp)
+	closed(t, "the call ends", done)
+	require.Zero(t, daemon.UnderWay(g))
+}
+
+// A try that another one has followed is closed before that one is sent.
+func TestATryThatIsReplacedHasEnded(t *testing.T) {
+	first, second := newPausing(t), newPausing(t)
+	g := pausingEntry(t,
+		relay.Target{ID: "i-1", Service: "s", Address: first.address, Slots: 10, Call: 1},
+		relay.Target{ID: "i-2", Service: "s", Address: second.address, Slots: 10, Call: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := serve(ctx, g, httptest.NewRecorder())
+	early, late, id := first, second, relay.TargetID("i-1")
+	select {
+	case <-first.begun:
+	case <-second.begun:
+		early, late, id = second, first, "i-2"
+	}
+	daemon.Suspect(g, id)
+	closed(t, "the second engine is asked", late.begun)
+	closed(t, "the first one's connection has ended", early.givenUp)
+	cancel()
+	closed(t, "the second one's connection ends", late.givenUp)
+	closed(t, "the call ends", done)
+	require.Zero(t, daemon.UnderWay(g))
+}
+
+// A call that was held here while its caller left was sent on a kept connection.
+func TestNothingIsSentForACallerThatHasLeft(t *testing.T) {
+	w := newWorker(t, served)
+	g := newEntry(t, relay.RepeatAlways, 1, w)
+	require.Equal(t, http.StatusOK, ask(t, g))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 50 {
+		closed(t, "the call ends", serve(ctx, g, httptest.NewRecorder()))
+	}
+	require.EqualValues(t, 1, w.next.Load())
+	require.Zero(t, daemon.UnderWay(g))
+}
--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -192,8 +192,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	recorder := httptest.NewRecorder()
-	now := time.Now()
-	g.Serve(ctx, recorder, &daemon.Call{ID: "a", Arrived: now, Deadline: now.Add(time.Second), Method: http.MethodPost, URI: "/", Path: "/", Host: "h"})
+	closed(t, "the call ends", serve(ctx, g, recorder))
 	require.NotContains(t, promises, recorder.Code)
 }
 
