daemon: a VM that can't take callers' connections isn't ready

Cause: a VM without descriptors left takes no connection and went on saying that it is ready.

Seen: TestAReadyVMTakesItsConnections (three failures of accept, then seven callers), three runs with -race.

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"net"
+	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -44,6 +46,12 @@
 // Suspect marks a target as found dead at a gateway.
 func Suspect(g *Gateway, id relay.TargetID) { g.failed(id, true) }
 
+// ServeCallersOn serves callers on a listener.
+func (g *Gateway) ServeCallersOn(server *http.Server, l net.Listener) { g.serveCallersOn(server, l) }
+
+// Kill ends what a gateway alone serves.
+func (g *Gateway) Kill() { g.daemon.Kill() }
+
 // UnderWay returns how many requests a gateway has under way at targets.
 func UnderWay(g *Gateway) int {
 	g.mu.Lock()
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -128,6 +129,7 @@
 	meter     *gatewayMetrics
 	policy    relay.Policy
 	unusable  lineLimit
+	entrance  entrance
 
 	mu     sync.Mutex
 	router *relay.Router
@@ -224,7 +226,7 @@
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.stopping.Load() && g.router.Document() != nil && time.Now().Before(g.leaseUntil)
+	return !g.stopping.Load() && g.router.Document() != nil && time.Now().Before(g.leaseUntil) && g.entrance.open(time.Now())
 }
 
 // Stopping reports whether a planned stop is under way.
@@ -275,8 +277,17 @@
 // ServeCallers serves callers' requests on an address. A planned stop ends it
 // first.
 func (g *Gateway) ServeCallers(server *http.Server, address string) error {
+	l, err := listenOn(address)
+	if err != nil {
+		return err
+	}
+	g.serveCallersOn(server, l)
+	return nil
+}
+
+func (g *Gateway) serveCallersOn(server *http.Server, l net.Listener) {
 	g.front = server
-	return g.daemon.Serve(server, address)
+	g.daemon.tomb.Go(func() error { return g.daemon.serveHTTP(server, g.entrance.over(l, g.meter)) })
 }
 
 // ask makes a place for the one answer to an event.
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -25,6 +25,8 @@
 	// did not answer in time.
 	asked      metric.Int64Counter
 	unanswered metric.Int64Counter
+	// connections counts those of callers.
+	connections metric.Int64Counter
 	// unused counts what other writers sent and is not used.
 	unused metric.Int64Counter
 }
@@ -60,6 +62,7 @@
 	g.orders = counter("spoolbank.target.orders")
 	g.asked = counter("spoolbank.target.overdue.asked")
 	g.unanswered = counter("spoolbank.target.overdue.unanswered")
+	g.connections = counter("spoolbank.callers.connections")
 	g.unused = counter("spoolbank.target.words.unusable")
 	return g, err
 }
@@ -94,6 +97,10 @@
 	g.unanswered.Add(context.Background(), int64(silent))
 }
 
+func (g *gatewayMetrics) accepted(taken bool) {
+	g.connections.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("taken", taken)))
+}
+
 func (g *gatewayMetrics) unusable(reason UnusableReason) {
 	g.unused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(reason))))
 }
