--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -123,6 +123,9 @@
 	lastPath relay.Path
 	// replaceAt is when another engine may be looked for again in the place of a stage.
 	replaceAt map[relay.TargetID]time.Time
+	// doubt says that a sending of which nothing was heard was followed by another within
+	// one try: what its target says of the second doesn't speak for the first.
+	doubt bool
 }
 
 // wholeAnswer is an answer that was read to its end.
@@ -171,11 +174,8 @@
 			f.askedAt = time.Now()
 		}
 		f.service = path.Service
-		f.lastPath = path
-		f.read = false
-		r := f.try(ctx, path)
+		r := f.tryAndRelease(ctx, path)
 		path = f.lastPath
-		f.g.release(path, f.read)
 		f.tries++
 		if r == resultDone {
 			f.notePauses(path)
@@ -195,6 +195,20 @@
 	}
 }
 
+// tryAndRelease sends the request along a path once, and lets the path go however that
+// ends: a call that is cut ends with a panic.
+func (f *forwarding) tryAndRelease(ctx context.Context, path relay.Path) result {
+	f.lastPath = path
+	f.read = false
+	defer func() { f.g.release(f.lastPath, f.read) }()
+	if ctx.Err() != nil {
+		// Its caller left, or its time ended, while it was held here.
+		f.last = ctx.Err().Error()
+		return resultGone
+	}
+	return f.try(ctx, path)
+}
+
 // served notes an answer that was given whole.
 func (f *forwarding) served(path relay.Path) {
 	f.g.meter.served(f.call.Arrived)
@@ -387,21 +401,38 @@
 
 // end gives the caller a final answer that is not a served one.
 func (f *forwarding) end(ctx context.Context, refusal *relay.Refusal) {
+	if callerLeft(ctx) {
+		f.g.meter.left()
+		f.g.log.Info("caller left", "request", f.call.ID, "after_ms", time.Since(f.call.Arrived).Milliseconds(), "tries", f.tries, "begun", f.begun, "path", f.lastPath.String())
+		panic(http.ErrAbortHandler)
+	}
 	if f.begun {
 		f.g.meter.refused(relay.RefusedUnknownRun)
-		f.g.log.Info("stream cut", "request", f.call.ID, "after", f.after, "reason", refusal.Reason, "tries", f.tries, "path", f.lastPath.String(), "caller_gone", errors.Is(context.Cause(ctx), context.Canceled))
+		f.g.log.Info("stream cut", "request", f.call.ID, "after", f.after, "reason", refusal.Reason, "tries", f.tries, "path", f.lastPath.String())
 		panic(http.ErrAbortHandler)
 	}
 	if f.kept != nil {
 		f.giveWhole(f.kept)
 		return
 	}
-	if len(f.attempts.Ran) > 0 && refusal.NotRun() {
+	if (f.doubt || len(f.attempts.Ran) > 0) && refusal.NotRun() {
 		refusal = &relay.Refusal{Kind: relay.RefusedUnknownRun, Reason: refusal.Reason}
 	}
 	f.g.refuse(f.w, f.call, refusal, f)
 }
 
+// callerLeft reports whether a call's context ended with its caller's connection rather
+// than with its time.
+func callerLeft(ctx context.Context) bool { return errors.Is(context.Cause(ctx), context.Canceled) }
+
+// abandon ends a call whose caller's connection can't be written to.
+func (f *forwarding) abandon(cause error) {
+	f.g.meter.left()
+	f.last = "caller left: " + cause.Error()
+	f.g.log.Info("caller left", "request", f.call.ID, "after_ms", time.Since(f.call.Arrived).Milliseconds(), "tries", f.tries, "begun", f.begun, "path", f.lastPath.String(), "error", cause.Error())
+	panic(http.ErrAbortHandler)
+}
+
 func (g *Gateway) refuse(w http.ResponseWriter, call *Call, r *relay.Refusal, f *forwarding) {
 	now := time.Now()
 	g.meter.refused(r.Kind)
@@ -433,6 +464,7 @@
 	}
 	answer, err := f.g.exchanger.Do(ctx, first.Address, request)
 	if errors.Is(err, target.ErrStale) && ctx.Err() == nil && f.mayAskAgain() {
+		f.doubt = true
 		request.Fresh = true
 		answer, err = f.g.exchanger.Do(ctx, first.Address, request)
 	}
@@ -447,9 +479,23 @@
 	if f.route.Stream && answer.Status == http.StatusOK {
 		return f.stream(ctx, path, watch, answer)
 	}
+	if verdict.Promise {
+		return f.unproven(path, answer)
+	}
 	return f.whole(ctx, path, watch, answer)
 }
 
+// unproven takes an answer whose status would tell the caller that its request has not
+// run, of a target that doesn't say so itself.
+func (f *forwarding) unproven(path relay.Path, answer *target.Answer) result {
+	drain(answer)
+	first := path.First()
+	f.last = "target " + first.Address + " answered " + strconv.Itoa(answer.Status) + ", and not that it has not run"
+	f.g.failed(first.Target, false)
+	f.avoid = append(f.avoid, first.Target)
+	return resultBroken
+}
+
 // mayAskAgain reports whether a request whose kept connection was gone may be sent
 // on a new one. A forgotten connection brings nothing to its target; one that broke
 // at this moment may have, so that it counts as a repeat.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -66,6 +67,9 @@
 	ID string
 	// NotRun says that the target has not run the request.
 	NotRun bool
+	// Promise says that the status tells callers that the request has not run: it is
+	// handed on only where NotRun is set too.
+	Promise bool
 	// AtFault is the address of the target that could not do its part, if told.
 	AtFault string
 }
@@ -124,6 +128,8 @@
 	probes    probes
 	meter     *gatewayMetrics
 	policy    relay.Policy
+	unusable  lineLimit
+	entrance  entrance
 
 	mu     sync.Mutex
 	router *relay.Router
@@ -171,13 +177,37 @@
 	return wait(ctx, results, core.DocumentAnswer{Result: core.Result{Kind: core.ResultInterrupted}})
 }
 
-// HearTarget takes a target's word. It returns false where the target should
-// tell another control VM.
-func (g *Gateway) HearTarget(ctx context.Context, t relay.Target) bool {
+// Hearing is what became of a target's word.
+type Hearing int
+
+const (
+	// HearingUndecided: it may have been taken, which is not known in time.
+	HearingUndecided Hearing = iota
+	// HearingRefused: it was not; the target should tell another control VM.
+	HearingRefused
+	// HearingTaken: it was.
+	HearingTaken
+)
+
+// HearTarget takes a target's word.
+func (g *Gateway) HearTarget(ctx context.Context, t relay.Target) Hearing {
 	conn, results := ask[core.TargetHeard](g.daemon)
 	defer g.daemon.answers.Delete(conn)
 	g.daemon.post(core.TargetSpoke{Conn: conn, Target: t})
-	return wait(ctx, results, core.TargetHeard{}).Taken
+	heard := wait(ctx, results, core.TargetHeard{})
+	if heard.HeldBack {
+		g.Unusable(string(t.ID), &UnusableError{
+			Subject: "target " + string(t.ID), Field: "service " + t.Service, Reason: UnusableService,
+			Remedy: "put a document that names the service, or stop the target",
+		})
+	}
+	switch {
+	case heard.Taken:
+		return HearingTaken
+	case heard.Conn != 0:
+		return HearingRefused
+	}
+	return HearingUndecided
 }
 
 // EntryAddresses returns the addresses that a caller in a hall should use, and
@@ -196,7 +226,7 @@
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.stopping.Load() && g.router.Document() != nil && time.Now().Before(g.leaseUntil)
+	return !g.stopping.Load() && g.router.Document() != nil && time.Now().Before(g.leaseUntil) && g.entrance.open(time.Now())
 }
 
 // Stopping reports whether a planned stop is under way.
@@ -247,8 +277,17 @@
 // ServeCallers serves callers' requests on an address. A planned stop ends it
 // first.
 func (g *Gateway) ServeCallers(server *http.Server, address string) error {
+	l, err := listenOn(address)
+	if err != nil {
+		return err
+	}
+	g.serveCallersOn(server, l)
+	return nil
+}
+
+func (g *Gateway) serveCallersOn(server *http.Server, l net.Listener) {
 	g.front = server
-	return g.daemon.Serve(server, address)
+	g.daemon.tomb.Go(func() error { return g.daemon.serveHTTP(server, g.entrance.over(l, g.meter)) })
 }
 
 // ask makes a place for the one answer to an event.
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -25,6 +25,10 @@
 	// did not answer in time.
 	asked      metric.Int64Counter
 	unanswered metric.Int64Counter
+	// connections counts those of callers.
+	connections metric.Int64Counter
+	// unused counts what other writers sent and is not used.
+	unused metric.Int64Counter
 }
 
 // latencyBuckets are the bounds of latency histograms, in seconds, around the
@@ -58,6 +62,8 @@
 	g.orders = counter("spoolbank.target.orders")
 	g.asked = counter("spoolbank.target.overdue.asked")
 	g.unanswered = counter("spoolbank.target.overdue.unanswered")
+	g.connections = counter("spoolbank.callers.connections")
+	g.unused = counter("spoolbank.target.words.unusable")
 	return g, err
 }
 
@@ -72,6 +78,10 @@
 	g.answers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("outcome", kind.String())))
 }
 
+var attrLeft = metric.WithAttributeSet(attribute.NewSet(attribute.String("outcome", "caller left")))
+
+func (g *gatewayMetrics) left() { g.answers.Add(context.Background(), 1, attrLeft) }
+
 func (g *gatewayMetrics) firstEvent(arrived time.Time) {
 	g.first.Record(context.Background(), time.Since(arrived).Seconds())
 }
@@ -87,6 +97,14 @@
 	g.unanswered.Add(context.Background(), int64(silent))
 }
 
+func (g *gatewayMetrics) accepted(taken bool) {
+	g.connections.Add(context.Background(), 1, metric.WithAttributes(attribute.Bool("taken", taken)))
+}
+
+func (g *gatewayMetrics) unusable(reason UnusableReason) {
+	g.unused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(reason))))
+}
+
 func (g *gatewayMetrics) probed() { g.probes.Add(context.Background(), 1) }
 
 func (g *gatewayMetrics) ordered(o core.OrderOutcome) {
