core: lives of targets that have ended are given up on all VMs

Cause: relay now tells the lives of a target apart; the reducer has to pass on what that needs, and to forget what it ordered of a life that has ended.

Change: TargetNews carries the notes on lives that are missed, where there are any; the end of a life is told to the runtime once, with who told; its order frees its place.

Tests: engines that start again under their names while the leader changes and the last words of their lives before come late by other control VMs; hints of either life; a property over losses, restarts of VMs and targets, late words and clocks that were set back. The harnesses of spread_property_test.go and halls_test.go drop lives that have ended from what an entry VM has learned; no check is changed.

--- a/internal/core/halls_test.go
+++ b/internal/core/halls_test.go
@@ -165,6 +165,10 @@
 			for _, target := range e.Targets {
 				f.learned[vm][target.ID] = target
 			}
+		case core.TargetsEnded:
+			for _, ended := range e.Lives {
+				delete(f.learned[vm], ended.Old)
+			}
 		case core.FleetLearned:
 			f.takeFleet(vm, e)
 		case core.OrderLayers:
--- /dev/null
+++ b/internal/core/incarnation_test.go
@@ -0,0 +1,269 @@
+package core_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// restart has all engines start again under their names, and returns the last words of their
+// lives before, which have not come yet.
+func (f *engineFleet) restart(born uint64) []relay.Target {
+	var late []relay.Target
+	for i, id := range f.ids {
+		e := f.engines[id]
+		last := e.target
+		last.Call += 5
+		late = append(late, last)
+		delete(f.engines, id)
+		e.target.ID = relay.NewTargetID(id.Name(), born)
+		e.target.Call, e.target.Layers, e.left = 0, config.Range{}, 0
+		f.ids[i] = e.target.ID
+		f.engines[e.target.ID] = e
+	}
+	return late
+}
+
+// covered reports whether each layer is held by an engine.
+func (f *engineFleet) covered() bool {
+	held := make(map[int]bool)
+	for _, e := range f.engines {
+		for i := e.target.Layers.First; i < e.target.Layers.Last; i++ {
+			held[i] = true
+		}
+	}
+	return len(held) == 80
+}
+
+// requireLives checks that each entry VM has just the lives that run, with what they hold.
+func (f *engineFleet) requireLives(t *testing.T) {
+	t.Helper()
+	for _, vm := range f.entries() {
+		require.Len(t, f.learned[vm], len(f.ids), vm)
+		for id, e := range f.engines {
+			require.Equal(t, e.target.Layers, f.learned[vm][id].Layers, "%s of %s", id, vm)
+		}
+	}
+}
+
+// Engines that start again under their names get orders again, though the leader changes and
+// the last words of their lives before come late, by other control VMs.
+func TestEnginesThatStartAgainAreOrderedAgain(t *testing.T) {
+	f := newEngineFleet(t, smallFleet, 30)
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
+	f.run(4 * time.Second)
+	f.put(1)
+	f.until("engines hold all layers", time.Minute, f.covered)
+	f.run(2 * time.Second)
+	f.requireLives(t)
+
+	old := f.leader()
+	late := f.restart(200)
+	f.run(700 * time.Millisecond)
+	f.dead[old] = true
+	for _, e := range f.engines {
+		if e.speaks == old {
+			e.speaks = f.otherControl(old)
+		}
+	}
+	for i, word := range late {
+		f.speak(f.controlsBut(old)[i%5], word)
+		f.step(f.controlsBut(old)[0], core.LayersOrdered{Target: word.ID, Outcome: core.OrderBegun})
+	}
+	f.until("another leads", 10*time.Second, func() bool { return f.leaderBut(old) != "" })
+	f.until("engines hold all layers again", time.Minute, f.covered)
+	for i, word := range late {
+		word.Call++
+		f.speak(f.controlsBut(old)[(i+1)%5], word)
+	}
+	f.run(2 * time.Second)
+	f.requireLives(t)
+}
+
+func (f *hallFleet) controlsBut(one core.VMName) []core.VMName {
+	return slices.DeleteFunc(slices.Clone(f.names), func(vm core.VMName) bool { return vm[0] != 'c' || vm == one })
+}
+
+func (f *hallFleet) otherControl(than core.VMName) core.VMName { return f.controlsBut(than)[0] }
+
+func lifeOf(born, call uint64) relay.Target {
+	return relay.Target{ID: relay.NewTargetID("i-1", born), Service: "s", Address: "10.0.0.1:80", Call: call}
+}
+
+// Hints are of the life that counted when they were saved: it may have ended since, or be the
+// one that late words are void against.
+func TestHintsOfALifeYieldToALaterOne(t *testing.T) {
+	for name, words := range map[string]struct {
+		hint, word relay.Target
+		want       relay.TargetID
+	}{
+		"the hint is of the life before": {hint: lifeOf(100, 50), word: lifeOf(200, 1), want: lifeOf(200, 0).ID},
+		"the word is of the life before": {hint: lifeOf(200, 1), word: lifeOf(100, 50), want: lifeOf(200, 0).ID},
+		"no start is told":               {hint: lifeOf(0, 7), word: lifeOf(0, 8), want: "i-1"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := controlNode([]relay.Target{words.hint}, time.Unix(100, 0))
+			now := lead(n, time.Unix(100, 0).Add(-2*time.Second))
+			effects := n.Step(now, core.TargetSpoke{Conn: 1, Target: words.word})
+			told := follow(n, now)
+			require.Len(t, told, 1)
+			require.Equal(t, words.want, told[0].ID)
+			for _, effect := range effects {
+				if saved, ok := effect.(core.SaveTargets); ok {
+					require.NotContains(t, saved.Targets, words.hint)
+				}
+			}
+		})
+	}
+}
+
+// Whoever learns that a life has ended says so once, and who told.
+func TestTheEndOfALifeIsToldOnce(t *testing.T) {
+	n := controlNode(nil, time.Unix(100, 0))
+	now := lead(n, time.Unix(100, 0))
+	ended := func(target relay.Target) (all []core.TargetsEnded) {
+		for _, effect := range n.Step(now, core.TargetSpoke{Conn: 1, Target: target}) {
+			if e, ok := effect.(core.TargetsEnded); ok {
+				all = append(all, e)
+			}
+		}
+		return all
+	}
+	require.Empty(t, ended(lifeOf(100, 5)))
+	require.Equal(t, []core.TargetsEnded{{Lives: []relay.Succession{{Old: lifeOf(100, 0).ID, New: lifeOf(200, 0).ID}}, Teller: "c1"}}, ended(lifeOf(200, 1)))
+	require.Empty(t, ended(lifeOf(100, 6)))
+	require.Empty(t, ended(lifeOf(200, 2)))
+}
+
+// The orders to lives that have ended take no place of those to the ones that run: as many are
+// open at a time as can be loaded.
+func TestOrdersToEndedLivesAreGivenUp(t *testing.T) {
+	const engines = 12
+	f := newEngineFleet(t, smallFleet, 0)
+	f.decode = func(text []byte) (*relay.Document, error) {
+		d, err := fullDocument(text)
+		d.Services[0].Engine.LoadsAtOnce = 1
+		return d, err
+	}
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
+	f.run(4 * time.Second)
+	f.put(1)
+	// ordered has all engines speak for a while, and returns the starts of those ordered.
+	call := uint64(0)
+	ordered := func(born uint64, d time.Duration) (borns []uint64) {
+		for until := f.now.Add(d); f.now.Before(until); {
+			call++
+			for i := range engines {
+				f.speak("c1-0", relay.Target{
+					ID: relay.NewTargetID(fmt.Sprint("i-", i), born), Service: "s", Address: fmt.Sprint("10.1.0.", i, ":80"),
+					Hall: "hall1", Accelerator: "a100", Slots: 192, Call: call,
+				})
+			}
+			f.hallFleet.run(500 * time.Millisecond)
+			for _, o := range f.orders {
+				borns = append(borns, o.Target.Born())
+			}
+			f.orders = nil
+		}
+		return borns
+	}
+	require.Len(t, ordered(100, 6*time.Second), 8)
+	require.Equal(t, slices.Repeat([]uint64{200}, 8), ordered(200, 4*time.Second))
+}
+
+// livesRun is what runs of some targets that start again under their names.
+type livesRun struct {
+	*spread
+	born map[string]uint64
+	// late are words that may still come.
+	late []relay.Target
+}
+
+func (l *livesRun) id(name string) relay.TargetID { return relay.NewTargetID(name, l.born[name]) }
+
+// say has the life of a target that runs say what it holds, to a control VM or to none yet.
+func (l *livesRun) say(name string, heard bool, to core.VMName) {
+	id := l.id(name)
+	t := l.truth[id]
+	t.Call++
+	l.truth[id] = t
+	l.late = append(l.late, t)
+	if heard {
+		l.step(to, core.TargetSpoke{Conn: 1, Target: t})
+	}
+}
+
+func (l *livesRun) begin(name string, born uint64, layers int) {
+	l.born[name] = born
+	id := l.id(name)
+	if _, known := l.truth[id]; known {
+		return // no two lives begin at once
+	}
+	l.truth[id] = relay.Target{ID: id, Service: "s", Address: "10.0.0.1:" + name, Layers: config.Range{First: 0, Last: layers}}
+}
+
+// Whatever is lost, comes late and restarts, every entry VM is told of the life of each target
+// that runs, and of no other that would count beside it.
+func TestTheLifeThatRunsReachesEveryEntryVM(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &livesRun{spread: newSpread(t), born: make(map[string]uint64)}
+		control := rapid.SampledFrom(spreadControls)
+		names := []string{"i-1", "i-2"}
+		// Where clocks are set back, control VMs that lose what they know are left out: nobody
+		// may be left who knows that the life with the later start is silent.
+		setBack := rapid.Bool().Draw(t, "clocks are set back")
+		for i, name := range names {
+			l.begin(name, uint64(100+i), 10)
+		}
+		l.lossy = true
+		for range rapid.IntRange(1, 14).Draw(t, "events") {
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0, 1:
+				l.say(name, rapid.IntRange(0, 3).Draw(t, "heard") > 0, control.Draw(t, "to"))
+			case 2:
+				born := l.born[name] + uint64(rapid.IntRange(1, 9).Draw(t, "later"))
+				if setBack && rapid.Bool().Draw(t, "set back") {
+					born = l.born[name] - uint64(rapid.IntRange(1, 9).Draw(t, "earlier"))
+				}
+				l.begin(name, born, rapid.IntRange(1, 80).Draw(t, "layers"))
+			case 3:
+				if len(l.late) > 0 {
+					l.step(control.Draw(t, "to"), core.TargetSpoke{Conn: 1, Target: rapid.SampledFrom(l.late).Draw(t, "late")})
+				}
+			case 4:
+				if !setBack {
+					l.start(control.Draw(t, "control VM"))
+				}
+			case 5:
+				l.start(rapid.SampledFrom(spreadEntries).Draw(t, "entry VM"))
+			}
+			l.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "time")) * 50 * time.Millisecond)
+		}
+		l.lossy = false
+		for range 8 {
+			for _, name := range names {
+				l.say(name, true, control.Draw(t, "at last to"))
+			}
+			l.run(1200 * time.Millisecond)
+		}
+		for _, vm := range spreadEntries {
+			for _, name := range names {
+				id := l.id(name)
+				require.Equal(t, l.truth[id].Layers, l.learned[vm][id].Layers, "%s of %s", id, vm)
+				for other := range l.learned[vm] {
+					beside := other.Name() == name && other.Born() < id.Born()
+					require.False(t, beside, "%s counts beside %s at %s", other, id, vm)
+				}
+			}
+		}
+	})
+}
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -20,7 +20,8 @@
 // An entry VM follows the control VM that it renews with, which tells it all that it knows:
 // a word needs two hops, and an entry VM has one peer for it.
 // Words on one life of a target are ordered by its own numbering; leaving is
-// never taken back. A follower names the last change that it has. One that has just
+// never taken back. Which of its lives counts, each VM finds out from those that it knows
+// (relay/incarnation.go). A follower names the last change that it has. One that has just
 // started has one control VM tell it what that knows of all targets, hints among it.
 //
 // A control VM saves what it knows now and then, without a sync. After a loss of
@@ -65,6 +66,13 @@
 // TargetsLearned tells the runtime what targets have newly said.
 type TargetsLearned struct{ Targets []relay.Target }
 
+// TargetsEnded tells the runtime of lives of targets that have ended because others have
+// begun, and who told: a control VM, or this one where a target spoke to it.
+type TargetsEnded struct {
+	Lives  []relay.Succession
+	Teller VMName
+}
+
 // FleetLearned tells the runtime of an entry VM what the leader knows of all.
 type FleetLearned struct {
 	// LeaseUntil is when this VM's right to act by its document ends.
@@ -92,6 +100,7 @@
 
 func (TargetHeard) isEffect()    {}
 func (TargetsLearned) isEffect() {}
+func (TargetsEnded) isEffect()   {}
 func (FleetLearned) isEffect()   {}
 
 // Follow asks a control VM for the changes of its registry.
@@ -120,6 +129,8 @@
 	// Updates are of targets that the asker was told of up to After.
 	Updates []relay.TargetUpdate `cbor:"updates,omitempty"`
 	Beats   []relay.Beat         `cbor:"beats,omitempty"`
+	// Missed are the lives that do not count although they began last.
+	Missed []relay.Missed `cbor:"missed,omitempty"`
 	// Whole says that these are all targets that the teller knows of.
 	Whole bool `cbor:"whole,omitempty"`
 }
@@ -228,6 +239,7 @@
 	for _, t := range hints {
 		n.registry.targets.Learn(t, n.now)
 	}
+	n.registry.targets.Turns() // nothing has run yet
 	n.registry.saved = n.registry.targets.Change()
 }
 
@@ -278,7 +290,10 @@
 		n.emit(TargetHeard{Conn: s.Conn})
 		return
 	}
-	if n.registry.targets.Hear(s.Target, n.now) {
+	news := n.registry.targets.Hear(s.Target, n.now)
+	ended, again := n.registry.targets.Turns()
+	n.endLives(ended, n.settings.Self.VM)
+	if news || len(again) > 0 {
 		n.note("target said something new", string(s.Target.ID))
 		n.registry.news = true
 		n.saveTargets(s.Target.Leaving)
@@ -484,6 +499,7 @@
 	news.Life = n.settings.Seed
 	news.After = f.after
 	news.Upto = n.registry.targets.Change()
+	news.Missed = n.registry.targets.Missed()
 	for _, t := range targets {
 		if n.registry.targets.Introduced(t.ID, f.after) {
 			news.Updates = append(news.Updates, t.Update())
@@ -508,6 +524,9 @@
 		n.registry.followed[from] = position{life: news.Life, after: max(news.Upto, at.afterIn(news.Life))}
 	}
 	n.registry.whole = n.registry.whole || news.Whole
+	for _, m := range news.Missed {
+		n.registry.targets.Miss(m, n.now)
+	}
 	var learned []relay.Target
 	for _, u := range news.Updates {
 		t, known := n.registry.targets.Get(u.ID)
@@ -526,11 +545,23 @@
 	for _, b := range news.Beats {
 		n.registry.targets.Alive(b.ID, b.Call, n.now)
 	}
-	if len(learned) == 0 {
+	ended, again := n.registry.targets.Turns()
+	n.endLives(ended, from)
+	learned = slices.DeleteFunc(append(learned, again...), func(t relay.Target) bool { return !n.registry.targets.Counts(t.ID) })
+	n.registry.news = n.registry.news || len(learned) > 0
+	if len(learned) > 0 && n.settings.Entry {
+		n.emit(TargetsLearned{Targets: learned})
+	}
+}
+
+// endLives gives up lives of targets that have ended, with what was ordered of them.
+func (n *Node) endLives(ended []relay.Succession, teller VMName) {
+	if len(ended) == 0 {
 		return
 	}
 	n.registry.news = true
-	if n.settings.Entry {
-		n.emit(TargetsLearned{Targets: learned})
+	for _, s := range ended {
+		delete(n.leading.placing.orders, s.Old)
 	}
+	n.emit(TargetsEnded{Lives: ended, Teller: teller})
 }
--- a/internal/core/spread_property_test.go
+++ b/internal/core/spread_property_test.go
@@ -74,6 +74,10 @@
 			for _, target := range e.Targets {
 				s.learned[vm][target.ID] = target
 			}
+		case core.TargetsEnded:
+			for _, ended := range e.Lives {
+				delete(s.learned[vm], ended.Old)
+			}
 		case core.Send:
 			spreads := e.Envelope.Body.Follow != nil || e.Envelope.Body.TargetNews != nil
 			if spreads && !(s.lossy && rapid.IntRange(0, 3).Draw(s.t, "loss") == 0) {
