daemon, target: what runs at a life that has ended goes on elsewhere

Cause: a request that waited for a target behind a cut waited on when the target had started again; kept connections led to a process that is gone; an engine's report was taken for that of the life on the path.

Change: exchanges end with the life that they were sent to, and are repeated by the usual rules; kept connections to its address are closed; a report that tells another start is no sign of life and gives no pace.

Seen red on scratch copies: exchanges that do not end, connections that are not dropped.

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -12,3 +12,19 @@
 	r := q.call(ctx, p)
 	return r.silent, r.paces, r.certain
 }
+
+// Exchanges are what is under way at targets.
+type Exchanges struct{ exchanges }
+
+// NewExchanges returns Exchanges with nothing under way.
+func NewExchanges() *Exchanges {
+	return &Exchanges{exchanges{underWay: make(map[relay.TargetID]map[*exchange]bool)}}
+}
+
+// Follow returns a context that ends when a life does.
+func (x *Exchanges) Follow(ctx context.Context, id relay.TargetID) (context.Context, func()) {
+	return x.follow(ctx, id)
+}
+
+// End ends what is under way at a life.
+func (x *Exchanges) End(id relay.TargetID) int { return x.end(id) }
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -362,15 +362,17 @@
 		Fresh:   f.route.Repeat == relay.RepeatNever,
 		Matches: func(h http.Header) bool { return f.g.platform.Codec.Verdict(0, h).ID == f.call.ID },
 	}
-	watch := &watcher{f: f, ctx: ctx, began: time.Now(), request: request}
+	living, over := f.g.exchanges.follow(ctx, first.Target)
+	defer over()
+	watch := &watcher{f: f, ctx: ctx, living: living, began: time.Now(), request: request}
 	if f.route.Stream {
 		request.Patience = max(pauseCheck, f.g.firstOverdueAfter())
 		request.Silent = watch.waitOn
 	}
-	answer, err := f.g.exchanger.Do(ctx, first.Address, request)
-	if errors.Is(err, target.ErrStale) && ctx.Err() == nil && f.mayAskAgain() {
+	answer, err := f.g.exchanger.Do(living, first.Address, request)
+	if errors.Is(err, target.ErrStale) && living.Err() == nil && f.mayAskAgain() {
 		request.Fresh = true
-		answer, err = f.g.exchanger.Do(ctx, first.Address, request)
+		answer, err = f.g.exchanger.Do(living, first.Address, request)
 	}
 	if err != nil {
 		return f.broken(ctx, path, watch, err)
@@ -401,6 +403,9 @@
 	if ctx.Err() != nil {
 		return resultGone
 	}
+	if cause := context.Cause(watch.living); cause != nil {
+		f.last = cause.Error()
+	}
 	culprit := path.First().Target
 	if watch.culprit != "" {
 		culprit = watch.culprit
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -93,6 +93,9 @@
 	// Pace is how many times longer than usual its steps take at present; 0 where it
 	// does not say.
 	Pace float64
+	// Born is the start of the life that says so, in Unix milliseconds; 0 where it does not
+	// say.
+	Born uint64
 }
 
 // Call is a caller's request, read whole.
@@ -121,6 +124,7 @@
 	log       logr.Logger
 	platform  Platform
 	exchanger *target.Exchanger
+	exchanges exchanges
 	probes    probes
 	meter     *gatewayMetrics
 	policy    relay.Policy
@@ -150,6 +154,7 @@
 	}
 	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, policy: p.Router.Policy, router: relay.NewRouter(p.Router), informed: make(chan struct{}), started: time.Now()}
 	g.exchanger = target.NewExchanger(meter.dialled)
+	g.exchanges.underWay = make(map[relay.TargetID]map[*exchange]bool)
 	g.probes.engines = p.Engines
 	g.probes.known = make(map[string]*probe)
 	return g, nil
@@ -288,11 +293,9 @@
 	case core.DocumentInForce:
 		g.takeDocument(e)
 	case core.TargetsLearned:
-		g.mu.Lock()
-		g.router.TakeTargets(e.Targets)
-		g.mu.Unlock()
-		g.checkInformed()
-		g.logLearned(e.Targets)
+		g.takeTargets(e.Targets)
+	case core.TargetsEnded:
+		g.endTargets(e)
 	case core.FleetLearned:
 		g.takeFleet(e)
 	case core.OrderLayers:
@@ -300,6 +303,20 @@
 	}
 }
 
+func (g *Gateway) takeTargets(targets []relay.Target) {
+	g.mu.Lock()
+	ended := g.router.EndedBy(targets)
+	g.mu.Unlock()
+	if len(ended) > 0 {
+		g.endTargets(core.TargetsEnded{Lives: ended})
+	}
+	g.mu.Lock()
+	g.router.TakeTargets(targets)
+	g.mu.Unlock()
+	g.checkInformed()
+	g.logLearned(targets)
+}
+
 // namedTargets is the number of targets that one line names: each change of a target
 // reaches every VM, so that lines must not grow with them.
 const namedTargets = 4
@@ -395,6 +412,10 @@
 				g.log.Info("engine that was slow does not answer", "target", e.Target, "error", err.Error())
 				return nil
 			}
+			if e.Target.OtherLife(report.Born) {
+				g.log.Info("engine that was slow has started again", "target", e.Target, "born", report.Born)
+				return nil
+			}
 			g.takePaces(map[relay.TargetID]float64{e.Target: report.Pace})
 			return nil
 		})
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -21,6 +21,8 @@
 	probes   metric.Int64Counter
 	repaths  metric.Int64Counter
 	orders   metric.Int64Counter
+	// ended counts the lives of targets in whose place this VM has learned of others.
+	ended metric.Int64Counter
 	// asked counts the engines that were asked whether they live, unanswered those that
 	// did not answer in time.
 	asked      metric.Int64Counter
@@ -56,6 +58,7 @@
 	g.probes = counter("spoolbank.target.probes")
 	g.repaths = counter("spoolbank.target.repaths")
 	g.orders = counter("spoolbank.target.orders")
+	g.ended = counter("spoolbank.target.ended")
 	g.asked = counter("spoolbank.target.overdue.asked")
 	g.unanswered = counter("spoolbank.target.overdue.unanswered")
 	return g, err
@@ -87,6 +90,8 @@
 	g.unanswered.Add(context.Background(), int64(silent))
 }
 
+func (g *gatewayMetrics) targetsEnded(lives int) { g.ended.Add(context.Background(), int64(lives)) }
+
 func (g *gatewayMetrics) probed() { g.probes.Add(context.Background(), 1) }
 
 func (g *gatewayMetrics) ordered(o core.OrderOutcome) {
--- a/internal/daemon/probes.go
+++ b/internal/daemon/probes.go
@@ -72,7 +72,7 @@
 
 // roll is what the engines of a path answered.
 type roll struct {
-	// silent are those that did not answer.
+	// silent are those that did not answer, or where another life did.
 	silent []relay.TargetID
 	// paces are those that told how slow they are.
 	paces map[relay.TargetID]float64
@@ -104,10 +104,10 @@
 		id := path.Stages[i].Target
 		select {
 		case <-q.done:
-			if errors.Is(q.err, ErrEngineSilent) {
+			switch {
+			case errors.Is(q.err, ErrEngineSilent), q.err == nil && id.OtherLife(q.report.Born):
 				r.silent = append(r.silent, id)
-			}
-			if q.err == nil && q.report.Pace > 0 {
+			case q.err == nil && q.report.Pace > 0:
 				r.paces[id] = q.report.Pace
 			}
 		default:
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -11,9 +11,11 @@
 // watcher looks after one try of a stream in its pauses. The path is that of the request:
 // it changes when an engine on it is replaced.
 type watcher struct {
-	f     *forwarding
-	ctx   context.Context
-	began time.Time
+	f   *forwarding
+	ctx context.Context
+	// living ends with the life of the target that got the request.
+	living context.Context
+	began  time.Time
 	// heard is when the last bytes came.
 	heard time.Time
 	// culprit is the target that the try was given up for.
@@ -159,6 +161,11 @@
 		w.culprit = first.Target
 		return true
 	}
+	if first.Target.OtherLife(report.Born) {
+		w.f.g.log.Info("engine has started again", "target", first.Target, "address", first.Address, "request", w.f.call.ID, "born", report.Born)
+		w.culprit = first.Target
+		return true
+	}
 	address, ok := report.Stalled[w.f.call.ID]
 	if !ok {
 		return false
--- /dev/null
+++ b/internal/target/drop_test.go
@@ -0,0 +1,25 @@
+package target_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/target"
+)
+
+// A connection to what runs no more is not used for what runs in its place.
+func TestDroppedConnectionsAreNotUsedAgain(t *testing.T) {
+	s := newScripted(t, answerTo("1", "ok"))
+	other := newScripted(t, answerTo("1", "ok"))
+	x := target.NewExchanger(func() {})
+	for range 2 {
+		for _, address := range []string{s.address, other.address} {
+			_, err := exchange(t, x, address, false)
+			require.NoError(t, err)
+		}
+		x.Drop(s.address)
+	}
+	require.Equal(t, int32(2), s.conns.Load())
+	require.Equal(t, int32(1), other.conns.Load())
+}
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -364,6 +364,17 @@
 	x.idle[l.address] = append(x.idle[l.address], l)
 }
 
+// Drop closes the kept connections to an address: what they led to runs no more.
+func (x *Exchanger) Drop(address string) {
+	x.mu.Lock()
+	kept := x.idle[address]
+	delete(x.idle, address)
+	x.mu.Unlock()
+	for _, l := range kept {
+		l.Conn.Close()
+	}
+}
+
 // Sweep closes the connections whose time is over.
 func (x *Exchanger) Sweep(now time.Time) {
 	x.mu.Lock()
