daemon, target, platform: connections to targets that fall silent are left

Cause: an exchange that waits to read had no bound but its caller's. A plain request on a kept connection that had fallen silent waited to its deadline, a stream until its caller left; both on every VM at once, and the next ones took the kept connections that were left. Reports were asked on kept connections too, so that a sound engine counted as lost. Ruled out: keep-alive of the kernel (see docs/design/silent-connections.md); a shorter bound on unacknowledged bytes (an end that reads sends none). Change: a plain answer that is overdue on a kept connection, by the answers of its service so far, is asked for again on a new one, where the route and the budget allow it. A stream is in doubt after six of its own pauses, at least 0.6 s, and two reports on new connections by which its engine does its part; it goes on over a new connection after the last event that its caller has. Neither counts against the target. Reports are asked on new connections. A request that may run once is sent on a new one, as before, and is 504 when its time runs out. The bound comes from timing.silence, on a platform from ContactMs.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -116,6 +116,8 @@
 	lastPath relay.Path
 	// replaced holds the stages that another engine was asked to take the place of.
 	replaced map[relay.TargetID]bool
+	// again says that the last try was left for its silent connection.
+	again bool
 }
 
 // wholeAnswer is an answer that was read to its end.
@@ -367,11 +369,7 @@
 		request.Patience = max(pauseCheck, f.g.firstOverdueAfter())
 		request.Silent = watch.waitOn
 	}
-	answer, err := f.g.exchanger.Do(ctx, first.Address, request)
-	if errors.Is(err, target.ErrStale) && ctx.Err() == nil && f.mayAskAgain() {
-		request.Fresh = true
-		answer, err = f.g.exchanger.Do(ctx, first.Address, request)
-	}
+	answer, err := f.exchange(ctx, first.Address, request)
 	if err != nil {
 		return f.broken(ctx, path, watch, err)
 	}
@@ -401,6 +399,9 @@
 	if ctx.Err() != nil {
 		return resultGone
 	}
+	if watch.silent {
+		return f.leftSilent(path, watch)
+	}
 	culprit := path.First().Target
 	if watch.culprit != "" {
 		culprit = watch.culprit
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -124,6 +124,7 @@
 	probes    probes
 	meter     *gatewayMetrics
 	policy    relay.Policy
+	answers   answerTimes
 
 	mu     sync.Mutex
 	router *relay.Router
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -22,6 +22,10 @@
 	request *target.Request
 	// called says that the engines have been asked in the present pause.
 	called bool
+	// well counts the reports in the present pause by which the engine does its part.
+	well int
+	// silent says that the try was given up for its connection.
+	silent bool
 }
 
 // hurryShare is the part of a route's bound on pauses before which nothing is asked. It is
@@ -36,6 +40,7 @@
 // listen sets how long the next event is waited for before waitOn is asked.
 func (w *watcher) listen() {
 	w.called = false
+	w.well = 0
 	w.request.Patience = pauseCheck
 	if after, ok := w.f.g.overdueAfter(w.f.pace); ok && w.worthHurry() {
 		soonest := time.Duration(hurryShare * float64(w.f.route.Pause))
@@ -117,7 +122,10 @@
 	if time.Since(since) < probeAfter || !w.f.g.policy.Has(relay.StallProbe) {
 		return true
 	}
-	return !w.probe() || w.replace()
+	if !w.probe() {
+		return !w.onSilent()
+	}
+	return w.replace()
 }
 
 // replace has another engine take the place of the one that the request waits for, and
@@ -161,6 +169,7 @@
 	}
 	address, ok := report.Stalled[w.f.call.ID]
 	if !ok {
+		w.noteWell(report)
 		return false
 	}
 	if s, ok := w.f.lastPath.At(address); ok {
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -70,6 +70,7 @@
 	idle   map[string][]*link
 	// Dialled is called for each new connection.
 	Dialled func()
+	redials chan struct{}
 }
 
 // NewExchanger returns an Exchanger without connections.
@@ -78,6 +79,7 @@
 		dialer:  net.Dialer{Timeout: dialLimit, Control: wire.Unacked(unackedLimit), KeepAlive: -1},
 		idle:    make(map[string][]*link),
 		Dialled: dialled,
+		redials: make(chan struct{}, redialsAtOnce),
 	}
 }
 
@@ -99,6 +101,10 @@
 	// to wait on. Zero waits without end.
 	Patience time.Duration
 	Silent   func() bool
+	// Kept bounds the wait for the first byte on a kept connection.
+	Kept KeptWait
+	// Again says that the request takes the place of one on a silent connection.
+	Again bool
 }
 
 // Answer is the head of an answer, with its body still to be read. Close ends it.
@@ -128,12 +134,17 @@
 	// answered says that bytes came since the request was sent.
 	answered bool
 	written  chan error
+	// sentAt is when the request was sent, heardAt when the last byte of the one before came.
+	sentAt, heardAt time.Time
 }
 
 // Read waits for bytes; in each pause it asks whether to go on.
 func (l *link) Read(p []byte) (int, error) {
 	for {
 		r := l.request
+		if l.waitsKept() {
+			return l.readKept(p)
+		}
 		if r == nil || r.Patience <= 0 {
 			n, err := l.Conn.Read(p)
 			l.answered = l.answered || n > 0
@@ -157,12 +168,13 @@
 // Do sends a request to an address and reads the head of its answer. When ctx
 // ends, the connection is closed.
 func (x *Exchanger) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
-	l, err := x.take(ctx, address, r.Fresh)
+	l, err := x.takeFor(ctx, address, r)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	l.request = r
 	l.answered = false
+	l.sentAt = time.Now()
 	stop := context.AfterFunc(ctx, func() { l.Conn.Close() })
 	answer, err := l.exchange(r)
 	if err != nil {
@@ -337,7 +349,8 @@
 		l.Conn.Close()
 		return
 	}
-	l.until = time.Now().Add(idleTime(a.Header))
+	l.heardAt = time.Now()
+	l.until = l.heardAt.Add(idleTime(a.Header))
 	l.pool.push(l)
 }
 
--- /dev/null
+++ b/internal/target/export_test.go
@@ -0,0 +1,4 @@
+package target
+
+// RedialsAtOnce is looked at by the tests of this package, which are external.
+const RedialsAtOnce = redialsAtOnce
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -47,6 +47,9 @@
 		{"memory that nothing can run in", strings.Replace(whole, `"tls"`, `"limits": {"memory_mb": 8}, "tls"`, 1), []string{
 			`6:27: memory_mb is 0 for no limit, or at least 32`,
 		}},
+		{"a silence that nothing can be noticed in", strings.Replace(whole, `"tls"`, `"timing": {"silence": "100ms"}, "tls"`, 1), []string{
+			`6:25: silence is 0s to leave it to the kernel, or at least 600ms, or connections that are only slow are left`,
+		}},
 		{"all that is missing", `{}`, []string{
 			"1:1: control.vms is required; list each control VM with its address for peers",
 			"1:1: hall is required; name the VM's data hall",
