target, daemon: run links and looks at targets leave silent connections

Cause: a run link that had fallen silent held its runs until their engine counted as dead, a kept connection a look at a target until the target counted as not reached. Change: a line without an order asks whether the link lives and is answered at once; package silence decides. Runs on a silent link are sent once more over a new one, since engines repeat what they have run. A look without an answer within half the bound is repeated on a new connection; kept ones are closed then.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -109,6 +109,7 @@
 		client:   target.NewClient(),
 		platform: p,
 	}
+	d.client = d.client.WithSilence(time.Duration(s.Timing.Silence), d.foundSilent)
 	limitMemory(s.Limits.MemoryMB)
 	d.context, d.cancel = context.WithCancel(context.Background())
 	if err := d.loadKeys(); err != nil {
--- a/internal/silence/link.go
+++ b/internal/silence/link.go
@@ -135,6 +135,10 @@
 	return l
 }
 
+// Heard returns the link after the other end has said something that bears no number, on the
+// same connection.
+func (l Link) Heard(now time.Time) Link { return l.Proved(l.sent, now) }
+
 // Speaks returns the link after the other end has borne a number of its own: it answers.
 func (l Link) Speaks() Link {
 	l.answers = true
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -24,16 +24,23 @@
 type Client struct {
 	http *http.Client
 	runs *runLinks
+	// fresh makes a connection for each request.
+	fresh *http.Client
+	// silence says what silent connections are; see WithSilence.
+	silence silenceTerms
 }
 
 // NewClient returns a Client with connections of its own.
 func NewClient() *Client {
-	client := &http.Client{Transport: &http.Transport{
+	kept := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
 		MaxIdleConnsPerHost: 512,
 		IdleConnTimeout:     time.Minute,
-	}}
-	return &Client{http: client, runs: newRunLinks(client)}
+	}
+	fresh := kept.Clone()
+	fresh.DisableKeepAlives = true
+	client := &http.Client{Transport: kept}
+	return &Client{http: client, runs: newRunLinks(client, silenceTerms{}), fresh: &http.Client{Transport: fresh}}
 }
 
 // RunOrder sends an order over the engine's link and waits for its reply.
@@ -153,11 +160,7 @@
 	ctx, cancel := context.WithTimeout(ctx, watchTime)
 	defer cancel()
 	watched := core.Watched{Report: core.TargetReport{Target: w.Target}}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+w.Address+PathLoad, nil)
-	if err != nil {
-		return watched
-	}
-	report, err := roundTrip[LoadReport](c, request)
+	report, err := get[LoadReport](ctx, c, "http://"+w.Address+PathLoad)
 	if err != nil {
 		return watched
 	}
@@ -172,11 +175,7 @@
 func (c *Client) Platform(ctx context.Context, url string) (core.PlatformListed, error) {
 	ctx, cancel := context.WithTimeout(ctx, watchTime)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url+PathVMs, nil)
-	if err != nil {
-		return core.PlatformListed{}, err
-	}
-	list, err := roundTrip[VMList](c, request)
+	list, err := get[VMList](ctx, c, url+PathVMs)
 	if err != nil {
 		return core.PlatformListed{}, err
 	}
--- a/internal/target/runlink.go
+++ b/internal/target/runlink.go
@@ -9,6 +9,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // This file carries runs to engines: one request that never ends for each
@@ -41,10 +42,11 @@
 	mu     sync.Mutex
 	client *http.Client
 	links  map[string]*runLink
+	terms  silenceTerms
 }
 
-func newRunLinks(client *http.Client) *runLinks {
-	return &runLinks{client: client, links: make(map[string]*runLink)}
+func newRunLinks(client *http.Client, terms silenceTerms) *runLinks {
+	return &runLinks{client: client, links: make(map[string]*runLink), terms: terms}
 }
 
 // runLink is the link to one engine.
@@ -56,10 +58,20 @@
 	number uint64
 	open   map[uint64]chan RunReply
 	broken bool
+	runWatch
 }
 
-// Run sends an order and waits for its reply.
+// Run sends an order and waits for its reply. Over a new link it is sent once more where the
+// first was silent: an engine repeats what it has run already.
 func (l *runLinks) Run(ctx context.Context, address string, order RunOrder) (RunReply, error) {
+	reply, err := l.runOnce(ctx, address, order)
+	if errors.Is(err, errLinkSilent) && ctx.Err() == nil {
+		return l.runOnce(ctx, address, order)
+	}
+	return reply, err
+}
+
+func (l *runLinks) runOnce(ctx context.Context, address string, order RunOrder) (RunReply, error) {
 	link := l.link(address)
 	number, reply, ok := link.begin()
 	if !ok {
@@ -72,7 +84,7 @@
 	select {
 	case r, ok := <-reply:
 		if !ok {
-			return RunReply{}, errLinkBroken
+			return RunReply{}, link.whyBroken()
 		}
 		return r, nil
 	case <-ctx.Done():
@@ -89,7 +101,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	reader, writer := io.Pipe()
-	link := &runLink{writer: NewLineWriter(writer, nil), body: writer, cancel: cancel, open: make(map[uint64]chan RunReply)}
+	link := &runLink{writer: NewLineWriter(writer, nil), body: writer, cancel: cancel, open: make(map[uint64]chan RunReply), runWatch: newRunWatch(address, l.terms)}
 	l.links[address] = link
 	go link.serve(ctx, l.client, address, reader)
 	return link
@@ -110,6 +122,7 @@
 	l.number++
 	reply := make(chan RunReply, 1)
 	l.open[l.number] = reply
+	l.sentLine(time.Now())
 	return l.number, reply, true
 }
 
@@ -149,6 +162,7 @@
 func (l *runLink) deliver(line ReplyLine) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.state = l.state.Heard(time.Now())
 	if reply, ok := l.open[line.Number]; ok {
 		delete(l.open, line.Number)
 		reply <- line.Reply
@@ -293,6 +307,10 @@
 		if err := lines.Decode(&line); err != nil {
 			return
 		}
+		if line.Number == numberAlive {
+			_ = writer.Write(ReplyLine{}) // a link that has ended needs no answer
+			continue
+		}
 		open.Go(func() {
 			_ = writer.Write(ReplyLine{Number: line.Number, Reply: run(ctx, line.Order)})
 		})
