--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -126,6 +126,8 @@
 	// doubt says that a sending of which nothing was heard was followed by another within
 	// one try: what its target says of the second doesn't speak for the first.
 	doubt bool
+	// again says that the last try was left for its silent connection.
+	again bool
 }
 
 // wholeAnswer is an answer that was read to its end.
@@ -464,12 +466,7 @@
 		request.Patience = max(pauseCheck, f.g.firstOverdueAfter())
 		request.Silent = watch.waitOn
 	}
-	answer, err := f.g.exchanger.Do(living, first.Address, request)
-	if errors.Is(err, target.ErrStale) && living.Err() == nil && f.mayAskAgain() {
-		f.doubt = true
-		request.Fresh = true
-		answer, err = f.g.exchanger.Do(living, first.Address, request)
-	}
+	answer, err := f.exchange(living, first.Address, request)
 	if err != nil {
 		return f.broken(ctx, path, watch, err)
 	}
@@ -513,6 +510,9 @@
 	if ctx.Err() != nil {
 		return resultGone
 	}
+	if watch.silent {
+		return f.leftSilent(path, watch)
+	}
 	if cause := context.Cause(watch.living); cause != nil {
 		f.last = cause.Error()
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -134,6 +134,7 @@
 	policy    relay.Policy
 	unusable  lineLimit
 	entrance  entrance
+	answers   answerTimes
 
 	mu     sync.Mutex
 	router *relay.Router
