target, daemon: a target that does not read is full, not lost

Cause: a target that takes a connection and does not read a large body was found out by the kernel's bound on unacknowledged bytes after 2 s, and counted as failed for certain: under suspicion here, and told to other VMs.

Ruled out: a longer bound (a lost target would be noticed later); asking the target how it is (it may well answer).

Change: a body is written in pieces, and one that makes no progress for 1.5 s is looked at: where all that was sent is acknowledged, the target lives and has closed its window. It counts as full. Bodies on their way to one target are within a quarter of the bound on all that is held. Where memory is limited the kernel's buffers of answers are bounded too.

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -75,3 +75,15 @@
 	}
 	return n
 }
+
+// AddTarget tells the gateway of one more target of the service "llm".
+func (g *Gateway) AddTarget(id relay.TargetID, address string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.TakeTargets([]relay.Target{{ID: id, Service: "llm", Address: address, Hall: "h", Slots: 1000}})
+}
+
+// CallerListener has the connections of a listener hold what is not read.
+func CallerListener(limits settings.Limits, l net.Listener) net.Listener {
+	return newOutbox(limits, logr.Discard()).callers(&http.Server{}, l)
+}
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -380,6 +380,11 @@
 		request.Patience = max(pauseCheck, f.g.firstOverdueAfter())
 		request.Silent = watch.waitOn
 	}
+	sending, ok := f.g.daemon.outbox.send(first.Address, len(f.call.Body))
+	if !ok {
+		return f.notSent(path)
+	}
+	defer sending()
 	answer, err := f.g.exchanger.Do(ctx, first.Address, request)
 	if errors.Is(err, target.ErrStale) && ctx.Err() == nil && f.mayAskAgain() {
 		request.Fresh = true
@@ -414,6 +419,9 @@
 	if ctx.Err() != nil {
 		return resultGone
 	}
+	if errors.Is(err, target.ErrNotReading) {
+		return f.notRead(path)
+	}
 	culprit := path.First().Target
 	if watch.culprit != "" {
 		culprit = watch.culprit
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -150,6 +150,9 @@
 	}
 	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, policy: p.Router.Policy, router: relay.NewRouter(p.Router), informed: make(chan struct{}), started: time.Now()}
 	g.exchanger = target.NewExchanger(meter.dialled)
+	if d.settings.Limits.MemoryMB > 0 {
+		g.exchanger.BoundKernel()
+	}
 	g.probes.engines = p.Engines
 	g.probes.known = make(map[string]*probe)
 	return g, nil
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -113,3 +113,22 @@
 	f.pauseExplained = true
 	f.leftUnread = stalled >= blamed
 }
+
+// notSent takes a target that has not read the bodies before this one. It counts as full.
+func (f *forwarding) notSent(path relay.Path) result {
+	f.last = "target " + path.First().Address + " has not read the bodies before this one"
+	f.full(path)
+	return resultNotSent
+}
+
+// notRead takes a target that lives and does not read the request. It counts as full, not as
+// lost; whether it runs what it has read is not known.
+func (f *forwarding) notRead(path relay.Path) result {
+	f.full(path)
+	return resultBroken
+}
+
+func (f *forwarding) full(path relay.Path) {
+	f.g.refusedBy(path.First().Target)
+	f.avoid = append(f.avoid, path.First().Target)
+}
--- a/internal/daemon/outbox.go
+++ b/internal/daemon/outbox.go
@@ -274,6 +274,28 @@
 	r.o.moreRoom()
 }
 
+// smallBody is the size of bodies that the kernel takes at once, in bytes: their targets
+// need not read for them to leave this VM.
+const smallBody = 16 << 10
+
+// send notes a body on its way to a target, and reports whether there is room for it. The
+// returned function says that it is no longer on its way.
+func (o *outbox) send(address string, bytes int) (func(), bool) {
+	if bytes <= smallBody {
+		return func() {}, true
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.holdings.Send(address, int64(bytes)) {
+		return nil, false
+	}
+	return func() {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.holdings.Sent(address, int64(bytes))
+	}, true
+}
+
 // drained waits until all callers have read what is held for them.
 func (o *outbox) drained(ctx context.Context) {
 	o.mu.Lock()
--- a/internal/daemon/readers_test.go
+++ b/internal/daemon/readers_test.go
@@ -428,3 +428,51 @@
 		}
 	}()
 }
+
+// A target that takes the connection and reads nothing is full, not lost: the request goes
+// to another one, and the target is not under suspicion.
+func TestATargetThatDoesNotReadABodyIsNotLost(t *testing.T) {
+	still, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer still.Close()
+	e := newWritingEngine(t, 1)
+	x := serveGateway(t, []string{still.Addr().String()}, func(*settings.Settings) {})
+	conn := ask(t, x.address, "/s/x", make([]byte, 4<<20-1))
+	x.AddTarget("t-1", e.address)
+	status, text := readAnswer(t, conn)
+	require.Equal(t, http.StatusOK, status)
+	require.Equal(t, answerText(0, 1), text)
+	require.False(t, x.Suspects("t-0"), "a target that acknowledges all that it is sent lives")
+	require.Equal(t, int32(1), e.runs.Load())
+	waitFor(t, "nothing is held", func() bool { held, _, _, _ := x.Held(); return held == 0 })
+}
+
+// BenchmarkEventToACallerThatKeepsUp is the cost of an event from an engine to a caller.
+func BenchmarkEventToACallerThatKeepsUp(b *testing.B) {
+	server, client := callerConns(b)
+	event := []byte("id: 17\ndata: " + strings.Repeat("x", 150) + "\n\n")
+	got := make([]byte, len(event))
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := server.Write(event); err != nil {
+			b.Fatal(err)
+		}
+		if _, err := io.ReadFull(client, got); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// callerConns returns both ends of a connection as callers have them.
+func callerConns(b *testing.B) (server, client net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(b, err)
+	defer l.Close()
+	wrapped := daemon.CallerListener(settings.Limits{UnreadTime: settings.Duration(time.Minute)}, l)
+	client, err = net.Dial("tcp", l.Addr().String())
+	require.NoError(b, err)
+	server, err = wrapped.Accept()
+	require.NoError(b, err)
+	b.Cleanup(func() { client.Close() })
+	return server, client
+}
--- a/internal/relay/holding.go
+++ b/internal/relay/holding.go
@@ -72,11 +72,13 @@
 	reserved [sides]int64
 	unread   int64
 	behind   int
+	// sending holds the bytes of bodies on their way, by the address of their target.
+	sending map[string]int64
 }
 
 // NewHoldings returns Holdings without any, within a bound in bytes.
 func NewHoldings(t HoldingTerms, bound int64) *Holdings {
-	return &Holdings{terms: t, bound: bound, all: make(map[HoldingID]*holding)}
+	return &Holdings{terms: t, bound: bound, all: make(map[HoldingID]*holding), sending: make(map[string]int64)}
 }
 
 // TakeBound takes a new bound, in bytes. What is held above it stays until it is read or
@@ -106,6 +108,29 @@
 	return h.last
 }
 
+// targetShare is the part of the bound that bodies on their way to one target may take: one
+// that does not read leaves room for the others.
+const targetShare = 0.25
+
+// Send notes a body on its way to a target, and reports whether there is room for it. A
+// target may be sent one body however large.
+func (h *Holdings) Send(address string, bytes int64) bool {
+	way := h.sending[address]
+	if way > 0 && way+bytes > int64(targetShare*float64(h.bound)) {
+		return false
+	}
+	h.sending[address] = way + bytes
+	return true
+}
+
+// Sent notes that a body is no longer on its way to a target.
+func (h *Holdings) Sent(address string, bytes int64) {
+	h.sending[address] -= bytes
+	if h.sending[address] <= 0 {
+		delete(h.sending, address)
+	}
+}
+
 // Close ends a holding.
 func (h *Holdings) Close(id HoldingID) {
 	one, ok := h.all[id]
--- a/internal/relay/holding_test.go
+++ b/internal/relay/holding_test.go
@@ -158,3 +158,16 @@
 	require.Equal(t, int64(10*mb), relay.Memory{Limit: 160 * mb, Program: 16 * mb, InUse: 150 * mb}.HoldingBound())
 	require.Equal(t, relay.Unbounded, relay.Memory{Program: 16 * mb, InUse: 150 * mb}.HoldingBound())
 }
+
+func TestBodiesToATargetThatDoesNotReadLeaveRoomForOthers(t *testing.T) {
+	h := relay.NewHoldings(holdingTerms, 160)
+	require.True(t, h.Send("a", 100), "one body may go however large it is")
+	require.False(t, h.Send("a", 1))
+	require.True(t, h.Send("b", 30))
+	require.True(t, h.Send("b", 10))
+	require.False(t, h.Send("b", 1))
+	h.Sent("b", 30)
+	require.True(t, h.Send("b", 30))
+	h.Sent("a", 100)
+	require.True(t, h.Send("a", 100))
+}
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -128,6 +129,8 @@
 	// answered says that bytes came since the request was sent.
 	answered bool
 	written  chan error
+	// unread says that the target was found not to read the request.
+	unread atomic.Bool
 }
 
 // Read waits for bytes; in each pause it asks whether to go on.
@@ -168,6 +171,9 @@
 	if err != nil {
 		stop()
 		l.Conn.Close()
+		if l.unread.Load() {
+			return nil, fmt.Errorf("target %s: %w", l.address, ErrNotReading)
+		}
 		if l.reused && !l.answered && !errors.Is(err, ErrSilent) {
 			err = fmt.Errorf("%w: %w", ErrStale, err)
 		}
@@ -286,8 +292,7 @@
 	}
 	l.written = make(chan error, 1)
 	go func() {
-		_, err := l.Conn.Write(r.Body)
-		l.written <- err
+		l.written <- l.writeBody(r.Body)
 	}()
 	return nil
 }
