--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -24,6 +25,7 @@
 func GatewayFor(s settings.Settings, log logr.Logger, p Platform, doc *relay.Document, targets []relay.Target) (*Gateway, error) {
 	d := &Daemon{settings: s, log: log, inspect: make(chan func(*core.Node)), outbox: newOutbox(s.Limits, log)}
 	d.context, d.cancel = context.WithCancel(context.Background())
+	d.tomb.Kill(nil) // nothing waits for a Node that does not run
 	var err error
 	if d.metrics, err = newMetrics(d); err != nil {
 		return nil, err
@@ -87,3 +89,18 @@
 func CallerListener(limits settings.Limits, l net.Listener) net.Listener {
 	return newOutbox(limits, logr.Discard()).callers(&http.Server{}, l)
 }
+
+// Metrics returns the present values of the gauges and counters of what is held.
+func (g *Gateway) Metrics() (map[string]float64, error) {
+	families, err := g.daemon.metrics.registry.Gather()
+	values := make(map[string]float64)
+	for _, f := range families {
+		if !strings.HasPrefix(f.GetName(), "spoolbank_held") {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			values[f.GetName()] += m.GetGauge().GetValue() + m.GetCounter().GetValue()
+		}
+	}
+	return values, err
+}
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -152,7 +152,6 @@
 	}
 	f.caller = connectionOf(ctx)
 	f.caller.begin(call.ID)
-	f.caller.waitsFor(false)
 	if flusher, ok := w.(http.Flusher); ok {
 		f.flush = flusher.Flush
 	}
--- a/internal/daemon/openai.go
+++ b/internal/daemon/openai.go
@@ -158,7 +158,10 @@
 		Conn: conn, ID: id, Key: keyOf(r), After: after,
 		Request: core.StreamRequest{Pipeline: q.Model, Prompt: prompt, MaxTokens: q.maxTokens(), Deadline: deadline, Returnable: returnable},
 	})
-	connectionOf(r.Context()).begin(string(id))
+	caller := connectionOf(r.Context())
+	caller.begin(string(id))
+	// Engines go on while a caller does not read: its mailbox must not grow for long.
+	caller.waitsFor(q.Stream)
 	w.Header().Set(target.HeaderIdempotencyKey, string(id))
 	a := &answerWriter{w: w, id: id, shape: s, model: q.Model, created: time.Now(), count: after}
 	if q.Stream {
--- a/internal/daemon/outbox.go
+++ b/internal/daemon/outbox.go
@@ -714,10 +714,11 @@
 	return true
 }
 
-// begin notes which request is under way.
+// begin notes which request is under way. No target waits for its caller yet.
 func (c *callerConn) begin(request string) {
 	if c != nil {
 		c.named.Store(&request)
+		c.target = false
 	}
 }
 
--- a/internal/daemon/readers_test.go
+++ b/internal/daemon/readers_test.go
@@ -291,15 +291,22 @@
 	<-e.written
 	<-e.written
 	waitFor(t, "both are behind", func() bool { _, _, behind, _ := x.Held(); return behind == 2 })
+	held, bound, _, _ := x.Held()
+	values, err := x.Metrics()
+	require.NoError(t, err)
+	require.InDelta(t, 2, values["spoolbank_held_behind"], 0)
+	require.InDelta(t, bound, values["spoolbank_held_bound"], 0)
+	require.InDelta(t, held, values["spoolbank_held_bytes"], float64(held)/2)
 	x.Upkeep(time.Now().Add(50 * time.Second))
 	status, text := readAnswer(t, early)
 	require.Equal(t, http.StatusOK, status)
 	require.Equal(t, answerText(0, 28), text)
 	x.Upkeep(time.Now().Add(2 * time.Minute))
-	_, err := io.Copy(io.Discard, late)
+	_, err = io.Copy(io.Discard, late)
 	require.Error(t, err)
-	_, _, _, ended := x.Held()
-	require.Equal(t, int64(1), ended)
+	values, err = x.Metrics()
+	require.NoError(t, err)
+	require.InDelta(t, 1, values["spoolbank_held_ended_total"], 0)
 	waitFor(t, "nothing is held", func() bool { held, _, _, _ := x.Held(); return held == 0 })
 }
 
--- a/internal/target/body.go
+++ b/internal/target/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"syscall"
 	"time"
@@ -56,6 +57,15 @@
 	return l.Conn.SetWriteDeadline(time.Time{})
 }
 
+// orUnread returns what broke an answer: its target's not reading the request, if that was
+// found meanwhile.
+func (l *link) orUnread(err error) error {
+	if err == nil || errors.Is(err, io.EOF) || !l.unread.Load() {
+		return err
+	}
+	return ErrNotReading
+}
+
 const (
 	// siocOutq asks for the bytes that are not acknowledged, siocOutqnsd for those of them
 	// that are not sent; package syscall lacks both.
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -325,7 +325,7 @@
 	if errors.Is(err, io.EOF) {
 		a.whole = true
 	}
-	return n, err
+	return n, a.link.orUnread(err)
 }
 
 // Close ends the exchange. The connection is kept where the answer was read
