daemon, relay: a body that there is no room for is refused before it is read

Cause: a large body grew within the bound, and was refused in its middle only.

Ruled out: reserving what a caller says will come: it may send nothing.

Change: a body of a known length is refused at once where there is no room for it at present; what is reserved still grows with what has come.

--- a/internal/daemon/outbox.go
+++ b/internal/daemon/outbox.go
@@ -233,6 +233,17 @@
 	return ok
 }
 
+// hasRoom reports whether there is room for a body at present. None is taken: who says that
+// much comes may send nothing.
+func (o *outbox) hasRoom(bytes int64) bool {
+	if bytes <= bodyFirst {
+		return true
+	}
+	r := o.open()
+	defer r.close()
+	return r.reserve(relay.SideTargets, bytes)
+}
+
 // reserveKernel adds what the kernel may hold of the request.
 func (r *reservation) reserveKernel() bool {
 	r.o.mu.Lock()
--- a/internal/relay/holding.go
+++ b/internal/relay/holding.go
@@ -60,8 +60,6 @@
 	stuckAt time.Time
 }
 
-func (h *holding) bytes() int64 { return h.reserved[SideCallers] + h.reserved[SideTargets] + h.unread }
-
 // Holdings are all that a VM holds for others. They are not safe for use by several
 // goroutines at once.
 type Holdings struct {
