relay: the mixed fleet of the tests in the order of halls that was seen

Cause: the former plan cut all halls after the first of those whose fastest kind is the same, in the order of their names. With the hall of three large engines first, as on the users' site, it leaves 70 layers with one holder; with that of four it does not, and the test's fleet had that order.

--- a/internal/relay/capacity_test.go
+++ b/internal/relay/capacity_test.go
@@ -20,8 +20,8 @@
 // small fast and 36 small slow engines in three halls, uneven in each. Figures of the kind
 // that the users give for such fleets; 239 answers a second came to one of 93 engines.
 var mixed = layout{
-	"a": {"large": 4, "quick": 10, "slow": 11},
-	"b": {"large": 3, "quick": 14, "slow": 16},
+	"a": {"large": 3, "quick": 14, "slow": 16},
+	"b": {"large": 4, "quick": 10, "slow": 11},
 	"c": {"large": 2, "quick": 24, "slow": 9},
 }
 
