relay: the chains of a hall share the cuts of its fastest engines

Change: the ranges of the fastest kind on the first chain are the cuts of the hall; the rest of its engines cover the segments in rounds, in order of speed.

--- a/internal/relay/arrange.go
+++ b/internal/relay/arrange.go
@@ -21,16 +21,25 @@
 	bearPart = 0.5
 )
 
+// seat is the layers of engines that hold the same in the same place of a round: units[at],
+// units[at+step], and so on.
+type seat struct {
+	layers          config.Range
+	at, step, count int
+	// round numbers the rounds that the seat is of: they are alike.
+	round int
+}
+
 // candidatePlan is a plan for a hall with what it is worth.
 type candidatePlan struct {
-	runs   []chainRun
+	seats  []seat
 	filled []unit
 	planWorth
 }
 
 // better returns the plan with the higher rate over losses.
 func (c candidatePlan) better(o candidatePlan) candidatePlan {
-	if o.mean > c.mean || c.runs == nil {
+	if o.mean > c.mean || c.seats == nil {
 		return o
 	}
 	return c
@@ -42,15 +51,16 @@
 	var best, bearing candidatePlan
 	g := newGauge(e)
 	tokens := e.usual()
-	var before []int
+	var before []seat
 	for range memorySizes {
-		runs, rest := e.chains(units, int(tokens))
-		if len(runs) == 0 {
+		segments := e.segments(units, int(tokens))
+		if len(segments) == 0 {
 			break
 		}
-		if sizes := sizesOf(runs); !slices.Equal(sizes, before) {
-			before = sizes
-			c := e.candidate(g, runs, rest, int(tokens))
+		seats, rest := e.rounds(units, segments, int(tokens))
+		if !slices.Equal(seats, before) {
+			before = seats
+			c := e.candidate(g, units, seats, rest, int(tokens))
 			best = best.better(c)
 			if c.bears {
 				bearing = bearing.better(c)
@@ -61,37 +71,93 @@
 	if bearing.whole > bearPart*best.whole {
 		best = bearing
 	}
-	return best.units()
+	return best.units(units)
 }
 
-// sizesOf returns the chains of each run and the engines of each chain: plans of the same
-// sizes differ little.
-func sizesOf(runs []chainRun) []int {
-	sizes := make([]int, 0, 2*len(runs))
-	for _, r := range runs {
-		sizes = append(sizes, r.count, r.length)
+// segments returns the ranges of the first chain, whose cuts all others share: each of its
+// engines of the fastest kind has one, and the slower ones together. None if there is no
+// chain.
+func (e *Engine) segments(units []unit, tokens int) []config.Range {
+	chain := e.chain(units, tokens)
+	if len(chain) == 0 {
+		return nil
+	}
+	var segments []config.Range
+	for i, layers := range inRow(e.split(chain, e.Layers, tokens)) {
+		if i > 0 && chain[i].kind.Name != chain[0].kind.Name {
+			return append(segments, config.Range{First: layers.First, Last: e.Layers})
+		}
+		if layers.Len() > 0 {
+			segments = append(segments, layers)
+		}
 	}
-	return sizes
+	return segments
 }
 
-// candidate returns the plan with these chains, and the rest at the layers with the least
-// memory.
-func (e *Engine) candidate(g *gauge, runs []chainRun, rest []unit, tokens int) candidatePlan {
-	var held []like
-	for i := range runs {
-		r := &runs[i]
-		r.sizes = e.split(r.units[:r.length], tokens)
-		for at, layers := range inRow(r.sizes) {
+// rounds covers all segments in turn with groups of engines, the fastest first, as often as
+// there are enough. The rest are too few for one more round.
+func (e *Engine) rounds(units []unit, segments []config.Range, tokens int) (seats []seat, rest []unit) {
+	next := 0
+	for {
+		round, used := e.round(units, next, segments, tokens)
+		if used == 0 {
+			return seats, units[next:]
+		}
+		times := max(alikeFrom(units, next)/used, 1)
+		for _, s := range round {
+			s.step, s.count, s.round = used, times, next
+			seats = append(seats, s)
+		}
+		next += used * times
+	}
+}
+
+// alikeFrom counts the engines of one kind from one on.
+func alikeFrom(units []unit, next int) int {
+	n := 0
+	for next+n < len(units) && units[next+n].kind.Name == units[next].kind.Name {
+		n++
+	}
+	return n
+}
+
+// round covers each segment once, from an engine on, and returns how many it takes; 0 if
+// there are too few.
+func (e *Engine) round(units []unit, next int, segments []config.Range, tokens int) (seats []seat, used int) {
+	at := next
+	for _, s := range segments {
+		n, size := at, 0
+		for n < len(units) && size < s.Len() {
+			size += e.layersFor(units[n].kind, tokens)
+			n++
+		}
+		if size < s.Len() {
+			return nil, 0
+		}
+		for i, layers := range inRow(e.split(units[at:n], s.Len(), tokens)) {
 			if layers.Len() > 0 {
-				held = e.addLike(held, &r.units[at].kind, layers, r.count)
+				layers.First += s.First
+				layers.Last += s.First
+				seats = append(seats, seat{layers: layers, at: at + i})
 			}
 		}
+		at = n
+	}
+	return seats, at - next
+}
+
+// candidate returns the plan with these seats, and the rest at the layers with the least
+// memory.
+func (e *Engine) candidate(g *gauge, units []unit, seats []seat, rest []unit, tokens int) candidatePlan {
+	var held []like
+	for _, s := range seats {
+		held = e.addLike(held, &units[s.at].kind, s.layers, s.count)
 	}
 	filled := e.fill(rest, held, tokens)
 	for i := range filled {
 		held = e.addLike(held, &filled[i].kind, filled[i].target.Layers, 1)
 	}
-	return candidatePlan{runs: runs, filled: filled, planWorth: g.worth(inOrder(held))}
+	return candidatePlan{seats: seats, filled: filled, planWorth: g.worth(inOrder(held))}
 }
 
 // inRow returns consecutive ranges of the given sizes.
@@ -105,21 +171,22 @@
 	return ranges
 }
 
-// units returns the engines with the layers that a plan gives them, chain by chain.
-func (c candidatePlan) units() []unit {
-	size := len(c.filled)
-	for _, r := range c.runs {
-		size += len(r.units)
-	}
-	out := make([]unit, 0, size)
-	for _, r := range c.runs {
-		ranges := inRow(r.sizes)
-		for i, u := range r.units {
-			u.target.Layers = ranges[i%r.length]
-			if u.target.Layers.Len() > 0 {
+// units returns the engines with the layers that a plan gives them, round by round.
+func (c candidatePlan) units(units []unit) []unit {
+	out := make([]unit, 0, len(units))
+	for from := 0; from < len(c.seats); {
+		to := from
+		for to < len(c.seats) && c.seats[to].round == c.seats[from].round {
+			to++
+		}
+		for k := range c.seats[from].count {
+			for _, s := range c.seats[from:to] {
+				u := units[s.at+k*s.step]
+				u.target.Layers = s.layers
 				out = append(out, u)
 			}
 		}
+		from = to
 	}
 	return append(out, c.filled...)
 }
--- a/internal/relay/chain.go
+++ b/internal/relay/chain.go
@@ -1,69 +1,20 @@
 package relay
 
-// This file puts engines together to chains that hold a whole model.
+import "slices"
 
-// chainRun is chains in a row that have the same kinds in the same order.
-type chainRun struct {
-	// units are the engines of all of them, length those of each.
-	units  []unit
-	length int
-	count  int
-	// sizes are the layers of each engine of a chain.
-	sizes []int
-}
+// This file puts engines together to chains that hold a whole model.
 
-// chains puts sorted engines together to chains: each takes as many of the fastest as are
-// left as hold the model with memory for so many tokens. The rest are too few for one more.
-func (e *Engine) chains(units []unit, tokens int) (runs []chainRun, rest []unit) {
-	layers := make([]int, 0, len(units))
+// chain returns as many of the fastest of sorted engines as hold the model with memory for
+// so many tokens in each; none if all of them don't.
+func (e *Engine) chain(units []unit, tokens int) []unit {
+	size := 0
 	for i := range units {
-		n := 0
-		if i > 0 && units[i].kind.Name == units[i-1].kind.Name {
-			n = layers[i-1]
-		} else {
-			n = e.layersFor(units[i].kind, tokens)
-		}
-		layers = append(layers, n)
-	}
-	for first := 0; ; {
-		last, size := first, 0
-		for last < len(units) && size < e.Layers {
-			size += layers[last]
-			last++
-		}
-		if size < e.Layers {
-			return runs, units[first:]
-		}
-		runs = addChain(runs, units, first, last)
-		first = last
-	}
-}
-
-// addChain adds the chain of units[first:last] to the run before it, or begins one.
-func addChain(runs []chainRun, units []unit, first, last int) []chainRun {
-	if len(runs) > 0 {
-		r := &runs[len(runs)-1]
-		if sameKinds(r.units[:r.length], units[first:last]) {
-			r.units = units[first-r.length*r.count : last]
-			r.count++
-			return runs
+		size += e.layersFor(units[i].kind, tokens)
+		if size >= e.Layers {
+			return units[:i+1]
 		}
 	}
-	return append(runs, chainRun{units: units[first:last], length: last - first, count: 1})
-}
-
-// sameKinds reports whether two chains have the same kinds in the same order. The engines
-// are sorted by kind, so that the number of each kind says it all.
-func sameKinds(a, b []unit) bool {
-	if len(a) != len(b) {
-		return false
-	}
-	for i := range a {
-		if a[i].kind.Name != b[i].kind.Name {
-			return false
-		}
-	}
-	return true
+	return nil
 }
 
 // splitSteps is the number of halvings between a size of memory with which a chain holds the
@@ -71,34 +22,34 @@
 // worth for most.
 const splitSteps = 10
 
-// split returns how many layers each engine of a chain holds, so that the one
+// split returns how many of some layers each engine of a group holds, so that the one
 // with the least memory for requests has the most. With memory for so many tokens in each
-// they hold the model.
-func (e *Engine) split(chain []unit, tokens int) []int {
+// they hold the layers.
+func (e *Engine) split(group []unit, layers, tokens int) []int {
 	low := max(tokens, 1)
 	high := 2 * low
-	for sum(e.layersOf(chain, high)) >= e.Layers {
+	for sum(e.layersOf(group, high)) >= layers {
 		low, high = high, 2*high
 	}
 	for range splitSteps {
 		middle := low + (high-low)/2
-		if sum(e.layersOf(chain, middle)) >= e.Layers {
+		if sum(e.layersOf(group, middle)) >= layers {
 			low = middle
 		} else {
 			high = middle
 		}
 	}
-	return e.trim(chain, e.layersOf(chain, low))
+	return trim(group, e.layersOf(group, low), layers)
 }
 
-func (e *Engine) layersOf(chain []unit, tokens int) []int {
-	sizes := make([]int, len(chain))
-	for i := range chain {
-		if i > 0 && chain[i].kind.Name == chain[i-1].kind.Name {
+func (e *Engine) layersOf(group []unit, tokens int) []int {
+	sizes := make([]int, len(group))
+	for i := range group {
+		if i > 0 && group[i].kind.Name == group[i-1].kind.Name {
 			sizes[i] = sizes[i-1]
 			continue
 		}
-		sizes[i] = e.layersFor(chain[i].kind, tokens)
+		sizes[i] = e.layersFor(group[i].kind, tokens)
 	}
 	return sizes
 }
@@ -111,29 +62,16 @@
 	return total
 }
 
-// trim takes surplus layers from the slowest stages.
-func (e *Engine) trim(chain []unit, sizes []int) []int {
-	for surplus := sum(sizes) - e.Layers; surplus > 0; surplus-- {
-		slowest := 0
+// trim takes layers above so many from the slowest stages.
+func trim(group []unit, sizes []int, layers int) []int {
+	for surplus := sum(sizes) - layers; surplus > 0; surplus-- {
+		slowest := slices.IndexFunc(sizes, func(n int) bool { return n > 0 })
 		for i := range sizes {
-			if float64(sizes[i])*chain[i].kind.Pace > float64(sizes[slowest])*chain[slowest].kind.Pace {
+			if sizes[i] > 0 && float64(sizes[i])*group[i].kind.Pace > float64(sizes[slowest])*group[slowest].kind.Pace {
 				slowest = i
 			}
 		}
-		if sizes[slowest] == 0 {
-			slowest = firstPositive(sizes)
-		}
 		sizes[slowest]--
 	}
 	return sizes
 }
-
-// firstPositive returns the first stage that holds layers.
-func firstPositive(sizes []int) int {
-	for i, n := range sizes {
-		if n > 0 {
-			return i
-		}
-	}
-	return 0
-}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -18,16 +18,17 @@
 // path for a request may be put together from any engines whose ranges join, and
 // any engine may die.
 //
-// Algorithm: a hall that can hold the model by itself does. Its engines are put together
-// to chains in order of their speed, each with memory for at least so many tokens of
-// requests, and each chain is split so that the engine with the least memory has the most.
-// Chains of like speed let fast memory free soon: an answer takes memory on its fast stages
-// for as long as its slow ones take. What is left beside whole chains goes to the layers
-// with the least memory. How much memory is right follows from the fleet: several sizes are
-// tried for each hall, and the one is taken whose plan bears the highest rate of answers,
-// in the mean over the losses of the engines that cost most (bound.go). Paths may pass from
-// chain to chain wherever a range begins or ends. Halls that can't hold the model are
-// planned as one.
+// Algorithm: a hall that can hold the model by itself does. Its fastest engines, as many as
+// hold the model with memory for so many tokens of requests in each, are put together to a
+// chain; the ends of the ranges of its fastest kind are the cuts of the hall. All engines
+// then cover the segments between the cuts in rounds, in order of their speed, each segment
+// by as many as it takes, split so that the one with the least memory has the most. Rounds
+// of like speed let fast memory free soon: an answer takes memory on its fast stages for as
+// long as its slow ones take. Shared cuts let engines stand in for lost ones. What is left
+// beside whole rounds goes to the layers with the least memory. How much memory is right
+// follows from the fleet: several sizes are tried for each hall, and the one is taken whose
+// plan bears the highest rate of answers, in the mean over the losses of the engines that
+// cost most (arrange.go, capacity.go). Halls that can't hold the model are planned as one.
 //
 // An engine that comes later, empty, takes the range that the fewest can run,
 // between two ends that exist already. What works is not moved: every load takes
