--- a/cmd/spoolbank/cmd/bound.go
+++ b/cmd/spoolbank/cmd/bound.go
@@ -94,7 +94,12 @@
 	}
 	if rate > 0 {
 		needed, borne := f.Engine.Needed(held, rate)
-		fmt.Fprintf(t, "in progress at the rate\t%.0f\t%.0f\t%s\tborne: %t\n", needed, rate, time.Duration(needed/rate*float64(time.Second)).Round(10*time.Millisecond), borne)
+		if !borne {
+			fmt.Fprintf(t, "at the rate\tnot borne\t%.0f\t\t\n", rate)
+			return t.Flush()
+		}
+		took := time.Duration(needed / rate * float64(time.Second))
+		fmt.Fprintf(t, "at the rate\t%.0f\t%.0f\t%s\t\n", needed, rate, took.Round(10*time.Millisecond))
 	}
 	return t.Flush()
 }
--- a/internal/relay/arrange.go
+++ b/internal/relay/arrange.go
@@ -19,6 +19,10 @@
 	// bearPart is the part of the best plan's rate that a plan must bear to go before it
 	// for bearing the loss of any engine.
 	bearPart = 0.5
+	// sharedPart is the part of the rate with chains that each have cuts of their own with
+	// which shared cuts go before them: an engine that holds just the layers of a lost one
+	// stands in for it, and answers go on; with cuts of their own more of them begin anew.
+	sharedPart = 0.85
 )
 
 // seat is the layers of engines that hold the same in the same place of a round: units[at],
@@ -48,12 +52,22 @@
 // arrange gives layers to the sorted engines of one hall so that they bear the highest
 // rate; none where they can't hold the model.
 func (e *Engine) arrange(units []unit) []unit {
-	var best, bearing candidatePlan
 	g := newGauge(e)
+	shared := e.bestOf(g, units, e.segments)
+	apart := e.bestOf(g, units, e.wholeModel)
+	if shared.mean < sharedPart*apart.mean {
+		return apart.units(units)
+	}
+	return shared.units(units)
+}
+
+// bestOf returns the best plan with the segments that a size of memory gives.
+func (e *Engine) bestOf(g *gauge, units []unit, segmentsOf func([]unit, int) []config.Range) candidatePlan {
+	var best, bearing candidatePlan
 	tokens := e.usual()
 	var before []seat
 	for range memorySizes {
-		segments := e.segments(units, int(tokens))
+		segments := segmentsOf(units, int(tokens))
 		if len(segments) == 0 {
 			break
 		}
@@ -69,9 +83,18 @@
 		tokens *= memoryStep
 	}
 	if bearing.whole > bearPart*best.whole {
-		best = bearing
+		return bearing
+	}
+	return best
+}
+
+// wholeModel returns the model as one segment, where a chain holds it: each chain then has
+// cuts of its own.
+func (e *Engine) wholeModel(units []unit, tokens int) []config.Range {
+	if len(e.chain(units, tokens)) == 0 {
+		return nil
 	}
-	return best.units(units)
+	return []config.Range{{Last: e.Layers}}
 }
 
 // segments returns the ranges of the first chain, whose cuts all others share: each of its
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -24,7 +24,8 @@
 // then cover the segments between the cuts in rounds, in order of their speed, each segment
 // by as many as it takes, split so that the one with the least memory has the most. Rounds
 // of like speed let fast memory free soon: an answer takes memory on its fast stages for as
-// long as its slow ones take. Shared cuts let engines stand in for lost ones. What is left
+// long as its slow ones take. Shared cuts let engines stand in for lost ones; where chains
+// that each have cuts of their own bear much more, these are taken. What is left
 // beside whole rounds goes to the layers with the least memory. How much memory is right
 // follows from the fleet: several sizes are tried for each hall, and the one is taken whose
 // plan bears the highest rate of answers, in the mean over the losses of the engines that
