--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -23,7 +23,7 @@
 // follow returns what a follower is told at once.
 func follow(n *core.Node, now time.Time) []relay.Target {
 	for _, effect := range n.Step(now, core.Received{Envelope: core.Envelope{
-		Cluster: "c", From: core.ReplicaID{VM: "e1", Incarnation: 1}, To: "c1", Body: core.Message{Follow: &core.Follow{}},
+		Cluster: "c", From: core.ReplicaID{VM: "e1", Incarnation: core.Incarnation(now.UnixNano())}, To: "c1", Body: core.Message{Follow: &core.Follow{}},
 	}}) {
 		if send, ok := effect.(core.Send); ok && send.Envelope.Body.TargetNews != nil {
 			return send.Envelope.Body.TargetNews.Targets
