--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -248,7 +248,7 @@
 	for _, t := range hints {
 		n.registry.targets.Learn(t, n.now)
 	}
-	n.registry.targets.Turns() // nothing has run yet
+	n.registry.targets.TakeTransitions() // nothing has run yet
 	n.registry.saved = n.registry.targets.Change()
 }
 
@@ -309,7 +309,7 @@
 // hear spreads a target's own word.
 func (n *Node) hear(t relay.Target) {
 	news := n.registry.targets.Hear(t, n.now)
-	ended, again := n.registry.targets.Turns()
+	ended, again := n.registry.targets.TakeTransitions()
 	n.endLives(ended, n.settings.Self.VM)
 	if !news && len(again) == 0 {
 		return
@@ -654,7 +654,7 @@
 		n.registry.targets.Alive(b.ID, b.Call, n.now)
 	}
 	n.confirm(from, news)
-	ended, again := n.registry.targets.Turns()
+	ended, again := n.registry.targets.TakeTransitions()
 	n.endLives(ended, from)
 	learned = slices.DeleteFunc(append(learned, again...), func(t relay.Target) bool { return !n.registry.targets.Counts(t.ID) })
 	n.registry.news = n.registry.news || len(learned) > 0
--- a/internal/daemon/outbox.go
+++ b/internal/daemon/outbox.go
@@ -128,13 +128,13 @@
 	others := max(inUse-min(held, o.heldBefore), 0)
 	o.heldBefore = held
 	o.measuredAt = now
-	o.holdings.TakeBound(relay.Memory{Limit: o.limit, Program: programBytes, InUse: others}.HoldingBound())
+	o.holdings.SetBound(relay.Memory{Limit: o.limit, Program: programBytes, InUse: others}.HoldingBound())
 }
 
 // upkeep ends callers that have read nothing for too long, and looks at the memory.
 func (o *outbox) upkeep(now time.Time) {
 	o.mu.Lock()
-	for _, id := range o.holdings.Overdue(now) {
+	for _, id := range o.holdings.EndOverdue(now) {
 		o.endHeld(id, now, "it has read nothing for the time that is borne")
 	}
 	unlogged := max(o.lines-endLines, 0)
--- a/internal/relay/bound.go
+++ b/internal/relay/bound.go
@@ -97,20 +97,21 @@
 
 // Hold returns what a fleet holds with the layers that its targets say, over all halls.
 func (e *Engine) Hold(targets []Target) Capacity {
-	var all Capacity
-	for _, held := range e.likesByHall(targets) {
-		all = all.plus(e.capacity(held))
-	}
-	return all
+	return e.capacityOf(e.likesByHall(targets))
 }
 
-// HoldAfter returns what Hold does once so many engines are lost in any hall, each time the
-// one whose loss costs most.
+// HoldAfter returns what Hold does after a number of losses over all halls, each that of the
+// engine whose loss costs most.
 func (e *Engine) HoldAfter(targets []Target, losses int) Capacity {
 	halls := e.likesByHall(targets)
 	for range losses {
 		e.loseWorst(halls)
 	}
+	return e.capacityOf(halls)
+}
+
+// capacityOf returns what halls hold together.
+func (e *Engine) capacityOf(halls [][]like) Capacity {
 	var all Capacity
 	for _, held := range halls {
 		all = all.plus(e.capacity(held))
@@ -175,6 +176,10 @@
 	return answers, most.Rate >= rate
 }
 
+// bisections is how often answersFor halves its interval: the rest of it is 1e-12 of the
+// first, far less than a hundredth of an answer.
+const bisections = 40
+
 // answersFor returns the fewest answers in progress in a hall that end at a rate.
 func (e *Engine) answersFor(held []like, most Capacity, rate float64) float64 {
 	if most.Rate <= rate {
@@ -182,7 +187,7 @@
 	}
 	stretches := newGauge(e).stretch(held)
 	low, high := 0.0, most.Answers
-	for range 40 {
+	for range bisections {
 		middle := (low + high) / 2
 		if e.rateOf(stretches, middle) < rate {
 			low = middle
--- a/internal/relay/capacity.go
+++ b/internal/relay/capacity.go
@@ -278,9 +278,9 @@
 // lossesBorne is the number of engines of a hall whose loss a plan is made to bear.
 const lossesBorne = 3
 
-// lossesWeigh is the number of engines in a hall above which losses aren't tried: three
-// of more than 200 are under 2 in 100.
-const lossesWeigh = 200
+// lossesMostEngines is the number of engines in a hall above which losses aren't tried:
+// lossesBorne of more than 200 are under 2 in 100.
+const lossesMostEngines = 200
 
 // afterLosses returns what a hall holds with 0, 1 and up to lossesBorne engines lost, each
 // time the one whose loss costs most of those that are tried.
@@ -344,8 +344,9 @@
 // that alone hold a layer.
 const lossesTried = 8
 
-// weighty returns the groups the loss of one of whose engines leaves the least memory at a
-// layer, the worst first, all that alone hold a layer among them.
+// weighty returns indices of groups, the worst first: those where the loss of one engine
+// leaves the least memory at some layer. All whose engine alone holds a layer are among
+// them.
 func (e *Engine) weighty(held []like) []int {
 	level := make([]float64, e.Layers)
 	copies := make([]int, e.Layers)
@@ -400,7 +401,7 @@
 	for _, l := range held {
 		engines += l.count
 	}
-	if engines > lossesWeigh {
+	if engines > lossesMostEngines {
 		c := g.capacity(held)
 		return planWorth{bears: c.Copies > 1, whole: c.Rate, mean: c.Rate}
 	}
--- a/internal/relay/holding.go
+++ b/internal/relay/holding.go
@@ -22,7 +22,7 @@
 // Invariants: the holdings never are over the bound that held when they last grew; a caller
 // that has read within the time of grace is never ended to make room.
 
-// Side says for whom bytes are held.
+// Side says whether bytes are held for callers or for targets.
 type Side int
 
 // The sides.
@@ -53,6 +53,7 @@
 const answerShare = 0.75
 
 type holding struct {
+	// reserved and unread are in bytes.
 	reserved [sides]int64
 	unread   int64
 	// stuckAt is since when the kernel takes nothing more for the caller, zero while it does
@@ -69,7 +70,8 @@
 	all      map[HoldingID]*holding
 	reserved [sides]int64
 	unread   int64
-	behind   int
+	// behind counts the holdings with unread bytes.
+	behind int
 	// sending holds the bytes of bodies on their way, by the address of their target.
 	sending map[string]int64
 }
@@ -79,9 +81,9 @@
 	return &Holdings{terms: t, bound: bound, all: make(map[HoldingID]*holding), sending: make(map[string]int64)}
 }
 
-// TakeBound takes a new bound, in bytes. What is held above it stays until it is read or
+// SetBound sets a new bound, in bytes. What is held above it stays until it is read or
 // must make room.
-func (h *Holdings) TakeBound(bytes int64) { h.bound = bytes }
+func (h *Holdings) SetBound(bytes int64) { h.bound = bytes }
 
 // Bound returns the bound, in bytes.
 func (h *Holdings) Bound() int64 { return h.bound }
@@ -215,7 +217,7 @@
 	if free >= bytes || bytes <= 0 {
 		return free, nil
 	}
-	may := h.mayEnd(id, now)
+	may := h.evictable(id, now)
 	room = free
 	for room < bytes && len(may) > 0 {
 		first := slices.MinFunc(may, func(a, b unreadCost) int {
@@ -234,28 +236,29 @@
 	return room, ends
 }
 
-// unreadCost is a holding that may end, with what it costs the others.
+// unreadCost is a holding that may end, with what it costs the others: its unread bytes
+// times the seconds that they have lain unread. The highest cost ends first, and of equal
+// costs the older holding.
 type unreadCost struct {
 	id   HoldingID
 	cost float64
 }
 
-// mayEnd returns the holdings but one that may end to make room. Whose bytes have lain unread
-// longer, and are more, costs the others more and ends first, then the older one.
-func (h *Holdings) mayEnd(but HoldingID, now time.Time) []unreadCost {
+// evictable returns the holdings, except one, that may end to make room, in no order.
+func (h *Holdings) evictable(except HoldingID, now time.Time) []unreadCost {
 	var may []unreadCost
 	for id, one := range h.all {
 		since := now.Sub(one.stuckAt)
-		if id != but && one.unread > 0 && !one.stuckAt.IsZero() && since >= h.terms.Grace {
+		if id != except && one.unread > 0 && !one.stuckAt.IsZero() && since >= h.terms.Grace {
 			may = append(may, unreadCost{id, float64(one.unread) * since.Seconds()})
 		}
 	}
 	return may
 }
 
-// Overdue ends the holdings whose callers have read nothing for the longest time that is
-// borne, and returns them, sorted.
-func (h *Holdings) Overdue(now time.Time) []HoldingID {
+// EndOverdue ends the holdings whose callers have read nothing for HoldingTerms.Unread, and
+// returns them, sorted.
+func (h *Holdings) EndOverdue(now time.Time) []HoldingID {
 	var ends []HoldingID
 	for id, one := range h.all {
 		if one.unread > 0 && !one.stuckAt.IsZero() && now.Sub(one.stuckAt) >= h.terms.Unread {
@@ -278,13 +281,14 @@
 }
 
 const (
-	// memoryParts is the part of what is left that may be held: as much again is there
-	// before the collector notices what is no longer held, and a third part is for what is
-	// not measured, and for what the VM's own state grows by until the next measure.
+	// memoryParts is the number of equal parts of the memory that is left: one may be held,
+	// one is for what is no longer held and not collected yet, and one for what is not
+	// measured and for what the VM's own state grows by until the next measure.
 	memoryParts = 3
-	// holdingLeast is the part of the limit that may be held however much seems in use:
-	// what is measured has rubbish in it that goes when the memory is needed.
-	holdingLeast = 16
+	// leastParts is the number of equal parts of the limit of which one may be held however
+	// much seems in use: what is measured includes garbage, which is collected when the
+	// memory is needed.
+	leastParts = 16
 )
 
 // Unbounded is the bound where there is no limit.
@@ -295,5 +299,5 @@
 	if m.Limit <= 0 {
 		return Unbounded
 	}
-	return max((m.Limit-m.Program-m.InUse)/memoryParts, m.Limit/holdingLeast)
+	return max((m.Limit-m.Program-m.InUse)/memoryParts, m.Limit/leastParts)
 }
--- a/internal/relay/holding_test.go
+++ b/internal/relay/holding_test.go
@@ -93,9 +93,9 @@
 	h.Read(slow, 1)
 	h.Stuck(slow, at(20))
 	require.Equal(t, 2, h.Behind())
-	require.Empty(t, h.Overdue(at(29)))
-	require.Equal(t, []relay.HoldingID{still}, h.Overdue(at(31)))
-	require.Empty(t, h.Overdue(at(31)))
+	require.Empty(t, h.EndOverdue(at(29)))
+	require.Equal(t, []relay.HoldingID{still}, h.EndOverdue(at(31)))
+	require.Empty(t, h.EndOverdue(at(31)))
 	h.Read(slow, 19)
 	require.Zero(t, h.Behind())
 	h.Close(idle)
@@ -111,7 +111,7 @@
 	taken, ends := h.Put(h.Open(), 40, at(100))
 	require.Zero(t, taken)
 	require.Empty(t, ends)
-	require.Empty(t, h.Overdue(at(100)))
+	require.Empty(t, h.EndOverdue(at(100)))
 }
 
 func TestHoldingsStayWithinTheirBound(t *testing.T) {
--- a/internal/relay/incarnation.go
+++ b/internal/relay/incarnation.go
@@ -8,16 +8,16 @@
 	"time"
 )
 
-// This file tells the lives of a target apart: one that starts again under its name knows
-// and holds nothing of before.
+// This file tells the lives of a target apart, its incarnations: one that starts again under
+// its name knows nothing of its last life's requests and holds none of its layers.
 //
-// Problem: words of a life that has ended may come after those of the next one, by any way
-// and in any order, and must not bring it back.
+// Problem: what a life that has ended had sent may arrive after what the next one sends, by
+// any way and in any order, and must not bring it back.
 //
 // Algorithm: the start is a part of the identity, so that all that is kept by TargetID is of
 // one life. Of the lives of one name, and of those at one address, the one with the latest
 // start counts and the others are void. Each registry finds that out from the lives that it
-// knows, so that no order of words matters and no clock is asked.
+// knows, so that neither the order of arrival nor any clock of its own matters.
 //
 // Where a clock was set back, the life that runs has not the latest start. It is taken once
 // the later ones have been silent for SilentAfter: the control VM that hears it notes them as
@@ -25,7 +25,7 @@
 // voids nothing. Its next word, which is newer than the note, ends that.
 //
 // Invariants: what counts depends on the lives and notes that are known, not on the order in
-// which they came; a void life is told to nobody, saved nowhere and given nothing.
+// which they arrived; a void life is told to nobody, saved nowhere and given nothing.
 //
 // Limits: a word of an earlier life that comes when the later one has been silent for
 // SilentAfter has the earlier one count until the later one speaks or the earlier one is
@@ -115,7 +115,7 @@
 	byName    map[string][]TargetID
 	byAddress map[string][]TargetID
 	missed    map[TargetID]missedNote
-	// ended and revived are what has changed since it was last asked for.
+	// ended and revived are what has changed since the last TakeTransitions.
 	ended   []Succession
 	revived []TargetID
 }
@@ -138,6 +138,7 @@
 	dropID(l.byAddress, t.Address, t.ID)
 }
 
+// withID adds an identity to others unless it is among them.
 func withID(ids []TargetID, id TargetID) []TargetID {
 	if slices.Contains(ids, id) {
 		return ids
@@ -145,6 +146,7 @@
 	return append(ids, id)
 }
 
+// dropID removes an identity from those at a key.
 func dropID(of map[string][]TargetID, key string, id TargetID) {
 	left := slices.DeleteFunc(of[key], func(o TargetID) bool { return o == id })
 	of[key] = left
@@ -172,8 +174,8 @@
 	return noted && t.Call <= note.call
 }
 
-// refile takes a target's words where they may change which life counts: it was not known,
-// has another address, or was missed and speaks. It reports the last.
+// refile works out again which life counts where a target's heartbeat may change that: the
+// target was not known, has another address, or was missed and speaks. It reports the last.
 func (r *Registry) refile(before, after Target, known bool) (spokeAgain bool) {
 	note, noted := r.lives.missed[after.ID]
 	spokeAgain = noted && after.Call > note.call
@@ -199,7 +201,7 @@
 	return spokeAgain
 }
 
-// renew has followers told of a life again.
+// renew marks a life as changed, so that followers are sent it again.
 func (r *Registry) renew(id TargetID) {
 	r.change++
 	e := r.targets[id]
@@ -207,7 +209,7 @@
 	r.targets[id] = e
 }
 
-// settle finds out anew which of some lives are void.
+// settle works out which of some lives are void, and notes those where that has changed.
 func (r *Registry) settle(ids []TargetID) {
 	for _, id := range ids {
 		e, known := r.targets[id]
@@ -280,9 +282,9 @@
 	return missed
 }
 
-// Turns returns the lives that have ended, and those that count again, since it was last
-// called.
-func (r *Registry) Turns() (ended []Succession, again []Target) {
+// TakeTransitions returns the lives that have ended, and those that count again, since it was
+// last called. Lives that did both since are left out of the one that no longer holds.
+func (r *Registry) TakeTransitions() (ended []Succession, again []Target) {
 	for _, s := range r.lives.ended {
 		if r.targets[s.Old].void {
 			ended = append(ended, s)
@@ -306,18 +308,18 @@
 // signOff returns the lives that a target which signs off speaks of: the one whose start it
 // tells or, where it tells none, those of its name that count here at this moment.
 func (r *Registry) signOff(t Target) []Target {
-	words := []Target{t}
+	leaving := []Target{t}
 	if t.ID.Born() != 0 {
-		return words
+		return leaving
 	}
 	for _, id := range r.lives.byName[t.ID.Name()] {
 		if id != t.ID && !r.targets[id].void {
 			other := t
 			other.ID = id
-			words = append(words, other)
+			leaving = append(leaving, other)
 		}
 	}
-	return words
+	return leaving
 }
 
 // forgetLives drops the lives that the registry no longer knows, and notes from before a
