--- a/internal/core/placing_notes.go
+++ b/internal/core/placing_notes.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
@@ -46,10 +47,10 @@
 }
 
 const (
-	// lossesNoted is the losses that a noted plan is told with.
+	// lossesNoted is the number of lost engines that a noted plan gives the rate after.
 	lossesNoted = 3
-	// roundedTo is the unit of the times in a note, for people.
-	roundedTo = 1e7
+	// roundedTo is the unit of the times in a note: people need no more.
+	roundedTo = 10 * time.Millisecond
 )
 
 // withLayers returns engines with the layers that a plan gives them.
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -115,7 +115,7 @@
 	// OwnOnly asks for the targets that speak to the one asked: the asker has been told
 	// of all others.
 	OwnOnly bool `cbor:"own_only,omitempty"`
-	// Came says that this only tells that the last news have come.
+	// Came acknowledges the last news, and asks for none.
 	Came bool `cbor:"came,omitempty"`
 	// Digest is set where the asker has been told of targets, and never by the one asked.
 	Digest relay.Digest `cbor:"digest,omitempty"`
@@ -222,10 +222,11 @@
 	id    ReplicaID
 	after uint64
 	until time.Time
-	// came is the change that it has said it has.
-	came uint64
-	// sent is the change that what is on its way brings it to, and resendAt when that
-	// counts as lost, zero where nothing is on its way. lost counts how often in a row.
+	// acknowledged is the last change that it has said it has.
+	acknowledged uint64
+	// sent is the change that the news on their way bring it to, and resendAt when those
+	// count as lost, zero where none are on their way. lost counts the news that were sent
+	// since all were last acknowledged, those on their way included.
 	sent     uint64
 	resendAt time.Time
 	lost     int
@@ -371,7 +372,7 @@
 	}
 }
 
-// newsLost reports whether news to a follower were not confirmed in time.
+// newsLost reports whether news to a follower were not acknowledged in time.
 func (n *Node) newsLost() bool {
 	for _, f := range n.registry.followers {
 		if f.lost > 0 && !n.now.Before(f.resendAt) {
@@ -447,7 +448,7 @@
 		return
 	}
 	if f.Came {
-		n.newsCame(id, f)
+		n.newsAcknowledged(id, f)
 		return
 	}
 	if !f.Beats && len(n.elsewhere(f.Hall, f.Away)) > 0 {
@@ -463,7 +464,7 @@
 	present.askedAt = n.now
 	present.hall = f.Hall
 	present.beats = f.Beats
-	if !present.takePlace(f.positionIn(n.settings.Seed), n.now) {
+	if !present.acknowledge(f.positionIn(n.settings.Seed), n.now) {
 		return
 	}
 	if !f.OwnOnly {
@@ -473,13 +474,13 @@
 	n.tell(from, present, n.newsAfter(present.after, true), TargetNews{})
 }
 
-// newsCame takes a follower's word that news have come. What changed meanwhile goes out with
-// the next push, with what else changes until then: told at once, each of 3,000 targets that
-// load would be a message of its own to each follower. One that follows another VM by now
-// still says so, and is not kept for it.
-func (n *Node) newsCame(id ReplicaID, f Follow) {
+// newsAcknowledged takes a follower's acknowledgement. What changed meanwhile goes out with
+// the next push, with what else changes until then: sent at once, each of 3,000 targets that
+// load would be a message of its own to each follower. A VM that follows another one by now
+// may still acknowledge, and does not become a follower again by it.
+func (n *Node) newsAcknowledged(id ReplicaID, f Follow) {
 	present, ok := n.registry.followers[id.VM]
-	if !ok || present.id != id || !present.takePlace(f.positionIn(n.settings.Seed), n.now) {
+	if !ok || present.id != id || !present.acknowledge(f.positionIn(n.settings.Seed), n.now) {
 		return
 	}
 	n.registry.news = n.registry.news || n.registry.targets.Change() > present.after
@@ -493,14 +494,14 @@
 	return f.After
 }
 
-// takePlace takes the last change that a follower says it has, and reports whether it may
-// be told more: nothing is sent while the news before are on their way.
-func (f *follower) takePlace(after uint64, now time.Time) bool {
+// acknowledge takes the last change that a follower says it has, and reports whether more
+// may be sent: nothing is while earlier news are on their way.
+func (f *follower) acknowledge(after uint64, now time.Time) bool {
 	if after >= f.sent {
 		f.resendAt = time.Time{}
 		f.lost = 0
 	}
-	f.came = after
+	f.acknowledged = after
 	if now.Before(f.resendAt) {
 		return false
 	}
@@ -530,10 +531,10 @@
 		after uint64
 		own   bool
 	}
-	// What followers are told of is on its way until they say that it has come: one that is
-	// slow, or behind a full link, gets all that changed meanwhile at once. Were each change
-	// sent as it comes, and sent again for each ask that crossed it, a leader of 300 VMs and
-	// 3,000 targets that load would send 71 MB in 5 s, six times what is new.
+	// News are on their way until the follower acknowledges them: one that is slow, or behind
+	// a full link, then gets all that changed meanwhile at once. Were each change sent as it
+	// happens, and again for each ask that crossed it, a leader of 300 VMs with 3,000 targets
+	// that load would send several times what is new.
 	news := make(map[place][]relay.Target)
 	for _, vm := range slices.Sorted(maps.Keys(n.registry.followers)) {
 		f := n.registry.followers[vm]
@@ -545,7 +546,7 @@
 			continue
 		}
 		if f.lost > 0 {
-			f.after = f.came
+			f.after = f.acknowledged
 		}
 		at := place{after: f.after, own: f.beats}
 		targets, known := news[at]
@@ -572,12 +573,13 @@
 }
 
 const (
-	// resendFirst is the wait for a follower to say that news have come, before they are
-	// sent again: far longer than they take on a link that is not full, and short enough
-	// for word of a target that leaves to come twice within the 2 s that it may take. Each
-	// loss in a row doubles it up to resendMost.
-	resendFirst = 700 * time.Millisecond
-	resendMost  = 5 * time.Second
+	// resendFirst is the wait for an acknowledgement before news are sent again: far longer
+	// than they take on a link that is not full, and short enough for news of a target that
+	// leaves to be sent twice within the 2 s that they may take. Each loss in a row doubles
+	// it, resendDoublings times at the most and up to resendMost.
+	resendFirst     = 700 * time.Millisecond
+	resendDoublings = 3
+	resendMost      = 5 * time.Second
 	// resendEach is added for each target in the news: some 70 bytes, over a link of 20
 	// Mbit/s that 15 followers share.
 	resendEach = 500 * time.Microsecond
@@ -603,15 +605,15 @@
 	f.after = news.Upto
 	if len(targets) > 0 {
 		f.sent = news.Upto
-		wait := min(resendFirst<<min(f.lost, 3), resendMost) + time.Duration(len(targets))*resendEach
+		wait := min(resendFirst<<min(f.lost, resendDoublings), resendMost) + time.Duration(len(targets))*resendEach
 		f.resendAt = n.now.Add(wait)
 		f.lost++
 	}
 	n.send(vm, Message{TargetNews: &news})
 }
 
-// confirm tells a control VM that its news have come, so that it sends what is next.
-func (n *Node) confirm(from VMName, news TargetNews) {
+// acknowledgeNews acknowledges a control VM's news, so that it sends what is next.
+func (n *Node) acknowledgeNews(from VMName, news TargetNews) {
 	if len(news.Targets) == 0 && len(news.Updates) == 0 {
 		return
 	}
@@ -653,7 +655,7 @@
 	for _, b := range news.Beats {
 		n.registry.targets.Alive(b.ID, b.Call, n.now)
 	}
-	n.confirm(from, news)
+	n.acknowledgeNews(from, news)
 	ended, again := n.registry.targets.TakeTransitions()
 	n.endLives(ended, from)
 	learned = slices.DeleteFunc(append(learned, again...), func(t relay.Target) bool { return !n.registry.targets.Counts(t.ID) })
