--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -577,7 +577,7 @@
 	defer held.close()
 	body, err := f.readWhole(ctx, held, answer)
 	if errors.Is(err, errNoMemory) {
-		return f.unheld(path)
+		return f.answerWithoutMemory(path)
 	}
 	if err != nil {
 		return f.broken(ctx, path, watch, err)
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -20,12 +20,12 @@
 const (
 	// bodyFirst is the size that a body's buffer begins with, in bytes: most bodies fit.
 	bodyFirst = 4 << 10
-	// comeBackWithMemory is when a caller tries again for whose body there was no memory:
-	// answers that nobody reads are ended within half of that.
-	comeBackWithMemory = time.Second
-	// blamed is the wait of a target on its caller after which a break of its answer is the
-	// caller's: targets cut off what is left unread for some seconds.
-	blamed = 500 * time.Millisecond
+	// noMemoryRetry is when a caller for whose body there was no memory is asked to try
+	// again: answers that nobody reads are ended within half of that.
+	noMemoryRetry = time.Second
+	// stallBlamed is how long a caller must have held up a target's answer for a break of it
+	// to be the caller's fault: targets cut off what is left unread for some seconds.
+	stallBlamed = 500 * time.Millisecond
 )
 
 // readBounded reads to the end, or up to most bytes and one more. Each time its buffer
@@ -79,7 +79,7 @@
 
 func (g *Gateway) noMemory() *relay.Refusal {
 	g.meter.refused(relay.RefusedNoMemory)
-	return &relay.Refusal{Kind: relay.RefusedNoMemory, RetryAt: time.Now().Add(comeBackWithMemory), Reason: "this VM has no memory left for the request"}
+	return &relay.Refusal{Kind: relay.RefusedNoMemory, RetryAt: time.Now().Add(noMemoryRetry), Reason: "this VM has no memory left for the request"}
 }
 
 // readWhole reads the answer of a plain service, or its beginning where it is long.
@@ -89,9 +89,9 @@
 	})
 }
 
-// unheld ends a request that was run and for whose answer there is no memory. Its target is
-// not at fault, and another run would find no more memory.
-func (f *forwarding) unheld(path relay.Path) result {
+// answerWithoutMemory ends a request that was run and for whose answer there is no memory.
+// Its target is not at fault, and another run would find no more memory.
+func (f *forwarding) answerWithoutMemory(path relay.Path) result {
 	f.g.succeeded(path.First().Target)
 	f.last = errNoMemory.Error()
 	f.attempts = f.attemptsAfter(resultBroken, path)
@@ -111,7 +111,7 @@
 	f.heldUp += stalled
 	f.pace = relay.Pace{}
 	f.pauseExplained = true
-	f.leftUnread = stalled >= blamed
+	f.leftUnread = stalled >= stallBlamed
 }
 
 // notSent takes a target that has not read the bodies before this one. It counts as full.
--- a/internal/daemon/outbox.go
+++ b/internal/daemon/outbox.go
@@ -42,9 +42,9 @@
 	// to make room: one that reads at all does so within some round trips of 40 ms at the
 	// most, or once the kernel has sent a lost packet again, after 200 ms.
 	readGrace = 250 * time.Millisecond
-	// engineBears is how long the reading from a target may stop: targets cut an answer off
+	// engineStallLimit is how long the reading from a target may stop: targets cut an answer off
 	// that is left unread for some seconds.
-	engineBears = 1500 * time.Millisecond
+	engineStallLimit = 1500 * time.Millisecond
 	// lookAgain is how often a writer that waits looks whether somebody may be ended by now.
 	lookAgain = 100 * time.Millisecond
 	// pieceLeast is the size of the pieces that are held, in bytes: some tens of events.
@@ -56,8 +56,8 @@
 	// where memory is limited: more than a whole stream of some 60 events has. The kernel
 	// takes twice as much, for its own records.
 	socketBytes = 16 << 10
-	// requestKernel is what the kernel may hold of one open request: what its caller and
-	// what this VM has not read, each in one direction.
+	// requestKernel is what the kernel may hold of one open request on either side, in bytes:
+	// one buffer of a connection, twice for the kernel's own records.
 	requestKernel = 2 * socketBytes
 	// programBytes is what the program takes of a process's memory, in bytes: its file has
 	// less than 30 MB, about half of which is ever used.
@@ -224,6 +224,7 @@
 	return r.add(s, bytes)
 }
 
+// add does what reserve does. The lock is held.
 func (r *reservation) add(s relay.Side, bytes int64) bool {
 	now := time.Now()
 	ok, ends := r.o.holdings.Reserve(r.id, s, bytes, now)
@@ -262,7 +263,7 @@
 // wait adds bytes as soon as there is room for them, and reports whether there was before
 // the target would no longer bear the wait.
 func (r *reservation) wait(ctx context.Context, s relay.Side, bytes int64) bool {
-	until := time.Now().Add(engineBears)
+	until := time.Now().Add(engineStallLimit)
 	r.o.mu.Lock()
 	defer r.o.mu.Unlock()
 	for !r.add(s, bytes) {
@@ -548,7 +549,7 @@
 // patience is how long the writer waits for room.
 func (c *callerConn) patience() time.Duration {
 	if c.target {
-		return engineBears
+		return engineStallLimit
 	}
 	return c.o.unread
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -194,7 +194,7 @@
 	for e := first; ; {
 		d.metrics.sent()
 		e.Body.Receipt = l.number(e.Body.Receipt, time.Now())
-		if err := stream.MsgSend(e, counted{note: d.metrics.traffic.sentMessage}); err != nil {
+		if err := stream.MsgSend(e, measuredEncoding{note: d.metrics.traffic.sentMessage}); err != nil {
 			if silent.Load() {
 				return errLinkSilent
 			}
@@ -234,11 +234,11 @@
 // certificate names.
 func (s *peerServer) Link(stream drpc.Stream) error {
 	name, secure := wire.PeerName(stream.Context())
-	defer s.daemon.peers.leftBy(stream)
+	defer s.daemon.peers.dropInbound(stream)
 	noted := false
 	for {
 		var e core.Envelope
-		if err := stream.MsgRecv(&e, counted{note: s.daemon.metrics.traffic.tookMessage}); err != nil {
+		if err := stream.MsgRecv(&e, measuredEncoding{note: s.daemon.metrics.traffic.tookMessage}); err != nil {
 			return err
 		}
 		if secure && string(e.From.VM) != name {
@@ -247,7 +247,7 @@
 		}
 		s.daemon.metrics.received()
 		if !noted {
-			s.daemon.peers.cameOver(stream, e.From.VM)
+			s.daemon.peers.noteInbound(stream, e.From.VM)
 			noted = true
 		}
 		if !s.daemon.peers.takeReceipt(stream, e) {
--- a/internal/daemon/receipts.go
+++ b/internal/daemon/receipts.go
@@ -45,22 +45,24 @@
 type receipts struct {
 	mu    sync.Mutex
 	state silence.Link
-	// seen is the highest number had from the other VM in its life of that incarnation.
+	// seen is the highest number received from the other VM in its incarnation seenOf.
 	seen   uint64
 	seenOf core.Incarnation
 	// conn is the connection that the link has now, if it has one; silent is set when that
 	// is ended for its silence.
 	conn   *drpcconn.Conn
 	silent *atomic.Bool
-	// refound says that the last connection was found silent.
-	refound bool
+	// redial says that the last connection was found silent, so that the next one is made
+	// in its place.
+	redial bool
 }
 
-// number returns the receipt that a message goes out with.
-func (r *receipts) number(r0 *core.Receipt, now time.Time) *core.Receipt {
+// number returns the receipt that a message goes out with. The given one, if any, says
+// whether the message is a question.
+func (r *receipts) number(given *core.Receipt, now time.Time) *core.Receipt {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	receipt := core.Receipt{Seen: r.seen, Ask: r0 != nil && r0.Ask}
+	receipt := core.Receipt{Seen: r.seen, Ask: given != nil && given.Ask}
 	r.state, receipt.Number = r.state.Sent(now)
 	return &receipt
 }
@@ -87,10 +89,10 @@
 // dialPeer connects to a VM. In the place of silent connections few are made at once.
 func (d *Daemon) dialPeer(l *peerLink) (*drpcconn.Conn, error) {
 	l.receipts.mu.Lock()
-	refound := l.refound
-	l.refound = false
+	redial := l.redial
+	l.redial = false
 	l.receipts.mu.Unlock()
-	if !refound {
+	if !redial {
 		return d.keys.Dial(d.context, l.get())
 	}
 	select {
@@ -170,7 +172,7 @@
 		p.daemon.askOver(l)
 	case silence.Void:
 		l.state = state.Voided()
-		l.refound = true
+		l.redial = true
 		l.silent.Store(true)
 		go l.conn.Close()
 		l.conn = nil
@@ -211,9 +213,9 @@
 	return false
 }
 
-// cameOver notes the connection that a VM's messages come over. An older one of the same VM
+// noteInbound notes the connection that a VM's messages come over. An older one of the same VM
 // is closed: the VM has left it, and where it is silent it would stay open for good.
-func (p *peers) cameOver(stream drpc.Stream, vm core.VMName) {
+func (p *peers) noteInbound(stream drpc.Stream, vm core.VMName) {
 	transport, ok := drpcctx.Transport(stream.Context())
 	if !ok {
 		return
@@ -227,8 +229,8 @@
 	}
 }
 
-// leftBy forgets a connection that has ended.
-func (p *peers) leftBy(stream drpc.Stream) {
+// dropInbound forgets a connection from another VM that has ended.
+func (p *peers) dropInbound(stream drpc.Stream) {
 	transport, ok := drpcctx.Transport(stream.Context())
 	if !ok {
 		return
--- a/internal/daemon/traffic.go
+++ b/internal/daemon/traffic.go
@@ -62,7 +62,8 @@
 	t.sent, t.taken, t.steps = make(map[string]tally), make(map[string]tally), make(map[string]tally)
 }
 
-func add(to map[string]tally, kind string, cost int64) {
+// addTally adds one of a kind and its cost.
+func addTally(to map[string]tally, kind string, cost int64) {
 	next := to[kind]
 	next.count++
 	next.cost += cost
@@ -74,7 +75,7 @@
 	t.bytes.Add(context.Background(), int64(bytes), metric.WithAttributes(attribute.String("way", "sent"), attribute.String("kind", kind)))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	add(t.sent, kind, int64(bytes))
+	addTally(t.sent, kind, int64(bytes))
 }
 
 // tookMessage notes a message from another VM.
@@ -82,14 +83,14 @@
 	t.bytes.Add(context.Background(), int64(bytes), metric.WithAttributes(attribute.String("way", "received"), attribute.String("kind", kind)))
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	add(t.taken, kind, int64(bytes))
+	addTally(t.taken, kind, int64(bytes))
 }
 
 // stepped notes a step of the Node. One that is slow is logged.
 func (t *traffic) stepped(event core.Event, took time.Duration) {
 	kind := stepKind(event)
 	t.mu.Lock()
-	add(t.steps, kind, int64(took))
+	addTally(t.steps, kind, int64(took))
 	t.mu.Unlock()
 	if took >= stepSlow {
 		t.daemon.log.Info("step is slow", "event", kind, "took_ms", took.Milliseconds())
@@ -123,11 +124,12 @@
 	sent, taken, steps := t.sent, t.taken, t.steps
 	t.reset()
 	t.mu.Unlock()
-	t.daemon.log.Info("cost of control", "sent_bytes", most(sent, 1), "received_bytes", most(taken, 1), "steps_us", most(steps, int64(time.Microsecond)))
+	t.daemon.log.Info("cost of control", "sent_bytes", costliest(sent, 1), "received_bytes", costliest(taken, 1), "steps_us", costliest(steps, int64(time.Microsecond)))
 }
 
-// most returns the kinds that cost most as KIND=COUNT/COST, and the sum.
-func most(tallies map[string]tally, unit int64) string {
+// costliest returns the sum and the kinds that cost most, as KIND=COUNT/COST with the cost
+// in a unit.
+func costliest(tallies map[string]tally, unit int64) string {
 	kinds := make([]string, 0, len(tallies))
 	sum := tally{}
 	for kind, t := range tallies {
@@ -143,14 +145,14 @@
 	return strings.Join(parts, " ")
 }
 
-// counted is the encoding of messages on a link, which notes their sizes.
-type counted struct {
+// measuredEncoding is the encoding of messages on a link, which notes their sizes.
+type measuredEncoding struct {
 	wire.Encoding
 	note func(kind string, bytes int)
 }
 
 // Marshal implements drpc.Encoding.
-func (c counted) Marshal(msg drpc.Message) ([]byte, error) {
+func (c measuredEncoding) Marshal(msg drpc.Message) ([]byte, error) {
 	data, err := c.Encoding.Marshal(msg)
 	if e, ok := msg.(*core.Envelope); ok && err == nil {
 		c.note(e.Body.Kind(), len(data))
@@ -159,7 +161,7 @@
 }
 
 // Unmarshal implements drpc.Encoding.
-func (c counted) Unmarshal(data []byte, msg drpc.Message) error {
+func (c measuredEncoding) Unmarshal(data []byte, msg drpc.Message) error {
 	err := c.Encoding.Unmarshal(data, msg)
 	if e, ok := msg.(*core.Envelope); ok && err == nil {
 		c.note(e.Body.Kind(), len(data))
--- a/internal/target/body.go
+++ b/internal/target/body.go
@@ -22,9 +22,9 @@
 const (
 	// bodyPiece is what is written of a body before its progress is looked at, in bytes.
 	bodyPiece = 64 << 10
-	// bodyBears is how long a target may take nothing of a body: less than unackedLimit,
+	// bodyStallLimit is how long a target may take nothing of a body: less than unackedLimit,
 	// after which the kernel breaks the connection and can't say why.
-	bodyBears = 1500 * time.Millisecond
+	bodyStallLimit = 1500 * time.Millisecond
 	// receiveBytes is what the kernel buffers of an answer that is not read yet, in bytes,
 	// where memory is limited. It takes twice as much, for its own records.
 	receiveBytes = 16 << 10
@@ -34,7 +34,7 @@
 func (l *link) writeBody(body []byte) error {
 	for len(body) > 0 {
 		piece := body[:min(len(body), bodyPiece)]
-		if err := l.Conn.SetWriteDeadline(time.Now().Add(bodyBears)); err != nil {
+		if err := l.Conn.SetWriteDeadline(time.Now().Add(bodyStallLimit)); err != nil {
 			return err
 		}
 		n, err := l.Conn.Write(piece)
@@ -67,8 +67,9 @@
 }
 
 const (
-	// siocOutq asks for the bytes that are not acknowledged, siocOutqnsd for those of them
-	// that are not sent; package syscall lacks both.
+	// siocOutq and siocOutqnsd are the ioctls SIOCOUTQ and SIOCOUTQNSD of Linux: the first
+	// asks for the bytes that are not acknowledged, the second for those of them that are not
+	// sent. Package syscall lacks both.
 	siocOutq    = 0x5411
 	siocOutqnsd = 0x894b
 )
