--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -229,6 +229,10 @@
 	sent     uint64
 	resendAt time.Time
 	lost     int
+	// overdueAt is when that counts as lost where the follower asks, and says that it lacks it.
+	overdueAt time.Time
+	// leaving is the change up to which it was told of targets that leave beside that.
+	leaving uint64
 	// askedAt is when it last asked, hall the one that it said it is in.
 	askedAt time.Time
 	hall    string
@@ -463,7 +467,8 @@
 	present.askedAt = n.now
 	present.hall = f.Hall
 	present.beats = f.Beats
-	if !present.takePlace(f.positionIn(n.settings.Seed), n.now) {
+	if !present.takePlace(f.positionIn(n.settings.Seed), n.now) && !present.overdue(n.now) {
+		n.tellBeats(from, present)
 		return
 	}
 	if !f.OwnOnly {
@@ -508,6 +513,44 @@
 	return true
 }
 
+// overdue reports whether what is on its way to a follower that has just asked for what it
+// has not got counts as lost: it reaches this VM, and what it lacks has had time to come.
+func (f *follower) overdue(now time.Time) bool {
+	if now.Before(f.overdueAt) {
+		return false
+	}
+	f.resendAt = time.Time{}
+	f.lost = 0
+	f.after = f.came
+	return true
+}
+
+// tellBeats sends a control VM the signs of life that are due, while other news are on their
+// way to it: targets whose signs of life stay away count as silent.
+func (n *Node) tellBeats(vm VMName, f *follower) {
+	if !f.beats {
+		return
+	}
+	beats := n.registry.targets.BeatsSince(f.beatsAt)
+	f.beatsAt = n.now
+	n.send(vm, Message{TargetNews: &TargetNews{Life: n.settings.Seed, After: f.came, Upto: f.came, Beats: beats}})
+}
+
+// tellLeaving sends a follower the targets that leave, while other news are on their way to
+// it: they get no new work from it within the drain bound, however long those take. Its place
+// stays, and they come again with what follows.
+func (n *Node) tellLeaving(vm VMName, f *follower) {
+	if f.leaving == n.registry.targets.Change() {
+		return
+	}
+	after := max(f.after, f.leaving)
+	f.leaving = n.registry.targets.Change()
+	leaving := slices.DeleteFunc(n.newsAfter(after, f.beats), func(t relay.Target) bool { return t.Takes() })
+	if len(leaving) > 0 {
+		n.send(vm, Message{TargetNews: &TargetNews{Life: n.settings.Seed, After: f.came, Upto: f.came, Targets: leaving}})
+	}
+}
+
 // tellAll sends a follower all that is new to it. Who has nothing from this VM is told of
 // the targets that live, or of those that its digest lacks.
 func (n *Node) tellAll(vm VMName, f *follower, d relay.Digest) {
@@ -542,11 +585,16 @@
 			continue
 		}
 		if n.now.Before(f.resendAt) {
+			n.tellLeaving(vm, f)
 			continue
 		}
 		if f.lost > 0 {
 			f.after = f.came
 		}
+		if f.after == 0 && !f.beats {
+			n.tellAll(vm, f, nil)
+			continue
+		}
 		at := place{after: f.after, own: f.beats}
 		targets, known := news[at]
 		if !known {
@@ -603,8 +651,9 @@
 	f.after = news.Upto
 	if len(targets) > 0 {
 		f.sent = news.Upto
-		wait := min(resendFirst<<min(f.lost, 3), resendMost) + time.Duration(len(targets))*resendEach
-		f.resendAt = n.now.Add(wait)
+		way := time.Duration(len(targets)) * resendEach
+		f.resendAt = n.now.Add(min(resendFirst<<min(f.lost, 3), resendMost) + way)
+		f.overdueAt = n.now.Add(resendFirst + way)
 		f.lost++
 	}
 	n.send(vm, Message{TargetNews: &news})
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -348,3 +348,62 @@
 	require.Len(t, again, 1)
 	require.Len(t, again[0].Targets, 1)
 }
+
+// A target that leaves gets no new work after 2 s, however long other words take to a VM.
+func TestThatATargetLeavesIsToldBesideWordsOnTheirWay(t *testing.T) {
+	n := controlNode(nil, time.Unix(100, 0))
+	now := lead(n, time.Unix(100, 0))
+	stays := relay.Target{ID: "i-1", Address: "a", Call: 1}
+	n.Step(now, core.TargetSpoke{Conn: 1, Target: stays})
+	first := newsTo(n.Step(now, from("e1", core.Message{Follow: &core.Follow{}})), "e1")
+	require.Len(t, first, 1)
+	leaves := stays
+	leaves.Call, leaves.Leaving = 2, true
+	n.Step(now, core.TargetSpoke{Conn: 1, Target: leaves})
+	beside := newsTo(nextPush(n, now), "e1")
+	require.Len(t, beside, 1)
+	require.Equal(t, []relay.Target{leaves}, beside[0].Targets)
+	require.Empty(t, newsTo(nextPush(n, now.Add(time.Second/10)), "e1"), "once")
+
+	came := core.Follow{Life: first[0].Life, After: first[0].Upto, Came: true}
+	n.Step(now.Add(300*time.Millisecond), from("e1", core.Message{Follow: &came}))
+	again := newsTo(nextPush(n, now.Add(300*time.Millisecond)), "e1")
+	require.Len(t, again, 1, "its place has not moved")
+}
+
+// After a cut of seconds a follower that asks again is told at once what it lacks: how often
+// news to it were lost meanwhile doesn't count.
+func TestWhoAsksAgainAfterACutIsTold(t *testing.T) {
+	n := controlNode(nil, time.Unix(100, 0))
+	now := lead(n, time.Unix(100, 0))
+	n.Step(now, core.TargetSpoke{Conn: 1, Target: relay.Target{ID: "i-1", Address: "a", Call: 1}})
+	n.Step(now, from("e1", core.Message{Follow: &core.Follow{}}))
+	lost := 0
+	for range 55 {
+		now = now.Add(100 * time.Millisecond)
+		lost += len(newsTo(n.Step(now, core.Tick{}), "e1"))
+	}
+	require.Greater(t, lost, 1)
+	asked := now.Add(time.Second)
+	again := newsTo(n.Step(asked, from("e1", core.Message{Follow: &core.Follow{}})), "e1")
+	require.Len(t, again, 1)
+	require.Len(t, again[0].Targets, 1)
+	require.True(t, again[0].Whole)
+}
+
+// Signs of life go on while other news are on their way to a control VM.
+func TestSignsOfLifeDoNotWaitForWords(t *testing.T) {
+	n := controlNode(nil, time.Unix(100, 0))
+	now := lead(n, time.Unix(100, 0))
+	spoke := relay.Target{ID: "i-1", Address: "a", Call: 1}
+	n.Step(now, core.TargetSpoke{Conn: 1, Target: spoke})
+	ask := core.Message{Follow: &core.Follow{OwnOnly: true, Beats: true}}
+	require.Len(t, newsTo(n.Step(now, from("c3", ask)), "c3")[0].Targets, 1)
+	now = now.Add(500 * time.Millisecond)
+	spoke.Call++
+	n.Step(now, core.TargetSpoke{Conn: 1, Target: spoke})
+	beats := newsTo(n.Step(now, from("c3", ask)), "c3")
+	require.Len(t, beats, 1)
+	require.Empty(t, beats[0].Targets)
+	require.Equal(t, []relay.Beat{{ID: "i-1", Call: 2}}, beats[0].Beats)
+}
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -199,7 +199,7 @@
 	at := t.tries % (len(home) + len(others))
 	t.tries++
 	if at < len(home) {
-		return home[at], t.tries > len(home)
+		return home[at], false
 	}
 	return others[(t.turn+at)%len(others)], len(home) > 0
 }
--- a/internal/core/unnamed.go
+++ b/internal/core/unnamed.go
@@ -49,7 +49,10 @@
 // target's service. A word that names no service signs off.
 func (n *Node) heldBack(t relay.Target) bool {
 	u := &n.registry.unnamed
-	if t.Service == "" || u.decoded.document == nil || u.decoded.document.Names(t.Service) {
+	_, spread := n.registry.targets.Get(t.ID)
+	if t.Service == "" || u.decoded.document == nil || u.decoded.document.Names(t.Service) || spread && !t.Takes() {
+		// One that leaves is told of by whoever was told of it: some VMs may act by the
+		// document before.
 		u.targets.Drop(t.ID)
 		return false
 	}
@@ -66,6 +69,7 @@
 	if !n.now.Before(u.forgetAt) {
 		u.forgetAt = n.now.Add(silentAfter)
 		u.targets.Forget(n.now.Add(-silentAfter))
+		u.targets.Turns() // nothing runs on what is held back
 	}
 	present := n.machine.Config.Document
 	if present.Version == u.decoded.version || n.now.Before(u.readAt) {
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -54,7 +54,7 @@
 		case errors.Is(err, io.EOF):
 			err = io.ErrUnexpectedEOF
 		}
-		if f.leftUnread {
+		if f.leftUnread && !errors.Is(err, target.ErrSilent) && watch.living.Err() == nil {
 			f.last = "the answer was left unread for its caller: " + err.Error()
 			return resultGone
 		}
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/relay"
@@ -343,8 +344,19 @@
 	return slices.Concat(f.avoid, f.full)
 }
 
+// withTarget returns targets and one more, each once.
+func withTarget(ids []relay.TargetID, id relay.TargetID) []relay.TargetID {
+	if slices.Contains(ids, id) {
+		return ids
+	}
+	return append(slices.Clone(ids), id)
+}
+
 // noteAttempt takes what became of a try.
 func (f *forwarding) noteAttempt(r result, path relay.Path) {
+	if r != resultNotSent {
+		delete(f.unreached, path.First().Target)
+	}
 	f.attempts = f.attemptsAfter(r, path)
 }
 
@@ -358,8 +370,8 @@
 	}
 	first := path.First().Target
 	switch {
-	case r == resultBroken && !slices.Contains(a.Ran, first):
-		a.Ran = append(slices.Clone(a.Ran), first)
+	case r == resultBroken:
+		a.Ran = withTarget(a.Ran, first)
 	case f.unreached[first] >= unreachedEnded:
 		a.Ran = slices.DeleteFunc(slices.Clone(a.Ran), func(id relay.TargetID) bool { return id == first })
 	}
@@ -476,8 +488,10 @@
 	if !ok {
 		return f.notSent(path)
 	}
-	defer sending()
+	sent := sync.OnceFunc(sending)
+	defer sent()
 	answer, err := f.exchange(living, first.Address, request)
+	sent()
 	if err != nil {
 		return f.broken(ctx, path, watch, err)
 	}
@@ -512,7 +526,7 @@
 func (f *forwarding) mayAskAgain() bool {
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
-	return f.route.Repeat != relay.RepeatNever && f.g.router.Repeat(f.service, true, time.Now())
+	return f.route.Repeat != relay.RepeatNever && f.g.router.Repeat(f.service, f.begun, time.Now())
 }
 
 // broken takes an exchange that came to no whole answer.
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -65,7 +65,7 @@
 // is no memory for the request: it has not run and will not.
 func (g *Gateway) ReadBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, func(), error) {
 	held := g.daemon.outbox.open()
-	if !held.reserveKernel() || !g.daemon.outbox.hasRoom(r.ContentLength) {
+	if !held.reserveKernel() || !g.daemon.outbox.hasRoom(min(r.ContentLength, most+1)) {
 		return nil, held.close, g.noMemory()
 	}
 	body, err := readBounded(http.MaxBytesReader(w, r.Body, most), r.ContentLength, most, func(bytes int64) bool {
--- a/internal/daemon/outbox.go
+++ b/internal/daemon/outbox.go
@@ -159,8 +159,12 @@
 	c.failed = errUnread
 	o.ended++
 	o.lines++
+	unread := time.Duration(0)
+	if !c.stuckAt.IsZero() {
+		unread = now.Sub(c.stuckAt)
+	}
 	if o.lines <= endLines {
-		o.log.Info("caller is ended", "request", c.request(), "reason", reason, "held_bytes", c.heldBytes(), "unread_ms", now.Sub(c.stuckAt).Milliseconds(), "caller", c.RemoteAddr().String())
+		o.log.Info("caller is ended", "request", c.request(), "reason", reason, "held_bytes", c.heldBytes(), "unread_ms", unread.Milliseconds(), "caller", c.RemoteAddr().String())
 	}
 	c.pieces = nil
 	close(c.over)
@@ -313,6 +317,7 @@
 	defer o.mu.Unlock()
 	for len(o.behind) > 0 && ctx.Err() == nil {
 		o.await(time.Now().Add(lookAgain), ctx.Done())
+		o.moreRoom() // it was meant for a writer
 	}
 }
 
@@ -730,6 +735,7 @@
 	if c != nil {
 		c.named.Store(&request)
 		c.target = false
+		c.stalled = 0 // what the one before waited
 	}
 }
 
--- a/internal/daemon/receipts.go
+++ b/internal/daemon/receipts.go
@@ -84,6 +84,9 @@
 	r.proved(receipt.Seen, now)
 }
 
+// errStopping ends a dial: the process stops.
+var errStopping = errors.New("this process stops; ask another VM")
+
 // dialPeer connects to a VM. In the place of silent connections few are made at once.
 func (d *Daemon) dialPeer(l *peerLink) (*drpcconn.Conn, error) {
 	l.receipts.mu.Lock()
@@ -96,12 +99,12 @@
 	select {
 	case <-time.After(rand.N(redialSpread)):
 	case <-d.tomb.Dying():
-		return nil, d.context.Err()
+		return nil, errStopping
 	}
 	select {
 	case d.peers.redials <- struct{}{}:
 	case <-d.tomb.Dying():
-		return nil, d.context.Err()
+		return nil, errStopping
 	}
 	var once sync.Once
 	free := func() { once.Do(func() { <-d.peers.redials }) }
--- a/internal/daemon/repath.go
+++ b/internal/daemon/repath.go
@@ -32,9 +32,7 @@
 	for _, id := range from {
 		f.replaceAt[id] = now.Add(repathAgain)
 	}
-	f.g.mu.Lock()
-	path, ok := f.g.router.Substitute(f.lastPath, from, now)
-	f.g.mu.Unlock()
+	path, ok := f.g.substitute(f.lastPath, from, now)
 	if !ok {
 		return false
 	}
@@ -55,6 +53,12 @@
 	return true
 }
 
+func (g *Gateway) substitute(p relay.Path, from []relay.TargetID, now time.Time) (relay.Path, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.router.Substitute(p, from, now)
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/daemon/silent.go
+++ b/internal/daemon/silent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -55,11 +56,16 @@
 	a.byService[service] = a.byService[service].With(took)
 }
 
-// overdueAfter returns the time after which an answer is overdue, within a bound.
+// overdueAfter returns the time after which an answer is overdue; 0 where answers usually
+// take longer than a bound: then a late one says nothing of its connection.
 func (a *answerTimes) overdueAfter(service string, bound time.Duration) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.byService[service].Usual(min(answerOverdueLeast, bound), bound)
+	usual := a.byService[service].Usual(min(answerOverdueLeast, bound), math.MaxInt64)
+	if usual > bound {
+		return 0
+	}
+	return usual
 }
 
 func (g *Gateway) silenceBound() time.Duration {
@@ -70,7 +76,8 @@
 // one was gone or silent and the request may be repeated.
 func (f *forwarding) exchange(ctx context.Context, address string, request *target.Request) (*target.Answer, error) {
 	bound := f.g.answers.overdueAfter(f.service, f.g.silenceBound())
-	if !f.route.Stream {
+	if !f.route.Stream && bound > 0 && len(f.call.Body) <= target.InlineBody {
+		// A longer body takes as long as the target reads it.
 		request.Kept = target.KeptWait{For: bound, Leave: f.mayAskAgain}
 	}
 	request.Again = f.again
@@ -150,6 +157,6 @@
 	age := time.Since(watch.since())
 	after, _ := watch.silentAfter()
 	f.g.daemon.foundSilent(silentStream, address, age, after)
-	f.g.log.Info("stream leaves a silent connection", "request", f.call.ID, "address", address, "after", f.after, "silent_ms", age.Milliseconds(), "kept_left", voided)
+	f.g.log.V(1).Info("stream leaves a silent connection", "request", f.call.ID, "address", address, "after", f.after, "silent_ms", age.Milliseconds(), "kept_left", voided)
 	return resultBroken
 }
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/relay"
@@ -169,6 +170,12 @@
 	if w.ctx.Err() != nil {
 		return true
 	}
+	if err != nil && !errors.Is(err, ErrEngineSilent) {
+		// It lives, and its report can't be used: that says nothing of the request.
+		w.f.g.log.Info("report of an engine is not used", "target", first.Target, "request", w.f.call.ID, "error", err.Error())
+		w.well = 0
+		return false
+	}
 	if err != nil {
 		w.f.g.log.Info("engine does not answer", "target", first.Target, "address", first.Address, "request", w.f.call.ID, "error", err.Error())
 		w.culprit = first.Target
--- a/internal/relay/incarnation.go
+++ b/internal/relay/incarnation.go
@@ -270,10 +270,14 @@
 	}
 }
 
-// Missed returns the notes on lives that have said nothing since, sorted.
+// Missed returns the notes on lives that have said nothing since, sorted. A note on a life
+// that is forgotten here is told no more: two VMs would keep it alive between them.
 func (r *Registry) Missed() []Missed {
 	var missed []Missed
 	for id, note := range r.lives.missed {
+		if _, known := r.targets[id]; !known {
+			continue
+		}
 		missed = append(missed, Missed{ID: id, Call: note.call})
 	}
 	slices.SortFunc(missed, func(a, b Missed) int { return strings.Compare(string(a.ID), string(b.ID)) })
--- a/internal/relay/incarnation_test.go
+++ b/internal/relay/incarnation_test.go
@@ -375,3 +375,15 @@
 		}
 	})
 }
+
+// What anybody may write is forgotten whole: a word that was dropped neither voids others nor
+// stays.
+func TestADroppedLifeVoidsNothing(t *testing.T) {
+	r := relay.NewRegistry()
+	r.Hear(wordAt(relay.NewTargetID("a", 20), "x", 1), start)
+	r.Hear(wordAt(relay.NewTargetID("b", 10), "x", 1), start)
+	require.Len(t, r.All(), 1)
+	r.Drop(relay.NewTargetID("a", 20))
+	require.Len(t, r.All(), 1)
+	require.Equal(t, "b", r.All()[0].ID.Name())
+}
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -135,6 +135,10 @@
 		}
 	}
 	require.GreaterOrEqual(t, slices.Min(fleet), float64(before))
+	for _, target := range held {
+		own := requestsAt(e, []relay.Target{target})
+		require.Greater(t, slices.Max(own), 80.0, "%s alone", target.ID)
+	}
 }
 
 // requestsAt returns the usual requests that engines have memory for at each layer.
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -215,8 +215,12 @@
 // Drop forgets a target.
 func (r *Registry) Drop(id TargetID) {
 	if at, known := slices.BinarySearch(r.names, id); known {
+		dropped := r.targets[id].target
 		r.names = slices.Delete(r.names, at, at+1)
 		delete(r.targets, id)
+		delete(r.lives.missed, id)
+		r.lives.unfile(dropped)
+		r.settle(r.lives.rivals(dropped))
 	}
 }
 
--- a/internal/relay/repeat_test.go
+++ b/internal/relay/repeat_test.go
@@ -68,6 +68,7 @@
 	ran.Begun = false
 	ran.Asked, ran.Sent, ran.Ran = 2, 2, []relay.TargetID{"i-1", "i-2"}
 	require.Equal(t, relay.DeniedRoute, r.MayRepeat(ran, start), "its route allows two targets")
+	require.False(t, r.CouldRepeat(ran, start))
 }
 
 // A day that replaced 16 engines one after the other: requests that had not begun took the
--- a/internal/relay/substitute.go
+++ b/internal/relay/substitute.go
@@ -42,6 +42,9 @@
 			avoid = append(avoid, stage.Target)
 		}
 		at = slices.IndexFunc(next.Stages, func(s Stage) bool { return s.Target == id })
+		if at < 0 {
+			continue // it was named twice
+		}
 		next.Stages = slices.Replace(next.Stages, at, at+1, stages...)
 	}
 	if len(next.Stages) > stagesMost {
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -58,10 +58,10 @@
 	idleMost = 64
 	// bufferSize holds the usual head and a few events.
 	bufferSize = 4 << 10
-	// inlineBody is the size of bodies that are written before the answer is
+	// InlineBody is the size of bodies that are written before the answer is
 	// read; they fit the kernel's buffers. Longer ones are written beside it, for a
 	// target may answer early and not read on.
-	inlineBody = 16 << 10
+	InlineBody = 16 << 10
 )
 
 // Exchanger sends requests to targets and keeps connections.
@@ -294,7 +294,7 @@
 		head.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	head.WriteString("\r\n")
-	if len(r.Body) <= inlineBody {
+	if len(r.Body) <= InlineBody {
 		head.Write(r.Body)
 		_, err := l.Conn.Write(head.Bytes())
 		return err
