core: signs of life do not overtake what a target says

A sign of life bears the number of its message. A target that leaves is told of by its own service's name only.

--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -527,13 +527,18 @@
 }
 
 // tellBeats sends a control VM the signs of life that are due, while other news are on their
-// way to it: targets whose signs of life stay away count as silent.
+// way to it: targets whose signs of life stay away count as silent. Those of targets on their
+// way wait: a sign of life bears the number of its message, and what the message says would
+// count as late once it comes.
 func (n *Node) tellBeats(vm VMName, f *follower) {
 	if !f.beats {
 		return
 	}
-	beats := n.registry.targets.BeatsSince(f.beatsAt)
-	f.beatsAt = n.now
+	onTheirWay := make(map[relay.TargetID]bool)
+	for _, t := range n.newsAfter(f.acknowledged, true) {
+		onTheirWay[t.ID] = true
+	}
+	beats := slices.DeleteFunc(n.registry.targets.BeatsSince(f.beatsAt), func(b relay.Beat) bool { return onTheirWay[b.ID] })
 	n.send(vm, Message{TargetNews: &TargetNews{Life: n.settings.Seed, After: f.acknowledged, Upto: f.acknowledged, Beats: beats}})
 }
 
--- a/internal/core/unnamed.go
+++ b/internal/core/unnamed.go
@@ -49,8 +49,9 @@
 // target's service. A word that names no service signs off.
 func (n *Node) heldBack(t relay.Target) bool {
 	u := &n.registry.unnamed
-	_, spread := n.registry.targets.Get(t.ID)
-	if t.Service == "" || u.decoded.document == nil || u.decoded.document.Names(t.Service) || spread && !t.Takes() {
+	known, spread := n.registry.targets.Get(t.ID)
+	leaves := spread && known.Service == t.Service && !t.Takes()
+	if t.Service == "" || u.decoded.document == nil || u.decoded.document.Names(t.Service) || leaves {
 		// One that leaves is told of by whoever was told of it: some VMs may act by the
 		// document before.
 		u.targets.Drop(t.ID)
