--- a/internal/relay/spare.go
+++ b/internal/relay/spare.go
@@ -8,9 +8,8 @@
 
 const (
 	// enoughUse is the part of the memory for requests in use below which a hall has
-	// enough, where it would bear its part of what another hall is asked beside its own:
-	// requests come unevenly, and pauses grow with what is under way.
-	enoughUse = 0.5
+	// enough: it then bears twenty times what it is asked.
+	enoughUse = 0.05
 	// beginCopies is how often the engines of each hall could hold the model once a first
 	// plan need not wait for others: the engines that come later then take what the fewest
 	// hold, as those that are replaced do. A smaller fleet is planned as a whole.
@@ -39,12 +38,8 @@
 		return true
 	}
 	wanted := e.wantedBy(all, "")
-	use := enoughUse
-	if len(halls) > 1 {
-		use *= float64(len(halls)-1) / float64(len(halls))
-	}
 	for _, units := range halls {
-		if !e.hasEnough(units, wanted, use) {
+		if !e.hasEnough(units, wanted) {
 			return true
 		}
 	}
@@ -68,9 +63,9 @@
 	return len(layers) > 0
 }
 
-// hasEnough reports whether a hall has enough and uses less than a part of its memory, or
-// could not hold the model anyway with memory for so many tokens in each engine.
-func (e *Engine) hasEnough(units []unit, tokens int, use float64) bool {
+// hasEnough reports whether a hall has enough, or could not hold the model anyway with
+// memory for so many tokens in each engine.
+func (e *Engine) hasEnough(units []unit, tokens int) bool {
 	size, used, room := 0, 0, 0
 	counts := make([]int, e.Layers)
 	for _, u := range units {
@@ -91,5 +86,5 @@
 			return false
 		}
 	}
-	return float64(used) < use*float64(room)
+	return float64(used) < enoughUse*float64(room)
 }
