--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -82,10 +82,10 @@
 	known     int
 	settledAt time.Time
 	// told is what was last noted of a service's plan and faults, holds what the layers
-	// that engines hold bear, and holdsAt when that is worked out again.
+	// that engines hold bear, and holdsAt when that is worked out again, by service.
 	told    map[string]planNotes
 	holds   map[string]relay.Capacity
-	holdsAt time.Time
+	holdsAt map[string]time.Time
 }
 
 // planNotes is what was last noted of a service: each is noted again when it changes.
--- a/internal/core/placing_notes.go
+++ b/internal/core/placing_notes.go
@@ -84,10 +84,10 @@
 // lookAtHolds works out what the layers that engines hold bear, for Status.
 func (n *Node) lookAtHolds(s *relay.Service, engines []relay.Target) {
 	p := &n.leading.placing
-	if n.now.Before(p.holdsAt) {
+	if n.now.Before(p.holdsAt[s.Name]) {
 		return
 	}
-	p.holdsAt = n.now.Add(holdsEvery)
+	p.holdsAt[s.Name] = n.now.Add(holdsEvery)
 	p.holds[s.Name] = s.Engine.Hold(engines)
 }
 
