daemon: a request that was sent once stays sent, also where the second sending fails

A kept connection was silent or broken, the request was sent again on a new one, which did not come about, and the try counted as not sent.

Change: a try that was sent a second time may have run.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -133,6 +133,9 @@
 	// doubt says that a sending of which nothing was heard was followed by another within
 	// one try: what its target says of the second doesn't speak for the first.
 	doubt bool
+	// resent says that the present try was sent a second time: its target may have run the
+	// first sending, also where the second did not come about.
+	resent bool
 	// again says that the last try was left for its silent connection.
 	again bool
 }
@@ -215,6 +218,7 @@
 func (f *forwarding) tryAndRelease(ctx context.Context, path relay.Path) result {
 	f.lastPath = path
 	f.read = false
+	f.resent = false
 	defer func() { f.g.release(f.lastPath, f.read) }()
 	if ctx.Err() != nil {
 		// Its caller left, or its time ended, while it was held here.
@@ -550,7 +554,7 @@
 	}
 	f.g.failed(culprit, true)
 	f.avoid = append(f.avoid, culprit)
-	if errors.Is(err, target.ErrNotSent) {
+	if errors.Is(err, target.ErrNotSent) && !f.resent {
 		f.noteUnreached(path.First().Target)
 		return resultNotSent
 	}
--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -56,10 +56,11 @@
 
 // worker is a target that does one step after the other.
 type worker struct {
-	address string
-	ran     atomic.Int32
-	next    atomic.Int32
-	steps   []step
+	address  string
+	listener net.Listener
+	ran      atomic.Int32
+	next     atomic.Int32
+	steps    []step
 }
 
 func newWorker(t *testing.T, steps ...step) *worker {
@@ -67,7 +68,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
-	w := &worker{address: l.Addr().String(), steps: steps}
+	w := &worker{address: l.Addr().String(), listener: l, steps: steps}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -226,3 +227,19 @@
 	require.Equal(t, core.ResultInterrupted, g.PutDocument(ctx, config.Document{Version: 1}).Kind)
 	require.Equal(t, core.ResultInterrupted, g.ReadDocument(ctx).Result.Kind)
 }
+
+// A request whose kept connection broke was sent again on a new one, which did not come about;
+// it counted as not sent at all, and ran on a second target where its route allows one.
+func TestWhatWasSentOnceStaysSent(t *testing.T) {
+	first, second := newWorker(t, served, lost), newWorker(t, served)
+	g := newEntry(t, relay.RepeatAlways, 1, first, second)
+	asked := int32(0)
+	for ; first.ran.Load() == 0; asked++ {
+		require.Equal(t, http.StatusOK, ask(t, g))
+	}
+	require.NoError(t, first.listener.Close())
+	for ; first.ran.Load() == 1; asked++ {
+		ask(t, g)
+	}
+	require.Equal(t, asked, first.ran.Load()+second.ran.Load(), "each ran once")
+}
--- a/internal/daemon/silent.go
+++ b/internal/daemon/silent.go
@@ -92,7 +92,7 @@
 		f.noteAnswer(sent, err)
 		return answer, err
 	}
-	f.doubt = true
+	f.doubt, f.resent = true, true
 	request.Fresh, request.Again = true, silent
 	again := time.Now()
 	answer, err = f.g.exchanger.Do(ctx, address, request)
