core: that a target leaves is looked for only where one does

By reading: with each push all targets were looked through for each follower whose words are on their way.

--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -202,6 +202,8 @@
 	// silentAt is when to look again whether other targets are silent.
 	silentAt time.Time
 	unnamed  unnamed
+	// leftAt is the change at which it was last heard that a target leaves.
+	leftAt uint64
 }
 
 type position struct {
@@ -320,6 +322,7 @@
 		return
 	}
 	n.note("target said something new", string(t.ID))
+	n.noteLeaving([]relay.Target{t})
 	n.registry.news = true
 	n.saveTargets(t.Leaving)
 }
@@ -542,14 +545,21 @@
 	n.send(vm, Message{TargetNews: &TargetNews{Life: n.settings.Seed, After: f.acknowledged, Upto: f.acknowledged, Beats: beats}})
 }
 
+// noteLeaving notes that targets among some leave.
+func (n *Node) noteLeaving(targets []relay.Target) {
+	if slices.ContainsFunc(targets, func(t relay.Target) bool { return !t.Takes() }) {
+		n.registry.leftAt = n.registry.targets.Change()
+	}
+}
+
 // tellLeaving sends a follower the targets that leave, while other news are on their way to
 // it: they get no new work from it within the drain bound, however long those take. Its place
 // stays, and they come again with what follows.
 func (n *Node) tellLeaving(vm VMName, f *follower) {
-	if f.leaving == n.registry.targets.Change() {
-		return
-	}
 	after := max(f.after, f.leaving)
+	if n.registry.leftAt <= after {
+		return // it costs nothing while none leaves
+	}
 	f.leaving = n.registry.targets.Change()
 	leaving := slices.DeleteFunc(n.newsAfter(after, f.beats), func(t relay.Target) bool { return t.Takes() })
 	if len(leaving) > 0 {
@@ -713,6 +723,7 @@
 	ended, again := n.registry.targets.TakeTransitions()
 	n.endLives(ended, from)
 	learned = slices.DeleteFunc(append(learned, again...), func(t relay.Target) bool { return !n.registry.targets.Counts(t.ID) })
+	n.noteLeaving(learned)
 	n.registry.news = n.registry.news || len(learned) > 0
 	if len(learned) > 0 && n.settings.Entry {
 		n.emit(TargetsLearned{Targets: learned})
