daemon: logs tell which requests are the same, and whether a target ended under them

Cause: of an incident in which requests end their targets the logs could not tell whether two requests with one path are the same one come again, nor whether a target or only a connection ended. Change: a fingerprint of organisation, method, host, path and body on the lines of failed tries, refusals and cuts; after a connection closes before anything came, its address is dialled once, and one line for each target says whether it refuses. Nothing is decided by either yet.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -84,6 +84,7 @@
 	call         *Call
 	route        *relay.Route
 	organisation string
+	fingerprint  relay.Fingerprint
 	class        int
 	deadline     time.Time
 	w            http.ResponseWriter
@@ -162,6 +163,7 @@
 			f.class = org.Class
 		}
 	}
+	f.fingerprint = relay.NewFingerprint(f.organisation, call.Method, call.Host, call.URI, call.Body)
 	f.deadline = call.Arrived.Add(route.Timeout)
 	if call.Deadline.Before(f.deadline) {
 		f.deadline = call.Deadline
@@ -204,7 +206,7 @@
 			f.end(ctx, &relay.Refusal{Kind: relay.RefusedTimeout, Reason: "its time ran out under way"})
 			return
 		}
-		f.g.log.Info("try failed", "request", f.call.ID, "try", f.tries, "result", r.String(), "cause", f.last, "path", path.String(), "begun", f.begun)
+		f.g.log.Info("try failed", "request", f.call.ID, "fingerprint", f.fingerprint, "try", f.tries, "result", r.String(), "cause", f.last, "path", path.String(), "begun", f.begun, "read", f.read)
 		f.noteAttempt(r, path)
 		if refusal := f.awaitRepeat(ctx); refusal != nil {
 			f.end(ctx, refusal)
@@ -432,7 +434,7 @@
 	}
 	if f.begun {
 		f.g.meter.refused(relay.RefusedUnknownRun)
-		f.g.log.Info("stream cut", "request", f.call.ID, "after", f.after, "reason", refusal.Reason, "tries", f.tries, "path", f.lastPath.String())
+		f.g.log.Info("stream cut", "request", f.call.ID, "fingerprint", f.fingerprint, "after", f.after, "reason", refusal.Reason, "tries", f.tries, "path", f.lastPath.String())
 		panic(http.ErrAbortHandler)
 	}
 	if f.kept != nil {
@@ -460,11 +462,11 @@
 func (g *Gateway) refuse(w http.ResponseWriter, call *Call, r *relay.Refusal, f *forwarding) {
 	now := time.Now()
 	g.meter.refused(r.Kind)
-	tries, path := 0, ""
+	tries, path, fingerprint := 0, "", ""
 	if f != nil {
-		tries, path = f.tries, f.lastPath.String()
+		tries, path, fingerprint = f.tries, f.lastPath.String(), f.fingerprint.String()
 	}
-	g.log.Info("request refused", "request", call.ID, "kind", r.Kind.String(), "reason", r.Reason, "uri", call.URI,
+	g.log.Info("request refused", "request", call.ID, "fingerprint", fingerprint, "kind", r.Kind.String(), "reason", r.Reason, "uri", call.URI,
 		"held_ms", now.Sub(call.Arrived).Milliseconds(), "tries", tries, "path", path)
 	g.platform.Codec.Refuse(w, r, now)
 }
@@ -554,6 +556,9 @@
 	}
 	f.g.failed(culprit, true)
 	f.avoid = append(f.avoid, culprit)
+	if !errors.Is(err, target.ErrNotSent) && !errors.Is(err, target.ErrSilent) {
+		f.g.brokeOff(path.First(), f.fingerprint, !f.read)
+	}
 	if errors.Is(err, target.ErrNotSent) && !f.resent {
 		f.noteUnreached(path.First().Target)
 		return resultNotSent
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -129,6 +129,7 @@
 	platform  Platform
 	exchanger *target.Exchanger
 	exchanges exchanges
+	endings   endings
 	probes    probes
 	meter     *gatewayMetrics
 	policy    relay.Policy
