core, daemon, relay: a request that ends its targets one after the other is sent to no more

Cause: nothing tied the sendings of a request together when it came under another id or at another VM; each was a first one. Class: state about a request that is kept by attempt and by VM, where what it does goes on beyond both. Ruled out: racks or halls that fall (no connection fell silent, the ends followed the sendings); our own repeats (one case of two sendings under one id).

Change: requests are the same by organisation, method, host, path and body. A VM that sees a run end with its target before it brought anything looks whether the target refuses connections, and reports it with its renewals; the leader counts runs that began after the one before had ended; after three the request goes into quarantine, which is a part of the replicated configuration that each lease brings. Its caller gets 502 at once: it has run. A whole answer anywhere, or one that has gone on for a second, clears the request. All is bounded.

--- a/internal/core/config/change.go
+++ b/internal/core/config/change.go
@@ -63,6 +63,10 @@
 	Document     *Document     `cbor:"document,omitempty"`
 	// Patch is a Document as what it changes in the one before.
 	Patch *DocumentPatch `cbor:"patch,omitempty"`
+	// Quarantine puts a request into quarantine, and Release lets the one with that
+	// fingerprint go.
+	Quarantine *QuarantinedRequest `cbor:"quarantine,omitempty"`
+	Release    string              `cbor:"release,omitempty"`
 }
 
 // InvalidError tells an operator why a change can't be taken.
@@ -119,6 +123,10 @@
 		s.Placements = s.Placements.With(*c.Place)
 	case c.Unplace != "":
 		s.Placements = s.Placements.Without(c.Unplace)
+	case c.Quarantine != nil:
+		return s.withQuarantine(*c.Quarantine), nil
+	case c.Release != "":
+		s.Quarantine = s.Quarantine.Without(c.Release)
 	case c.Patch != nil:
 		next, err := s.Document.Patched(*c.Patch)
 		s.Document = next
--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -212,6 +212,8 @@
 	Services      Set[Service]      `cbor:"services"`
 	Placements    Set[Placement]    `cbor:"placements"`
 	Document      Document          `cbor:"document"`
+	// Quarantine are the requests that are sent to no target.
+	Quarantine Set[QuarantinedRequest] `cbor:"quarantine"`
 }
 
 // Document is a whole configuration in the form in which its operator wrote it.
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -80,6 +80,8 @@
 	partTo     ReplicaID
 	partNumber uint64
 	partTaken  bool
+	// crashes are the crashed runs that the leader is to be told of.
+	crashes crashes
 	// batches holds the renewals of the batches under way.
 	batches map[uint64][]batched
 	// held are answers that wait for this VM's copy of the log.
@@ -153,6 +155,7 @@
 		n.deliver(from.VM, Message{Redirect: &Redirect{Leader: n.leaderHint()}})
 		return
 	}
+	n.crashesHeard(r.Crashed, r.Survived)
 	h := n.holderOf(from, r)
 	if n.leads() {
 		n.renewLease(n.settings.Self.VM, r.renewal(from))
@@ -241,7 +244,9 @@
 	b := RenewBatch{
 		Number: f.number, ViewVersion: f.report.view.version, WorkSeen: f.report.total.seen, MarksSeen: f.report.marked.seen,
 		Following: n.entryFollowers(), Expected: n.expectedHolders(), Part: n.partDue(),
+		Crashed: f.crashes.reports(n.now), Survived: f.crashes.cleared(),
 	}
+	f.crashes = crashes{}
 	for _, vm := range f.waiting {
 		h, ok := f.holders[vm]
 		if !ok {
--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -49,6 +49,7 @@
 		n.renewLease(from.VM, r)
 	}
 	n.partHeard(from, b)
+	n.crashesHeard(b.Crashed, b.Survived)
 	g := GrantBatch{Term: n.replica.hard.Term, Number: b.Number, Revision: n.machine.Config.Revision}
 	if !n.now.Before(n.leading.viewFrom) {
 		n.leading.view.sinceBatch(b.ViewVersion, &g)
--- a/internal/core/leading.go
+++ b/internal/core/leading.go
@@ -45,6 +45,10 @@
 	putting putting
 	// parts are what other control VMs have said of the entry VMs that renew with them.
 	parts map[VMName]heardPart
+	// suspects are the requests whose runs have ended targets, and quarantining those that
+	// are on their way into quarantine.
+	suspects     relay.Suspects
+	quarantining map[relay.Fingerprint]bool
 	// workFrom is when the work of all entry VMs is known after an election.
 	workFrom time.Time
 }
@@ -99,10 +103,11 @@
 		leases:    make(map[VMName]*lease),
 		parts:     make(map[VMName]heardPart),
 		joining:   make(map[ReplicaID]Member),
-		reports:   make(map[string]map[VMName]sighting),
-		platform:  make(map[string]bool),
-		orders:    make(map[string]*orderState),
-		placing:   placing{orders: make(map[relay.TargetID]layerOrder), queued: make(map[string][]relay.Assignment), told: make(map[string]planNotes), holds: make(map[string]relay.Capacity), holdsAt: make(map[string]time.Time)},
+		suspects:  relay.NewSuspects(), quarantining: make(map[relay.Fingerprint]bool),
+		reports:  make(map[string]map[VMName]sighting),
+		platform: make(map[string]bool),
+		orders:   make(map[string]*orderState),
+		placing:  placing{orders: make(map[relay.TargetID]layerOrder), queued: make(map[string][]relay.Assignment), told: make(map[string]planNotes), holds: make(map[string]relay.Capacity), holdsAt: make(map[string]time.Time)},
 	}
 }
 
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -141,6 +141,10 @@
 	case WorkCounted:
 		n.entry.work, n.entry.spent = ev.Work, ev.Spent
 		n.entry.findings = ev.Findings
+	case RunsCrashed:
+		n.runsCrashed(ev)
+	case RequestSurvived:
+		n.requestSurvived(ev)
 	case LayersOrdered:
 		n.layersOrdered(ev)
 	case SeedsRead:
--- /dev/null
+++ b/internal/core/quarantine.go
@@ -0,0 +1,236 @@
+package core
+
+import (
+	"encoding/hex"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// This file has all VMs know the requests that end their targets; relay/suspects.go says which
+// these are.
+//
+// Problem: the VM that sees a target end under a request is seldom the one that the request
+// comes to next. Every VM has to know within the time of a lease or two, also where a message
+// is lost, a VM starts again or another one comes to lead.
+//
+// Algorithm: an entry VM reports crashed runs with its renewals, at once and with each renewal
+// for crashesTold. Its control VM hands them to the leader, which gathers them. What is decided
+// goes through the log: a request in quarantine is a part of the configuration, which a lease
+// brings to its holder. What only is suspected is not: it is lost with the leader, but for what
+// was reported within crashesTold.
+//
+// Two other ways were weighed. Were each report in the log, nothing would be lost with a leader,
+// and the fall of a rack would be some hundred entries that say nothing. Were what is decided
+// told with leases alone, a loss of all VMs would let the request end targets anew.
+//
+// Invariants: a VM that holds a lease granted after the decision knows of it, whatever was lost
+// or started again between; a request leaves only by an answer of its own, its time or an
+// operator.
+//
+// Limits: a request that ends two targets before a change of leader and crashesTold, and goes
+// on after it, ends up to two more than CrashesMost.
+
+const (
+	// crashesTold is how long an entry VM repeats a report: an election and a lost renewal
+	// or two take less.
+	crashesTold = 10 * time.Second
+	// crashesHeld bounds the reports that a VM repeats, some 3 KB in each renewal meanwhile.
+	crashesHeld = 64
+	// crashRenewAfter is the least time between two renewals that reports are hurried by.
+	crashRenewAfter = 50 * time.Millisecond
+	// quarantineFor is how long a request stays in quarantine: what ends its targets is mended
+	// by an operator of theirs, or by a new version, and operators may let it go before.
+	quarantineFor = 24 * time.Hour
+)
+
+// RunsCrashed are runs that brought nothing before their target ended.
+type RunsCrashed struct{ Runs []relay.CrashedRun }
+
+// RequestSurvived says that a target has run a request that this VM has reported to a whole
+// answer.
+type RequestSurvived struct{ Request relay.Fingerprint }
+
+// QuarantineInForce tells the runtime the requests that are sent to no target, each with when
+// it is let go.
+type QuarantineInForce struct {
+	Until map[relay.Fingerprint]time.Time
+}
+
+func (RunsCrashed) isEvent()     {}
+func (RequestSurvived) isEvent() {}
+
+func (QuarantineInForce) isEffect() {}
+
+// CrashReport is a crashed run on its way to the leader. Clocks differ between VMs, so that
+// its times count back from the sending.
+type CrashReport struct {
+	_        struct{}          `cbor:",toarray"`
+	Request  relay.Fingerprint `cbor:"request"`
+	Target   relay.TargetKey   `cbor:"target"`
+	BeganAgo time.Duration     `cbor:"began_ago"`
+	EndedAgo time.Duration     `cbor:"ended_ago"`
+}
+
+// crashes is what a VM knows of crashed runs that the leader is to hear of.
+type crashes struct {
+	runs []relay.CrashedRun
+	// survived are the requests that have run well since, and until when that is told.
+	survived map[relay.Fingerprint]time.Time
+}
+
+// reports returns the runs as they are sent now.
+func (c *crashes) reports(now time.Time) []CrashReport {
+	var reports []CrashReport
+	for _, r := range c.runs {
+		reports = append(reports, CrashReport{Request: r.Request, Target: r.Target, BeganAgo: now.Sub(r.Began), EndedAgo: now.Sub(r.Ended)})
+	}
+	return reports
+}
+
+// take takes reports of another VM.
+func (c *crashes) take(reports []CrashReport, survived []relay.Fingerprint, now time.Time) {
+	for _, r := range reports {
+		c.add(relay.CrashedRun{Request: r.Request, Target: r.Target, Began: now.Add(-r.BeganAgo), Ended: now.Add(-r.EndedAgo)})
+	}
+	for _, request := range survived {
+		c.clear(request, now)
+	}
+}
+
+// add takes a run in the place of an earlier word on it.
+func (c *crashes) add(run relay.CrashedRun) {
+	c.runs = slices.DeleteFunc(c.runs, func(o relay.CrashedRun) bool { return o.Request == run.Request && o.Target == run.Target })
+	c.runs = append(c.runs, run)
+	c.runs = c.runs[max(0, len(c.runs)-crashesHeld):]
+}
+
+// clear takes that a request has run well.
+func (c *crashes) clear(request relay.Fingerprint, now time.Time) {
+	c.runs = slices.DeleteFunc(c.runs, func(o relay.CrashedRun) bool { return o.Request == request })
+	if c.survived == nil {
+		c.survived = make(map[relay.Fingerprint]time.Time)
+	}
+	if len(c.survived) < crashesHeld {
+		c.survived[request] = now.Add(crashesTold)
+	}
+}
+
+// cleared returns the requests that have run well since they were reported, sorted.
+func (c *crashes) cleared() []relay.Fingerprint {
+	return slices.SortedFunc(maps.Keys(c.survived), func(a, b relay.Fingerprint) int { return slices.Compare(a[:], b[:]) })
+}
+
+// expire drops what has been told for long enough.
+func (c *crashes) expire(now time.Time) {
+	c.runs = slices.DeleteFunc(c.runs, func(r relay.CrashedRun) bool { return !now.Before(r.Ended.Add(crashesTold)) })
+	for request, until := range c.survived {
+		if !now.Before(until) {
+			delete(c.survived, request)
+		}
+	}
+}
+
+// runsCrashed has the leader hear of runs that this entry VM saw crash.
+func (n *Node) runsCrashed(e RunsCrashed) {
+	for _, run := range e.Runs {
+		n.entry.crashes.add(run)
+	}
+	n.renewSoon()
+}
+
+// requestSurvived has the leader hear that a request has run well.
+func (n *Node) requestSurvived(e RequestSurvived) {
+	n.entry.crashes.clear(e.Request, n.now)
+	n.renewSoon()
+}
+
+// renewSoon has this entry VM renew its lease soon, for what goes with it.
+func (n *Node) renewSoon() {
+	t := &n.entry.tenure
+	if t.renewAt.IsZero() {
+		return // it has not begun to renew
+	}
+	last := t.renewAt.Add(-n.settings.Timing.RenewEvery)
+	t.renewAt = earlier(t.renewAt, last.Add(crashRenewAfter))
+}
+
+// quarantineTaken tells the runtime what a lease has changed of the quarantine.
+func (n *Node) quarantineTaken(before config.State) {
+	held := n.entry.config.Quarantine.Items
+	if maps.Equal(before.Quarantine.Items, held) {
+		return
+	}
+	until := make(map[relay.Fingerprint]time.Time, len(held))
+	for _, q := range held {
+		if request, ok := fingerprintOf(q.Fingerprint); ok {
+			until[request] = q.Until
+		}
+	}
+	n.emit(QuarantineInForce{Until: until})
+}
+
+// fingerprintOf reads a fingerprint as the configuration holds it.
+func fingerprintOf(text string) (request relay.Fingerprint, ok bool) {
+	raw, err := hex.DecodeString(text)
+	if err != nil || len(raw) != len(request) {
+		return request, false // not made by a leader
+	}
+	return relay.Fingerprint(raw), true
+}
+
+// crashesHeard takes reports that came with renewals: the leader gathers them, another
+// control VM hands them on with its next batch.
+func (n *Node) crashesHeard(reports []CrashReport, survived []relay.Fingerprint) {
+	if !n.leads() {
+		n.forwarding.crashes.take(reports, survived, n.now)
+		return
+	}
+	for _, request := range survived {
+		n.requestCleared(request)
+	}
+	for _, r := range reports {
+		n.crashHeard(relay.CrashedRun{Request: r.Request, Target: r.Target, Began: n.now.Add(-r.BeganAgo), Ended: n.now.Add(-r.EndedAgo)})
+	}
+}
+
+// crashHeard has the leader take one report, and puts the request into quarantine if it has
+// ended too many targets.
+func (n *Node) crashHeard(run relay.CrashedRun) {
+	l := &n.leading
+	name := run.Request.String()
+	if n.machine.Config.Quarantine.Has(name) || l.quarantining[run.Request] {
+		return
+	}
+	ended := l.suspects.Take(run)
+	if ended < relay.CrashesMost {
+		return
+	}
+	l.quarantining[run.Request] = true
+	l.suspects.Clear(run.Request)
+	n.note("request has ended its targets one after the other: it is put into quarantine", name)
+	since := wall(n.now)
+	n.propose(Entry{Changes: []config.Change{{Quarantine: &config.QuarantinedRequest{Fingerprint: name, Since: since, Until: since.Add(quarantineFor)}}}})
+}
+
+// quarantineApplied notes that a request is in quarantine for all.
+func (n *Node) quarantineApplied(q config.QuarantinedRequest) {
+	if request, ok := fingerprintOf(q.Fingerprint); ok {
+		delete(n.leading.quarantining, request)
+	}
+}
+
+// requestCleared has the leader take that a request has run well.
+func (n *Node) requestCleared(request relay.Fingerprint) {
+	n.leading.suspects.Clear(request)
+	delete(n.leading.quarantining, request)
+	name := request.String()
+	if !n.machine.Config.Quarantine.Has(name) {
+		return
+	}
+	n.note("request in quarantine has run well: it is let go", name)
+	n.propose(Entry{Changes: []config.Change{{Release: name}}})
+}
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -58,6 +58,8 @@
 	marksSeen uint64
 	// findings is what this VM has lately found of targets.
 	findings relay.Findings
+	// crashes are the crashed runs that this VM tells of.
+	crashes crashes
 	// controls are the control VMs that live, as the last one that named them said.
 	controls    []ControlVM
 	view        []EntryView
@@ -146,6 +148,7 @@
 	n.tickFinds()
 	if !n.now.Before(n.entry.sweepAt) {
 		n.entry.sweepAt = n.now.Add(sweepEvery)
+		n.entry.crashes.expire(n.now)
 		n.sweep()
 	}
 }
@@ -242,6 +245,8 @@
 		Dead:        n.entry.findings.Dead,
 		Well:        n.entry.findings.Well,
 		Slow:        n.entry.findings.Slow,
+		Crashed:     n.entry.crashes.reports(n.now),
+		Survived:    n.entry.crashes.cleared(),
 	}})
 }
 
@@ -331,7 +336,7 @@
 	}
 	t.tries = 0
 	t.answerBy = time.Time{}
-	before := n.entry.config.Revision
+	before := n.entry.config
 	if !n.takeConfig(g) {
 		return
 	}
@@ -342,7 +347,8 @@
 	}
 	n.documentTaken()
 	n.fleetTaken(g)
-	if n.entry.config.Revision != before {
+	if n.entry.config.Revision != before.Revision {
+		n.quarantineTaken(before)
 		n.configTaken()
 		n.renew()
 	}
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -107,6 +107,10 @@
 	f.pauseExplained = false
 	f.pace = f.pace.With(count, now)
 	f.events += count
+	if !f.proven && now.Sub(f.beganAt) >= provenAfter {
+		f.proven = true
+		f.g.ranWell(f.fingerprint)
+	}
 	f.lastEvent = now
 }
 
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/relay"
@@ -111,6 +112,8 @@
 	events     int
 	lastEvent  time.Time
 	worstPause time.Duration
+	// proven says that the answer has gone on for long enough to speak for the request.
+	proven bool
 	// pace is that of the answer on the present path, which was asked at sentAt.
 	pace   relay.Pace
 	sentAt time.Time
@@ -232,6 +235,7 @@
 
 // served notes an answer that was given whole.
 func (f *forwarding) served(path relay.Path) {
+	f.g.ranWell(f.fingerprint)
 	f.g.meter.served(f.call.Arrived)
 	first := int64(-1)
 	if !f.beganAt.IsZero() {
@@ -246,7 +250,7 @@
 	until := f.waitUntil()
 	for {
 		path, refusal := f.g.choose(f)
-		if refusal == nil || !f.mayWait() || !f.pause(ctx, until) {
+		if refusal == nil || refusal.Kind == relay.RefusedCrashes || !f.mayWait() || !f.pause(ctx, until) {
 			return path, refusal
 		}
 	}
@@ -293,6 +297,9 @@
 
 func (g *Gateway) choose(f *forwarding) (relay.Path, *relay.Refusal) {
 	now := time.Now()
+	if refusal := g.quarantineRefusal(f, now); refusal != nil {
+		return relay.Path{}, refusal
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	path, refusal := g.router.Choose(relay.Ask{
@@ -556,9 +563,7 @@
 	}
 	f.g.failed(culprit, true)
 	f.avoid = append(f.avoid, culprit)
-	if !errors.Is(err, target.ErrNotSent) && !errors.Is(err, target.ErrSilent) {
-		f.g.brokeOff(path.First(), f.fingerprint, !f.read)
-	}
+	f.noteBrokenOff(path, watch, err)
 	if errors.Is(err, target.ErrNotSent) && !f.resent {
 		f.noteUnreached(path.First().Target)
 		return resultNotSent
@@ -566,6 +571,31 @@
 	return resultBroken
 }
 
+// noteBrokenOff notes that a target closed the connection in the middle of the request. One
+// that fell silent may be behind a cut: nothing that it was sent is to blame.
+func (f *forwarding) noteBrokenOff(path relay.Path, watch *watcher, err error) {
+	notSent := errors.Is(err, target.ErrNotSent)
+	if notSent && !f.resent || errors.Is(err, target.ErrSilent) {
+		return
+	}
+	// One that was sent again in vain may have run at first, over the connection before.
+	certain := errors.Is(context.Cause(watch.living), errLifeEnded) || notSent && errors.Is(err, syscall.ECONNREFUSED)
+	f.g.brokeOff(path.First(), f.sending(), certain)
+}
+
+// noteStageLost notes that a later stage of the path kept its first one from running the
+// request. One that is only full says so at once.
+func (f *forwarding) noteStageLost(stage relay.Stage) {
+	if stage.Target != f.lastPath.First().Target && time.Since(f.sentAt) >= pauseCheck {
+		f.g.brokeOff(stage, f.sending(), false)
+	}
+}
+
+// sending is the present run of the request.
+func (f *forwarding) sending() run {
+	return run{request: f.fingerprint, began: f.sentAt, started: f.read}
+}
+
 // noteUnreached notes that no connection to a target came about.
 func (f *forwarding) noteUnreached(id relay.TargetID) {
 	if f.unreached == nil {
@@ -583,6 +613,7 @@
 	}
 	f.last = "target " + culprit.Address + " answered " + strconv.Itoa(answer.Status) + ", not run"
 	f.g.refusedBy(culprit.Target)
+	f.noteStageLost(culprit)
 	f.full = append(f.full, culprit.Target)
 	return resultNotRun
 }
@@ -608,6 +639,7 @@
 	if len(body) > wholeLimit {
 		return f.long(answer, body)
 	}
+	f.g.ranWell(f.fingerprint)
 	given := &wholeAnswer{status: answer.Status, header: answer.Header, body: body}
 	if answer.Status < http.StatusInternalServerError {
 		f.g.succeeded(path.First().Target)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -130,6 +130,7 @@
 	exchanger *target.Exchanger
 	exchanges exchanges
 	endings   endings
+	crashes   crashes
 	probes    probes
 	meter     *gatewayMetrics
 	policy    relay.Policy
@@ -162,6 +163,7 @@
 	}
 	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, policy: p.Router.Policy, router: relay.NewRouter(p.Router), informed: make(chan struct{}), started: time.Now()}
 	g.exchanger = target.NewExchanger(meter.dialled)
+	g.crashes.init()
 	g.exchanges.underWay = make(map[relay.TargetID]map[*exchange]bool)
 	if d.settings.Limits.MemoryMB > 0 {
 		g.exchanger.BoundKernel()
@@ -344,6 +346,8 @@
 		g.endTargets(e)
 	case core.FleetLearned:
 		g.takeFleet(e)
+	case core.QuarantineInForce:
+		g.takeQuarantine(e)
 	case core.OrderLayers:
 		go g.order(e)
 	}
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -29,6 +29,10 @@
 	unanswered metric.Int64Counter
 	// connections counts those of callers.
 	connections metric.Int64Counter
+	// runsCrashed counts the runs that brought nothing before their target ended, and
+	// quarantine the requests that are sent to no target.
+	runsCrashed metric.Int64Counter
+	quarantine  metric.Int64Gauge
 	// unused counts what other writers sent and is not used.
 	unused metric.Int64Counter
 }
@@ -67,6 +71,12 @@
 	g.unanswered = counter("spoolbank.target.overdue.unanswered")
 	g.connections = counter("spoolbank.callers.connections")
 	g.unused = counter("spoolbank.target.words.unusable")
+	g.runsCrashed = counter("spoolbank.requests.crashed")
+	gauge, failed := m.meter.Int64Gauge("spoolbank.requests.quarantined")
+	if failed != nil {
+		err = failed
+	}
+	g.quarantine = gauge
 	return g, err
 }
 
@@ -110,6 +120,12 @@
 
 func (g *gatewayMetrics) targetsEnded(lives int) { g.ended.Add(context.Background(), int64(lives)) }
 
+func (g *gatewayMetrics) crashed(runs int) { g.runsCrashed.Add(context.Background(), int64(runs)) }
+
+func (g *gatewayMetrics) quarantined(requests int) {
+	g.quarantine.Record(context.Background(), int64(requests))
+}
+
 func (g *gatewayMetrics) probed() { g.probes.Add(context.Background(), 1) }
 
 func (g *gatewayMetrics) ordered(o core.OrderOutcome) {
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -8,7 +8,7 @@
 // RefusalKind says why a request was not served.
 type RefusalKind int
 
-// The kinds of refusals. All but RefusedUnknownRun and RefusedTimeout say that
+// The kinds of refusals. All but RefusedUnknownRun, RefusedTimeout and RefusedCrashes say that
 // the request has not run and will not.
 const (
 	// RefusedNoDocument: this VM knows no configuration that it may act by.
@@ -29,13 +29,15 @@
 	RefusedTimeout
 	// RefusedNoMemory: this VM has no memory left for the request.
 	RefusedNoMemory
+	// RefusedCrashes: it has ended the targets that ran it, and is sent to no other.
+	RefusedCrashes
 	// RefusedUnreadable: the request could not be read whole.
 	RefusedUnreadable
 )
 
 // String returns the kind's name.
 func (k RefusalKind) String() string {
-	return [...]string{"no document", "no route", "key", "too large", "no room", "not taken", "unknown run", "timeout", "no memory", "unreadable"}[k]
+	return [...]string{"no document", "no route", "key", "too large", "no room", "not taken", "unknown run", "timeout", "no memory", "crashes its targets", "unreadable"}[k]
 }
 
 // Refusal is a final answer that is not the one that was asked for.
@@ -51,4 +53,6 @@
 func (r *Refusal) Error() string { return fmt.Sprintf("%s: %s", r.Kind, r.Reason) }
 
 // NotRun reports whether the refusal says that the request has not run.
-func (r *Refusal) NotRun() bool { return r.Kind != RefusedUnknownRun && r.Kind != RefusedTimeout }
+func (r *Refusal) NotRun() bool {
+	return r.Kind != RefusedUnknownRun && r.Kind != RefusedTimeout && r.Kind != RefusedCrashes
+}
--- /dev/null
+++ b/internal/relay/suspects_test.go
@@ -0,0 +1,114 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// crashed is a run on a target from and until so many milliseconds.
+func crashed(request string, target, began, ended int) relay.CrashedRun {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	return relay.CrashedRun{
+		Request: relay.NewFingerprint("o", "POST", "h", "/"+request, nil), Target: relay.TargetKey(target),
+		Began: at(began), Ended: at(ended),
+	}
+}
+
+func TestARequestThatEndsTargetsOneAfterTheOtherIsFound(t *testing.T) {
+	cases := []struct {
+		name string
+		runs []relay.CrashedRun
+		want int
+	}{
+		{"one", []relay.CrashedRun{crashed("a", 1, 0, 100)}, 1},
+		{"sent again each time", []relay.CrashedRun{crashed("a", 1, 0, 100), crashed("a", 2, 101, 250), crashed("a", 3, 900, 990)}, 3},
+		{"told twice", []relay.CrashedRun{crashed("a", 1, 0, 100), crashed("a", 1, 0, 102), crashed("a", 1, 0, 100)}, 1},
+		{"a rack falls under copies", []relay.CrashedRun{crashed("a", 1, 0, 100), crashed("a", 2, 20, 101), crashed("a", 3, 50, 100), crashed("a", 4, 99, 103)}, 1},
+		{"a hall falls within a second, and new copies go there", []relay.CrashedRun{crashed("a", 1, 0, 100), crashed("a", 2, 40, 300), crashed("a", 3, 90, 700)}, 1},
+		{"reports in another order", []relay.CrashedRun{crashed("a", 3, 900, 990), crashed("a", 1, 0, 100), crashed("a", 2, 101, 250)}, 3},
+		{"a long run beside two short ones", []relay.CrashedRun{crashed("a", 1, 0, 5000), crashed("a", 2, 100, 200), crashed("a", 3, 300, 400)}, 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := relay.NewSuspects()
+			got := 0
+			for _, r := range c.runs {
+				got = s.Take(r)
+			}
+			require.Equal(t, c.want, got)
+		})
+	}
+}
+
+func TestAWholeAnswerClearsARequest(t *testing.T) {
+	s := relay.NewSuspects()
+	s.Take(crashed("a", 1, 0, 100))
+	s.Take(crashed("a", 2, 200, 300))
+	s.Clear(crashed("a", 1, 0, 0).Request)
+	require.Equal(t, 1, s.Take(crashed("a", 3, 400, 500)))
+}
+
+func TestSuspectsAreBoundedAndKeepTheNewest(t *testing.T) {
+	s := relay.NewSuspects()
+	for i := range 5000 {
+		s.Take(crashed(fmt.Sprint("other-", i), 1, 10*i, 10*i+5))
+		s.Take(crashed("a", 2+i%2, 10*i+6, 10*i+9))
+	}
+	require.LessOrEqual(t, s.Len(), 1024)
+	require.Equal(t, 3, s.Take(crashed("a", 9, 60000, 60001)), "what is seen again stays, whoever else comes")
+}
+
+// What counts is the same in any order, and however often a report comes.
+func TestSuspicionDoesNotDependOnTheOrderOfReports(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		runs := rapid.SliceOfNDistinct(rapid.Custom(func(t *rapid.T) relay.CrashedRun {
+			began := rapid.IntRange(0, 1000).Draw(t, "began")
+			return crashed("a", rapid.IntRange(1, 1000).Draw(t, "target"), began, began+rapid.IntRange(1, 300).Draw(t, "took"))
+		}), 1, 8, func(r relay.CrashedRun) relay.TargetKey { return r.Target }).Draw(t, "runs")
+		count := func(runs []relay.CrashedRun) int {
+			s := relay.NewSuspects()
+			got := 0
+			for _, r := range runs {
+				got = s.Take(r)
+			}
+			return got
+		}
+		require.Equal(t, count(runs), count(append(rapid.Permutation(runs).Draw(t, "again"), runs...)))
+	})
+}
+
+func TestFingerprintsTellRequestsApart(t *testing.T) {
+	own := relay.NewFingerprint("o", "POST", "h", "/a/b", []byte("body"))
+	require.Equal(t, own, relay.NewFingerprint("o", "POST", "h", "/a/b", []byte("body")))
+	for _, other := range []relay.Fingerprint{
+		relay.NewFingerprint("p", "POST", "h", "/a/b", []byte("body")),
+		relay.NewFingerprint("o", "PUT", "h", "/a/b", []byte("body")),
+		relay.NewFingerprint("o", "POST", "g", "/a/b", []byte("body")),
+		relay.NewFingerprint("o", "POST", "h", "/a/b?c", []byte("body")),
+		relay.NewFingerprint("o", "POST", "h", "/a/b", []byte("bod")),
+		relay.NewFingerprint("o", "POST", "h", "/a/", []byte("bbody")),
+	} {
+		require.NotEqual(t, own, other)
+	}
+}
+
+func TestRecentHoldsWhatWasSeenOfLate(t *testing.T) {
+	r := relay.NewRecent[int](3, time.Minute)
+	at := func(s int) time.Time { return time.Unix(1000, 0).Add(time.Duration(s) * time.Second) }
+	r.Add(1, at(0))
+	require.True(t, r.Has(1, at(59)))
+	require.True(t, r.Has(1, at(70)), "one generation later")
+	require.False(t, r.Has(1, at(130)))
+	require.False(t, r.Has(1, at(10000)))
+	for i := range 100 {
+		r.Add(i, at(20000))
+	}
+	require.True(t, r.Has(99, at(20000)))
+	require.False(t, r.Has(90, at(20000)), "it is bounded")
+}
