core, daemon: what counts as evidence that a request ends its targets, under failure

Cause: by a property test over random ends of leaders, VMs and all at once, an innocent request went into quarantine: its good run was heard before the reports of earlier crashes, which VMs repeat for ten seconds, and these counted again. Change: a good run carries its time, and voids what ended before it, whenever that is heard; a repeated old one does not let a request go that has ended targets since.

--- a/internal/core/config/quarantine.go
+++ b/internal/core/config/quarantine.go
@@ -10,9 +10,11 @@
 type QuarantinedRequest struct {
 	// Fingerprint is that of the request, in hexadecimal.
 	Fingerprint string `json:"fingerprint" cbor:"fingerprint"`
-	// Since is when it was put there, and Until when it is let go.
-	Since time.Time `json:"since" cbor:"since"`
-	Until time.Time `json:"until" cbor:"until"`
+	// FirstEnd is when the first of the targets ended that it was put there for. Since is when
+	// it was, and Until when it is let go.
+	FirstEnd time.Time `json:"first_end" cbor:"first_end"`
+	Since    time.Time `json:"since" cbor:"since"`
+	Until    time.Time `json:"until" cbor:"until"`
 }
 
 // ObjectName implements Named.
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -244,7 +244,7 @@
 	b := RenewBatch{
 		Number: f.number, ViewVersion: f.report.view.version, WorkSeen: f.report.total.seen, MarksSeen: f.report.marked.seen,
 		Following: n.entryFollowers(), Expected: n.expectedHolders(), Part: n.partDue(),
-		Crashed: f.crashes.reports(n.now), Survived: f.crashes.cleared(),
+		Crashed: f.crashes.reports(n.now), Survived: f.crashes.cleared(n.now),
 	}
 	f.crashes = crashes{}
 	for _, vm := range f.waiting {
--- a/internal/core/halls_test.go
+++ b/internal/core/halls_test.go
@@ -41,6 +41,10 @@
 	fleets map[core.VMName]core.FleetLearned
 	others map[core.VMName]map[relay.TargetKey]relay.Work
 	marks  map[core.VMName]map[relay.TargetKey]relay.Mark
+	// quarantine is what each entry VM was told of requests that end their targets.
+	quarantine map[core.VMName]map[relay.Fingerprint]time.Time
+	// loses says which messages are lost, nil where none are.
+	loses func(core.Envelope) bool
 	// renewed counts, by VM, the renewals that came to it; bytes what it sent.
 	renewed  map[core.VMName]int
 	sent     map[core.VMName]int
@@ -76,8 +80,9 @@
 		fleets: make(map[core.VMName]core.FleetLearned), others: make(map[core.VMName]map[relay.TargetKey]relay.Work),
 		disks: make(map[core.VMName]*core.Recovered), settings: make(map[core.VMName]core.Settings),
 		renewed: make(map[core.VMName]int), sent: make(map[core.VMName]int), bytes: make(map[core.VMName]int),
-		found: make(map[core.VMName]relay.Findings),
-		marks: make(map[core.VMName]map[relay.TargetKey]relay.Mark), kinds: make(map[string]int), decode: decodeEmpty,
+		found:      make(map[core.VMName]relay.Findings),
+		quarantine: make(map[core.VMName]map[relay.Fingerprint]time.Time),
+		marks:      make(map[core.VMName]map[relay.TargetKey]relay.Mark), kinds: make(map[string]int), decode: decodeEmpty,
 	}
 	f.pass = f.run
 	for i := range size.controls {
@@ -140,6 +145,7 @@
 	f.learned[vm] = make(map[relay.TargetID]relay.Target)
 	f.others[vm] = make(map[relay.TargetKey]relay.Work)
 	f.marks[vm] = make(map[relay.TargetKey]relay.Mark)
+	delete(f.quarantine, vm)
 	f.dead[vm] = false
 }
 
@@ -173,6 +179,8 @@
 			}
 		case core.FleetLearned:
 			f.takeFleet(vm, e)
+		case core.QuarantineInForce:
+			f.quarantine[vm] = e.Until
 		case core.OrderLayers:
 			f.orders = append(f.orders, givenOrder{OrderLayers: e, by: vm})
 		case core.Note:
@@ -235,6 +243,9 @@
 		arriving := f.queue
 		f.queue = nil
 		for _, e := range arriving {
+			if f.loses != nil && f.loses(e) {
+				continue
+			}
 			if _, known := f.nodes[e.To]; known && !f.apart[[2]core.VMName{e.From.VM, e.To}] {
 				f.step(e.To, core.Received{Envelope: e})
 			}
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -200,8 +200,8 @@
 	Slow []relay.TargetKey `cbor:"slow,omitempty"`
 	// Crashed are runs that ended with their target, Survived requests that have run well
 	// since they were among these.
-	Crashed  []CrashReport       `cbor:"crashed,omitempty"`
-	Survived []relay.Fingerprint `cbor:"survived,omitempty"`
+	Crashed  []CrashReport    `cbor:"crashed,omitempty"`
+	Survived []SurvivalReport `cbor:"survived,omitempty"`
 }
 
 // renewal returns the part of a Renew that the leader needs of each entry VM.
@@ -255,8 +255,8 @@
 	// Part is missing where the one sent last still counts.
 	Part *FleetPart `cbor:"part,omitempty"`
 	// Crashed and Survived are those of the renewals since the last batch.
-	Crashed  []CrashReport       `cbor:"crashed,omitempty"`
-	Survived []relay.Fingerprint `cbor:"survived,omitempty"`
+	Crashed  []CrashReport    `cbor:"crashed,omitempty"`
+	Survived []SurvivalReport `cbor:"survived,omitempty"`
 }
 
 // GrantBatch grants all renewals of the batch of that number, to holders that are at
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -50,9 +50,12 @@
 // RunsCrashed are runs that brought nothing before their target ended.
 type RunsCrashed struct{ Runs []relay.CrashedRun }
 
-// RequestSurvived says that a target has run a request that this VM has reported to a whole
-// answer.
-type RequestSurvived struct{ Request relay.Fingerprint }
+// RequestSurvived says that a target has run well, at a time, a request that this VM has
+// reported.
+type RequestSurvived struct {
+	Request relay.Fingerprint
+	At      time.Time
+}
 
 // QuarantineInForce tells the runtime the requests that are sent to no target, each with when
 // it is let go.
@@ -75,10 +78,17 @@
 	EndedAgo time.Duration     `cbor:"ended_ago"`
 }
 
+// SurvivalReport is a run that went well on its way to the leader.
+type SurvivalReport struct {
+	_       struct{}          `cbor:",toarray"`
+	Request relay.Fingerprint `cbor:"request"`
+	Ago     time.Duration     `cbor:"ago"`
+}
+
 // crashes is what a VM knows of crashed runs that the leader is to hear of.
 type crashes struct {
 	runs []relay.CrashedRun
-	// survived are the requests that have run well since, and until when that is told.
+	// survived are the requests that have run well since, and when.
 	survived map[relay.Fingerprint]time.Time
 }
 
@@ -92,12 +102,12 @@
 }
 
 // take takes reports of another VM.
-func (c *crashes) take(reports []CrashReport, survived []relay.Fingerprint, now time.Time) {
+func (c *crashes) take(reports []CrashReport, survived []SurvivalReport, now time.Time) {
 	for _, r := range reports {
 		c.add(relay.CrashedRun{Request: r.Request, Target: r.Target, Began: now.Add(-r.BeganAgo), Ended: now.Add(-r.EndedAgo)})
 	}
-	for _, request := range survived {
-		c.clear(request, now)
+	for _, s := range survived {
+		c.clear(s.Request, now.Add(-s.Ago))
 	}
 }
 
@@ -108,27 +118,32 @@
 	c.runs = c.runs[max(0, len(c.runs)-crashesHeld):]
 }
 
-// clear takes that a request has run well.
-func (c *crashes) clear(request relay.Fingerprint, now time.Time) {
-	c.runs = slices.DeleteFunc(c.runs, func(o relay.CrashedRun) bool { return o.Request == request })
+// clear takes that a request has run well at a time.
+func (c *crashes) clear(request relay.Fingerprint, at time.Time) {
+	c.runs = slices.DeleteFunc(c.runs, func(o relay.CrashedRun) bool { return o.Request == request && !o.Ended.After(at) })
 	if c.survived == nil {
 		c.survived = make(map[relay.Fingerprint]time.Time)
 	}
-	if len(c.survived) < crashesHeld {
-		c.survived[request] = now.Add(crashesTold)
+	if len(c.survived) < crashesHeld && at.After(c.survived[request]) {
+		c.survived[request] = at
 	}
 }
 
 // cleared returns the requests that have run well since they were reported, sorted.
-func (c *crashes) cleared() []relay.Fingerprint {
-	return slices.SortedFunc(maps.Keys(c.survived), func(a, b relay.Fingerprint) int { return slices.Compare(a[:], b[:]) })
+func (c *crashes) cleared(now time.Time) []SurvivalReport {
+	var reports []SurvivalReport
+	for request, at := range c.survived {
+		reports = append(reports, SurvivalReport{Request: request, Ago: now.Sub(at)})
+	}
+	slices.SortFunc(reports, func(a, b SurvivalReport) int { return slices.Compare(a.Request[:], b.Request[:]) })
+	return reports
 }
 
 // expire drops what has been told for long enough.
 func (c *crashes) expire(now time.Time) {
 	c.runs = slices.DeleteFunc(c.runs, func(r relay.CrashedRun) bool { return !now.Before(r.Ended.Add(crashesTold)) })
-	for request, until := range c.survived {
-		if !now.Before(until) {
+	for request, at := range c.survived {
+		if !now.Before(at.Add(crashesTold)) {
 			delete(c.survived, request)
 		}
 	}
@@ -144,7 +159,7 @@
 
 // requestSurvived has the leader hear that a request has run well.
 func (n *Node) requestSurvived(e RequestSurvived) {
-	n.entry.crashes.clear(e.Request, n.now)
+	n.entry.crashes.clear(e.Request, e.At)
 	n.renewSoon()
 }
 
@@ -184,13 +199,13 @@
 
 // crashesHeard takes reports that came with renewals: the leader gathers them, another
 // control VM hands them on with its next batch.
-func (n *Node) crashesHeard(reports []CrashReport, survived []relay.Fingerprint) {
+func (n *Node) crashesHeard(reports []CrashReport, survived []SurvivalReport) {
 	if !n.leads() {
 		n.forwarding.crashes.take(reports, survived, n.now)
 		return
 	}
-	for _, request := range survived {
-		n.requestCleared(request)
+	for _, s := range survived {
+		n.requestCleared(s.Request, n.now.Add(-s.Ago))
 	}
 	for _, r := range reports {
 		n.crashHeard(relay.CrashedRun{Request: r.Request, Target: r.Target, Began: n.now.Add(-r.BeganAgo), Ended: n.now.Add(-r.EndedAgo)})
@@ -210,10 +225,10 @@
 		return
 	}
 	l.quarantining[run.Request] = true
-	l.suspects.Clear(run.Request)
+	q := config.QuarantinedRequest{Fingerprint: name, FirstEnd: wall(l.suspects.FirstEnd(run.Request)), Since: wall(n.now), Until: wall(n.now.Add(quarantineFor))}
+	l.suspects.Forget(run.Request)
 	n.note("request has ended its targets one after the other: it is put into quarantine", name)
-	since := wall(n.now)
-	n.propose(Entry{Changes: []config.Change{{Quarantine: &config.QuarantinedRequest{Fingerprint: name, Since: since, Until: since.Add(quarantineFor)}}}})
+	n.propose(Entry{Changes: []config.Change{{Quarantine: &q}}})
 }
 
 // quarantineApplied notes that a request is in quarantine for all.
@@ -224,12 +239,12 @@
 }
 
 // requestCleared has the leader take that a request has run well.
-func (n *Node) requestCleared(request relay.Fingerprint) {
-	n.leading.suspects.Clear(request)
-	delete(n.leading.quarantining, request)
+func (n *Node) requestCleared(request relay.Fingerprint, at time.Time) {
+	n.leading.suspects.Clear(request, at)
 	name := request.String()
-	if !n.machine.Config.Quarantine.Has(name) {
-		return
+	q, held := n.machine.Config.Quarantine.Get(name)
+	if !held || !wall(at).After(q.FirstEnd) {
+		return // it is told for a while, also once the request ends targets after it
 	}
 	n.note("request in quarantine has run well: it is let go", name)
 	n.propose(Entry{Changes: []config.Change{{Release: name}}})
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -246,7 +246,7 @@
 		Well:        n.entry.findings.Well,
 		Slow:        n.entry.findings.Slow,
 		Crashed:     n.entry.crashes.reports(n.now),
-		Survived:    n.entry.crashes.cleared(),
+		Survived:    n.entry.crashes.cleared(n.now),
 	}})
 }
 
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -99,8 +99,8 @@
 
 // ranWell notes that a target has run a request well.
 func (g *Gateway) ranWell(request relay.Fingerprint) {
-	if g.crashes.ranWell(request, time.Now()) {
-		g.daemon.post(core.RequestSurvived{Request: request})
+	if now := time.Now(); g.crashes.ranWell(request, now) {
+		g.daemon.post(core.RequestSurvived{Request: request, At: now})
 	}
 }
 
--- /dev/null
+++ b/internal/daemon/crashes_test.go
@@ -0,0 +1,234 @@
+package daemon_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/daemon"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// postWait bounds the wait for a report. It is no measure of speed.
+const postWait = 10 * time.Second
+
+// asksMost bounds the requests until one of two targets has got one.
+const asksMost = 100
+
+// Steps of targets that end: they refuse new connections from then on.
+var (
+	endsUnheard = step{runs: true, ends: true}
+	endsAtHead  = step{runs: true, ends: true, text: "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 13\r\n\r\n"}
+	endsMidway  = step{runs: true, ends: true, text: "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 13\r\n\r\nid: 1\n\n"}
+	streamed    = step{runs: true, text: "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 7\r\n\r\nid: 1\n\n"}
+)
+
+// newStreamEntry is a gateway before some engines' streams, each of which may be sent to one.
+func newStreamEntry(t *testing.T, workers ...*worker) *daemon.Gateway {
+	t.Helper()
+	document := &relay.Document{
+		Version:  1,
+		Services: []relay.Service{{Name: "s", MaxConns: 100}},
+		Routes: []relay.Route{{
+			Name: "r", Host: "h", Prefix: "/", Repeat: relay.RepeatResume, Stream: true, Timeout: 5 * time.Second, Objective: time.Second,
+			Pause: 200 * time.Millisecond, MaxTargets: 1, Anonymous: true, Shares: []relay.Share{{Service: "s", Weight: 1}},
+		}},
+	}
+	var known []relay.Target
+	for _, w := range workers {
+		known = append(known, relay.Target{ID: relay.TargetID(w.address), Service: "s", Address: w.address, Slots: 10, Call: 1})
+	}
+	budget := relay.BudgetTerms{Share: 1, Fixed: 100, Window: 10 * time.Second}
+	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: mute{}, Router: relay.Settings{Seed: 1, Started: time.Now(), Budget: budget}}, document, known)
+	require.NoError(t, err)
+	return g
+}
+
+// askPath sends a request for a path, and returns the status that its caller gets, 0 where its
+// answer is cut.
+func askPath(t *testing.T, g *daemon.Gateway, uri string) (status int) {
+	t.Helper()
+	defer func() {
+		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+			panic(cause)
+		}
+	}()
+	w := httptest.NewRecorder()
+	now := time.Now()
+	g.Serve(t.Context(), w, &daemon.Call{ID: "a", Arrived: now, Deadline: now.Add(5 * time.Second), Method: http.MethodPost, URI: uri, Path: "/", Host: "h", Answer: 10})
+	return w.Code
+}
+
+func fingerprint(uri string) relay.Fingerprint {
+	return relay.NewFingerprint("", http.MethodPost, "h", uri, nil)
+}
+
+// reported returns the requests and targets of the next report.
+func reported(t *testing.T, g *daemon.Gateway) (requests []relay.Fingerprint, targets []relay.TargetKey) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), postWait)
+	defer cancel()
+	event, ok := daemon.Posted(ctx, g).(core.RunsCrashed)
+	require.True(t, ok, "crashed runs are reported")
+	for _, run := range event.Runs {
+		require.False(t, run.Ended.Before(run.Began))
+		requests, targets = append(requests, run.Request), append(targets, run.Target)
+	}
+	return requests, targets
+}
+
+// keyOf is the key of a worker as a target.
+func keyOf(w *worker) relay.TargetKey { return relay.TargetID(w.address).Key() }
+
+func TestARunThatEndsItsTargetBeforeItBringsAnythingIsReported(t *testing.T) {
+	for _, s := range []step{endsUnheard, endsAtHead} {
+		w := newWorker(t, s)
+		askPath(t, newStreamEntry(t, w), "/a")
+		w = newWorker(t, s)
+		g := newStreamEntry(t, w)
+		require.Equal(t, http.StatusBadGateway, askPath(t, g, "/a"))
+		requests, targets := reported(t, g)
+		require.Equal(t, []relay.Fingerprint{fingerprint("/a")}, requests)
+		require.Equal(t, []relay.TargetKey{keyOf(w)}, targets)
+	}
+}
+
+// The request went over a kept connection, which closed without a byte, and the second sending
+// on a new one was refused: the first one may have run, and ended the target.
+func TestARunOverAKeptConnectionThatEndsItsTargetIsReported(t *testing.T) {
+	w := newWorker(t, served, endsUnheard)
+	g := newEntry(t, relay.RepeatAlways, 1, w)
+	require.Equal(t, http.StatusOK, askPath(t, g, "/well"))
+	askPath(t, g, "/a")
+	requests, _ := reported(t, g)
+	require.Equal(t, []relay.Fingerprint{fingerprint("/a")}, requests)
+}
+
+// What is no evidence is followed by a run that is: the first report is of that one.
+func TestWhatSaysNothingOfARequestIsNotReported(t *testing.T) {
+	cases := []struct {
+		name  string
+		first step
+	}{
+		{"the target closes a connection and lives", lost},
+		{"it ends in mid-answer, beside many others", endsMidway},
+		{"it refuses", rejected},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			first := newWorker(t, c.first)
+			g := newStreamEntry(t, first)
+			askPath(t, g, "/first")
+			next := newWorker(t, endsAtHead)
+			daemon.TakeTarget(g, relay.Target{ID: relay.TargetID(next.address), Service: "s", Address: next.address, Slots: 10, Call: 1})
+			for range asksMost {
+				if askPath(t, g, "/next"); next.ran.Load() > 0 {
+					break
+				}
+			}
+			requests, targets := reported(t, g)
+			require.Equal(t, []relay.Fingerprint{fingerprint("/next")}, requests)
+			require.Equal(t, []relay.TargetKey{keyOf(next)}, targets)
+		})
+	}
+}
+
+// A target that says nothing more, and whose connections stay open, may be behind a cut.
+func TestASilentTargetBlamesNoRequest(t *testing.T) {
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { silent.Close() })
+	go func() {
+		for {
+			conn, err := silent.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+		}
+	}()
+	w := &worker{address: silent.Addr().String()}
+	g := newStreamEntry(t, w)
+	askPath(t, g, "/first")
+	next := newWorker(t, endsAtHead)
+	daemon.TakeTarget(g, relay.Target{ID: relay.TargetID(next.address), Service: "s", Address: next.address, Slots: 10, Call: 1})
+	for range asksMost {
+		if askPath(t, g, "/next"); next.ran.Load() > 0 {
+			break
+		}
+	}
+	requests, _ := reported(t, g)
+	require.Equal(t, []relay.Fingerprint{fingerprint("/next")}, requests)
+}
+
+// Requests that look alike come again and again; one that a target has run well is not blamed
+// for the rack that falls under the next.
+func TestARequestThatHasRunWellIsNotBlamed(t *testing.T) {
+	w := newWorker(t, streamed, endsAtHead)
+	g := newStreamEntry(t, w)
+	require.Equal(t, http.StatusOK, askPath(t, g, "/alike"))
+	askPath(t, g, "/alike")
+	next := newWorker(t, endsAtHead)
+	daemon.TakeTarget(g, relay.Target{ID: relay.TargetID(next.address), Service: "s", Address: next.address, Slots: 10, Call: 1})
+	for range asksMost {
+		if askPath(t, g, "/next"); next.ran.Load() > 0 {
+			break
+		}
+	}
+	requests, _ := reported(t, g)
+	require.Equal(t, []relay.Fingerprint{fingerprint("/next")}, requests)
+}
+
+// One that was reported and then runs well is told of, so that it is let go everywhere.
+func TestARequestThatRunsWellAfterAllIsTold(t *testing.T) {
+	first := newWorker(t, endsAtHead)
+	g := newStreamEntry(t, first)
+	askPath(t, g, "/a")
+	reported(t, g)
+	next := newWorker(t, streamed)
+	daemon.TakeTarget(g, relay.Target{ID: relay.TargetID(next.address), Service: "s", Address: next.address, Slots: 10, Call: 1})
+	for range asksMost {
+		if askPath(t, g, "/a") == http.StatusOK {
+			break
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), postWait)
+	defer cancel()
+	survived, ok := daemon.Posted(ctx, g).(core.RequestSurvived)
+	require.True(t, ok)
+	require.Equal(t, fingerprint("/a"), survived.Request)
+}
+
+// Its caller is told that it has run, at once, and no target gets it; others are served.
+func TestARequestInQuarantineIsSentToNobody(t *testing.T) {
+	w := newWorker(t, streamed)
+	g := newStreamEntry(t, w)
+	daemon.Quarantine(g, fingerprint("/a"), time.Now().Add(time.Hour))
+	require.Equal(t, http.StatusBadGateway, askPath(t, g, "/a"))
+	require.Zero(t, w.ran.Load())
+	require.Equal(t, http.StatusOK, askPath(t, g, "/b"))
+	daemon.Quarantine(g, fingerprint("/a"), time.Now().Add(-time.Second))
+	require.Equal(t, http.StatusOK, askPath(t, g, "/a"), "its time is over")
+}
+
+// A stage that refuses because a later one has ended, after it was waited for, is a run that
+// ended a target too.
+func TestALaterStageThatEndsIsReported(t *testing.T) {
+	x := daemon.NewEndings()
+	now := time.Unix(1000, 0)
+	stage := relay.Stage{Target: "later", Address: "a"}
+	require.True(t, x.Note(stage, fingerprint("/a"), false, now), "the first one has it looked at")
+	require.False(t, x.Note(stage, fingerprint("/b"), false, now))
+	require.False(t, x.Note(stage, fingerprint("/c"), true, now))
+	starting, midway := x.Take(stage.Target)
+	require.Equal(t, []relay.Fingerprint{fingerprint("/a"), fingerprint("/b")}, starting)
+	require.Equal(t, 1, midway)
+	require.False(t, x.Note(stage, fingerprint("/c"), true, now), "mid-answers alone say nothing")
+}
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -174,3 +174,43 @@
 	}
 	return values, err
 }
+
+// Posted returns the next event that a gateway alone gives its Node, or nil.
+func Posted(ctx context.Context, g *Gateway) core.Event {
+	select {
+	case event := <-g.daemon.events:
+		return event
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+// TakeTarget tells a gateway of a target.
+func TakeTarget(g *Gateway, t relay.Target) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.TakeTargets([]relay.Target{t})
+}
+
+// Quarantine tells a gateway of the one request in quarantine.
+func Quarantine(g *Gateway, request relay.Fingerprint, until time.Time) {
+	g.takeQuarantine(core.QuarantineInForce{Until: map[relay.Fingerprint]time.Time{request: until}})
+}
+
+// Endings are the looks at targets that requests broke off with.
+type Endings struct{ endings }
+
+// NewEndings returns Endings without any.
+func NewEndings() *Endings { return &Endings{} }
+
+// Note adds a run, and reports whether its target is to be looked at.
+func (e *Endings) Note(s relay.Stage, request relay.Fingerprint, started bool, now time.Time) bool {
+	return e.note(s, run{request: request, began: now, started: started}, now)
+}
+
+// Take ends the look at a target, and returns the requests that had brought nothing and how
+// many others there were.
+func (e *Endings) Take(id relay.TargetID) (starting []relay.Fingerprint, midway int) {
+	known := e.take(id)
+	return known.fingerprints(), known.midway
+}
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -51,27 +51,49 @@
 	Began, Ended time.Time
 }
 
-// Suspects are the requests whose runs have ended targets. Use NewSuspects.
-type Suspects struct {
-	runs map[Fingerprint][]CrashedRun
+// suspect is what is known of one request.
+type suspect struct {
+	// runs are the newest crashed ones, by their ends.
+	runs []CrashedRun
+	// ranWellAt is when a target last ran it well, zero for never.
+	ranWellAt time.Time
+}
+
+// lastAt returns when the request was last heard of.
+func (s suspect) lastAt() time.Time {
+	last := s.ranWellAt
+	if len(s.runs) > 0 && s.runs[len(s.runs)-1].Ended.After(last) {
+		last = s.runs[len(s.runs)-1].Ended
+	}
+	return last
 }
 
+// Suspects are the requests whose runs have ended targets. Use NewSuspects.
+type Suspects struct{ known map[Fingerprint]suspect }
+
 // NewSuspects returns Suspects without any.
-func NewSuspects() Suspects { return Suspects{runs: make(map[Fingerprint][]CrashedRun)} }
+func NewSuspects() Suspects { return Suspects{known: make(map[Fingerprint]suspect)} }
 
 // Take takes a run, and reports how many targets the request has ended one after the other.
 func (s *Suspects) Take(run CrashedRun) int {
-	runs, known := s.runs[run.Request]
-	if !known && len(s.runs) >= suspectsMost {
-		s.forget(run.Ended)
+	known := s.get(run.Request, run.Ended)
+	if !run.Ended.After(known.ranWellAt) || slices.ContainsFunc(known.runs, func(o CrashedRun) bool { return o.Target == run.Target }) {
+		return oneAfterTheOther(known.runs)
 	}
-	if !slices.ContainsFunc(runs, func(o CrashedRun) bool { return o.Target == run.Target }) {
-		runs = append(slices.Clip(runs), run)
-		slices.SortFunc(runs, func(a, b CrashedRun) int { return a.Ended.Compare(b.Ended) })
-		runs = runs[max(0, len(runs)-suspectRuns):]
-		s.runs[run.Request] = runs
+	runs := append(slices.Clip(known.runs), run)
+	slices.SortFunc(runs, func(a, b CrashedRun) int { return a.Ended.Compare(b.Ended) })
+	known.runs = runs[max(0, len(runs)-suspectRuns):]
+	s.known[run.Request] = known
+	return oneAfterTheOther(known.runs)
+}
+
+// get returns what is known of a request, and makes room for one that is not known yet.
+func (s *Suspects) get(request Fingerprint, now time.Time) suspect {
+	known, ok := s.known[request]
+	if !ok && len(s.known) >= suspectsMost {
+		s.forget(now)
 	}
-	return oneAfterTheOther(runs)
+	return known
 }
 
 // oneAfterTheOther returns the greatest number of runs, sorted by their ends, of which each
@@ -89,28 +111,47 @@
 	return count
 }
 
-// Clear forgets a request: a target has run it to a whole answer.
-func (s *Suspects) Clear(request Fingerprint) { delete(s.runs, request) }
+// Clear takes that a target has run a request well at a time: what ended before counts no
+// more, whether it was heard of before or is after.
+func (s *Suspects) Clear(request Fingerprint, at time.Time) {
+	known := s.get(request, at)
+	if at.After(known.ranWellAt) {
+		known.ranWellAt = at
+	}
+	known.runs = slices.DeleteFunc(slices.Clone(known.runs), func(r CrashedRun) bool { return !r.Ended.After(known.ranWellAt) })
+	s.known[request] = known
+}
+
+// FirstEnd returns when the first of the crashed runs that are kept of a request ended.
+func (s *Suspects) FirstEnd(request Fingerprint) time.Time {
+	if runs := s.known[request].runs; len(runs) > 0 {
+		return runs[0].Ended
+	}
+	return time.Time{}
+}
+
+// Forget drops what is known of a request.
+func (s *Suspects) Forget(request Fingerprint) { delete(s.known, request) }
 
-// Len returns the number of requests that are suspected.
-func (s *Suspects) Len() int { return len(s.runs) }
+// Len returns the number of requests that something is known of.
+func (s *Suspects) Len() int { return len(s.known) }
 
 // forget drops the requests that are suspected no longer, and the one whose last run was the
 // longest ago.
 func (s *Suspects) forget(now time.Time) {
 	var oldest Fingerprint
 	var oldestEnd time.Time
-	for request, runs := range s.runs {
-		last := runs[len(runs)-1].Ended
+	for request, known := range s.known {
+		last := known.lastAt()
 		if !now.Before(last.Add(suspectKept)) {
-			delete(s.runs, request)
+			delete(s.known, request)
 			continue
 		}
 		if oldestEnd.IsZero() || last.Before(oldestEnd) {
 			oldest, oldestEnd = request, last
 		}
 	}
-	if len(s.runs) >= suspectsMost {
-		delete(s.runs, oldest)
+	if len(s.known) >= suspectsMost {
+		delete(s.known, oldest)
 	}
 }
