query, core: operators see the requests in quarantine and let them go

Cause: what ends its targets is mended by whoever runs them, and the request is to be served again at once. Tests: an operator lets a request go, and it has to end three targets anew.

--- a/cmd/spoolbank/cmd/help.go
+++ b/cmd/spoolbank/cmd/help.go
@@ -14,6 +14,7 @@
   show targets where hall = nabua and state != up
   show vms | leases | replicas                  the system's own VMs
   show requests where state = running           asked of every entry VM
+  show quarantine                               requests that ended their targets
   show pipelines | models | events | organisations | services | config
 
   declare model fiji layers=32 versions=[v3, v4] adapters=[notices]
@@ -29,6 +30,7 @@
   admit vm walu-bay-1                           take it back
   drain target r07
   remove event open
+  remove quarantine FINGERPRINT                 let such a request go
 
 Classes run from 0 (first) to 3. A word that reads as a number is one; quote it
 to make it a text. A command carries --operator and --number: sent again under
--- a/internal/core/config/change.go
+++ b/internal/core/config/change.go
@@ -17,6 +17,8 @@
 	KindEvent        Kind = "event"
 	KindOrganisation Kind = "organisation"
 	KindService      Kind = "service"
+	// KindQuarantine is a request in quarantine, which can be removed but not declared.
+	KindQuarantine Kind = "quarantine"
 )
 
 // Kinds returns the kinds that can be declared, sorted.
@@ -24,6 +26,13 @@
 	return []Kind{KindEvent, KindModel, KindOrganisation, KindPipeline, KindService, KindTarget, KindVM}
 }
 
+// Removable returns the kinds that can be removed, sorted.
+func Removable() []Kind {
+	kinds := append(Kinds(), KindQuarantine)
+	slices.Sort(kinds)
+	return kinds
+}
+
 // Ref names an object.
 type Ref struct {
 	Kind Kind   `cbor:"kind"`
@@ -281,6 +290,8 @@
 		return s.Organisations.Has(r.Name)
 	case KindService:
 		return s.Services.Has(r.Name)
+	case KindQuarantine:
+		return s.Quarantine.Has(r.Name)
 	}
 	return false
 }
@@ -299,6 +310,7 @@
 	s.Events = removeOf(s.Events, r, KindEvent)
 	s.Organisations = removeOf(s.Organisations, r, KindOrganisation)
 	s.Services = removeOf(s.Services, r, KindService)
+	s.Quarantine = removeOf(s.Quarantine, r, KindQuarantine)
 	if r.Kind == KindTarget {
 		s.Placements = s.Placements.Without(r.Name)
 	}
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -249,3 +249,12 @@
 	n.note("request in quarantine has run well: it is let go", name)
 	n.propose(Entry{Changes: []config.Change{{Release: name}}})
 }
+
+// quarantineTable lists the requests in quarantine.
+func (n *Node) quarantineTable() Table {
+	t := Table{Columns: []string{"fingerprint", "first_end", "since", "until"}}
+	for _, q := range n.machine.Config.Quarantine.Sorted() {
+		t.add(q.Fingerprint, q.FirstEnd.Format(time.RFC3339), q.Since.Format(time.RFC3339), q.Until.Format(time.RFC3339))
+	}
+	return t
+}
--- a/internal/core/quarantine_test.go
+++ b/internal/core/quarantine_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/spoolbank/spoolbank/internal/core"
 	"github.com/spoolbank/spoolbank/internal/relay"
+	"github.com/spoolbank/spoolbank/query"
 )
 
 // knownWithin is the time in which all VMs are to know a request that has ended its third
@@ -214,3 +215,21 @@
 		require.False(t, f.known("innocent"))
 	})
 }
+
+// Whoever mends the targets of a request lets it go at once.
+func TestAnOperatorLetsARequestGo(t *testing.T) {
+	f := newCrashFleet(t)
+	f.crashInTurn("a", 3)
+	f.requireKnown("a")
+	statement, err := query.Parse("remove quarantine " + named("a").String())
+	require.NoError(t, err)
+	f.step(f.leader(), core.Operated{Conn: 1, Statement: statement, Operator: "alice", Number: 1, Digest: "d"})
+	for _, vm := range f.entries() {
+		f.until("all let it go", knownWithin, func() bool { return len(f.quarantine[vm]) == 0 })
+	}
+	f.crashInTurn("a", 2)
+	f.run(knownWithin)
+	require.False(t, f.known("a"), "it has to end three targets anew")
+	f.crashInTurn("a", 1)
+	f.requireKnown("a")
+}
--- a/internal/core/show.go
+++ b/internal/core/show.go
@@ -42,6 +42,8 @@
 		return n.configTable()
 	case query.Requests:
 		return n.requestsTable()
+	case query.Quarantine:
+		return n.quarantineTable()
 	}
 	return Table{}
 }
--- a/query/query.go
+++ b/query/query.go
@@ -38,6 +38,7 @@
 	Models        What = "models"
 	Organisations What = "organisations"
 	Pipelines     What = "pipelines"
+	Quarantine    What = "quarantine"
 	Replicas      What = "replicas"
 	Requests      What = "requests"
 	Services      What = "services"
@@ -47,7 +48,7 @@
 
 // Lists returns all lists that can be shown, sorted.
 func Lists() []What {
-	return []What{Config, Events, Leases, Models, Organisations, Pipelines, Replicas, Requests, Services, Targets, VMs}
+	return []What{Config, Events, Leases, Models, Organisations, Pipelines, Quarantine, Replicas, Requests, Services, Targets, VMs}
 }
 
 // Statement is a parsed statement: exactly one field is set.
@@ -293,7 +294,7 @@
 		d, err := s.Set.declare()
 		return Statement{Set: d}, err
 	case s.Remove != nil:
-		ref, err := s.Remove.ref(config.Kinds())
+		ref, err := s.Remove.ref(config.Removable())
 		return Statement{Remove: ref}, err
 	case s.Drain != nil:
 		ref, err := s.Drain.ref(drainable)
