--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -118,6 +118,11 @@
 	c.runs = c.runs[max(0, len(c.runs)-crashesHeld):]
 }
 
+// forget drops the runs of a request.
+func (c *crashes) forget(request relay.Fingerprint) {
+	c.runs = slices.DeleteFunc(c.runs, func(o relay.CrashedRun) bool { return o.Request == request })
+}
+
 // clear takes that a request has run well at a time.
 func (c *crashes) clear(request relay.Fingerprint, at time.Time) {
 	c.runs = slices.DeleteFunc(c.runs, func(o relay.CrashedRun) bool { return o.Request == request && !o.Ended.After(at) })
@@ -183,6 +188,8 @@
 	for _, q := range held {
 		if request, ok := fingerprintOf(q.Fingerprint); ok {
 			until[request] = q.Until
+			// What it was put there for is told no more: once let go, it would be put there again.
+			n.entry.crashes.forget(request)
 		}
 	}
 	n.emit(QuarantineInForce{Until: until})
