--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -211,7 +211,7 @@
 
 func (b *retryBudget) earn() { b.tokens = min(b.tokens+budgetPerRequest, budgetAtMost) }
 
-func (b *retryBudget) spend() bool {
+func (b *retryBudget) take() bool {
 	if b.tokens < 1 {
 		return false
 	}
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -275,7 +275,7 @@
 // runner.
 func (n *Node) retryCall(c *call, avoid string) {
 	p := n.entry.pools[c.pool]
-	if p == nil || !n.entry.budget.spend() || !n.now.Before(c.asked.Deadline) {
+	if p == nil || !n.entry.budget.take() || !n.now.Before(c.asked.Deadline) {
 		n.giveUpCall(c)
 		return
 	}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -73,7 +73,7 @@
 	f := n.leading.fleetNow(n)
 	told := &fleetReport{
 		term: n.replica.hard.Term, leader: n.settings.Self.VM, vms: f.vms,
-		known: n.knowsWork(), work: n.leading.work, marks: n.leading.marks, spent: f.spent, spentBy: f.spentBy,
+		known: n.knowsWork(), work: n.leading.work, marks: n.leading.marks, usage: f.usage, usageBy: f.usageBy,
 	}
 	if !n.now.Before(n.leading.viewFrom) {
 		told.view = n.leading.view
@@ -91,7 +91,7 @@
 		return
 	}
 	g.WorkTold = true
-	g.Spent, g.SpentBy = t.spent, t.spentBy
+	g.Usage, g.UsageBy = t.usage, t.usageBy
 	work := t.work.since(to.WorkSeen, workMost)
 	g.Others, g.WorkUpto, g.OthersWhole = work.values, work.upto, work.whole
 	for key, w := range g.Others {
@@ -110,7 +110,7 @@
 		return
 	}
 	g.WorkTold = true
-	g.Spent, g.SpentBy = f.spent, f.spentBy
+	g.Usage, g.UsageBy = f.usage, f.usageBy
 	work := n.leading.work.since(b.WorkSeen, batchWorkMost)
 	g.Work, g.WorkUpto, g.WorkWhole = work.values, work.upto, work.whole
 }
@@ -185,9 +185,9 @@
 	at   time.Time
 	vms  int
 	work map[relay.TargetKey]relay.Work
-	// spent is what spentBy entry VMs have asked and repeated, by service.
-	spent   map[string]relay.Spent
-	spentBy int
+	// usage is what usageBy entry VMs have asked and repeated, by service.
+	usage   map[string]relay.Usage
+	usageBy int
 	// marks are those of the targets that say nothing of late, or that far more entry VMs
 	// find dead than well, and of engines that are to give up layers.
 	marks map[relay.TargetKey]relay.Mark
@@ -200,14 +200,14 @@
 	if n.now.Before(l.fleet.at.Add(fleetEvery)) {
 		return l.fleet
 	}
-	l.fleet = fleet{at: n.now, work: make(map[relay.TargetKey]relay.Work), spent: make(map[string]relay.Spent)}
+	l.fleet = fleet{at: n.now, work: make(map[relay.TargetKey]relay.Work), usage: make(map[string]relay.Usage)}
 	dead := make(map[relay.TargetKey]int)
 	well := make(map[relay.TargetKey]int)
 	var slow []relay.TargetKey
 	add := func(part FleetPart) {
-		l.fleet.spentBy += part.VMs
-		for service, s := range part.Spent {
-			l.fleet.spent[service] = l.fleet.spent[service].Plus(s)
+		l.fleet.usageBy += part.VMs
+		for service, s := range part.Usage {
+			l.fleet.usage[service] = l.fleet.usage[service].Plus(s)
 		}
 		for id, w := range part.Work {
 			l.fleet.work[id] = l.fleet.work[id].Plus(w)
@@ -268,5 +268,5 @@
 		return
 	}
 	n.entry.workSeen, n.entry.marksSeen = g.WorkUpto, g.MarksUpto
-	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, OthersWhole: g.OthersWhole, OthersTold: g.WorkTold, Spent: g.Spent, SpentBy: g.SpentBy, Marks: g.Marks, MarksWhole: g.MarksWhole})
+	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, OthersWhole: g.OthersWhole, OthersTold: g.WorkTold, Usage: g.Usage, UsageBy: g.UsageBy, Marks: g.Marks, MarksWhole: g.MarksWhole})
 }
--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -21,7 +21,7 @@
 		n.newsAcknowledged(id, f)
 		return
 	}
-	if !f.Beats && len(n.elsewhere(f.Hall, f.Away)) > 0 {
+	if !f.Heartbeats && len(n.elsewhere(f.Hall, f.Away)) > 0 {
 		return
 	}
 	from := id.VM
@@ -33,9 +33,9 @@
 	present.until = n.now.Add(followLife)
 	present.askedAt = n.now
 	present.hall = f.Hall
-	present.beats = f.Beats
+	present.beats = f.Heartbeats
 	if !present.acknowledge(f.positionIn(n.settings.Seed), n.now) && !present.overdue(n.now) {
-		n.tellBeats(from, present)
+		n.tellHeartbeats(from, present)
 		return
 	}
 	if !f.OwnOnly {
@@ -92,11 +92,11 @@
 	return true
 }
 
-// tellBeats sends a control VM the signs of life that are due, while other news are on their
+// tellHeartbeats sends a control VM the signs of life that are due, while other news are on their
 // way to it: targets whose signs of life stay away count as silent. Those of targets on their
 // way wait: a sign of life bears the number of its message, and what the message says would
 // count as late once it comes.
-func (n *Node) tellBeats(vm VMName, f *follower) {
+func (n *Node) tellHeartbeats(vm VMName, f *follower) {
 	if !f.beats {
 		return
 	}
@@ -104,8 +104,8 @@
 	for _, t := range n.newsAfter(f.acknowledged, true) {
 		onTheirWay[t.ID] = true
 	}
-	beats := slices.DeleteFunc(n.registry.targets.BeatsSince(f.beatsAt), func(b relay.Beat) bool { return onTheirWay[b.ID] })
-	n.send(vm, Message{TargetNews: &TargetNews{Life: n.settings.Seed, After: f.acknowledged, Upto: f.acknowledged, Beats: beats}})
+	beats := slices.DeleteFunc(n.registry.targets.HeartbeatsSince(f.heartbeatsAt), func(b relay.Heartbeat) bool { return onTheirWay[b.ID] })
+	n.send(vm, Message{TargetNews: &TargetNews{Life: n.settings.Seed, After: f.acknowledged, Upto: f.acknowledged, Heartbeats: beats}})
 }
 
 // noteLeaving notes that targets among some leave.
@@ -225,8 +225,8 @@
 		news.Targets = append(news.Targets, t)
 	}
 	if f.beats {
-		news.Beats = n.registry.targets.BeatsSince(f.beatsAt)
-		f.beatsAt = n.now
+		news.Heartbeats = n.registry.targets.HeartbeatsSince(f.heartbeatsAt)
+		f.heartbeatsAt = n.now
 	}
 	f.after = news.Upto
 	if len(targets) > 0 {
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -44,7 +44,7 @@
 	keptBatches = 16
 	// elsewhereAfter is how long a control VM that has not followed this one counts as
 	// one that entry VMs can be sent to: three of its follows.
-	elsewhereAfter = 3 * beatsEvery
+	elsewhereAfter = 3 * heartbeatsEvery
 )
 
 // holder is an entry VM that renews with this control VM.
@@ -106,9 +106,9 @@
 	leader VMName
 	vms    int
 	view   entryList
-	// spent is what spentBy entry VMs have asked and repeated.
-	spent   map[string]relay.Spent
-	spentBy int
+	// usage is what usageBy entry VMs have asked and repeated.
+	usage   map[string]relay.Usage
+	usageBy int
 	// total is the work of all entry VMs, and known says that the leader knows it.
 	total changeFollower[relay.Work]
 	known bool
@@ -298,12 +298,12 @@
 // partOfFleet sums up what the holders have under way and have found.
 func (n *Node) partOfFleet() FleetPart {
 	part := FleetPart{
-		Work: make(map[relay.TargetKey]relay.Work), Spent: make(map[string]relay.Spent), VMs: len(n.forwarding.holders),
+		Work: make(map[relay.TargetKey]relay.Work), Usage: make(map[string]relay.Usage), VMs: len(n.forwarding.holders),
 		Dead: make(map[relay.TargetKey]int), Well: make(map[relay.TargetKey]int),
 	}
 	for _, h := range n.forwarding.holders {
-		for service, s := range h.renew.Spent {
-			part.Spent[service] = part.Spent[service].Plus(s)
+		for service, s := range h.renew.Usage {
+			part.Usage[service] = part.Usage[service].Plus(s)
 		}
 		for id, w := range h.renew.Work {
 			part.Work[id] = part.Work[id].Plus(w)
@@ -339,7 +339,7 @@
 	t.vms = b.VMs
 	t.marked.apply(b.Marks, b.MarksUpto, b.MarksWhole)
 	t.marks.take(t.marked.values)
-	t.spent, t.spentBy = b.Spent, b.SpentBy
+	t.usage, t.usageBy = b.Usage, b.UsageBy
 	t.view.apply(b.ViewVersion, b.View, b.Gone, b.ViewWhole)
 	t.known = b.WorkTold
 	if !b.WorkTold {
--- a/internal/core/halls_test.go
+++ b/internal/core/halls_test.go
@@ -174,7 +174,7 @@
 				f.learned[vm][target.ID] = target
 			}
 		case core.TargetsEnded:
-			for _, ended := range e.Lives {
+			for _, ended := range e.Ended {
 				delete(f.learned[vm], ended.Old)
 			}
 		case core.FleetLearned:
--- a/internal/core/incarnation_test.go
+++ b/internal/core/incarnation_test.go
@@ -138,7 +138,7 @@
 		return all
 	}
 	require.Empty(t, ended(lifeOf(100, 5)))
-	require.Equal(t, []core.TargetsEnded{{Lives: []relay.Succession{{Old: lifeOf(100, 0).ID, New: lifeOf(200, 0).ID}}, Teller: "c1"}}, ended(lifeOf(200, 1)))
+	require.Equal(t, []core.TargetsEnded{{Ended: []relay.Succession{{Old: lifeOf(100, 0).ID, New: lifeOf(200, 0).ID}}, Teller: "c1"}}, ended(lifeOf(200, 1)))
 	require.Empty(t, ended(lifeOf(100, 6)))
 	require.Empty(t, ended(lifeOf(200, 2)))
 }
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -190,8 +190,8 @@
 	MarksSeen uint64 `cbor:"marks_seen,omitempty"`
 	// Work is what the entry VM has under way at registered targets.
 	Work map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
-	// Spent is what the entry VM has asked and repeated in the last window, by service.
-	Spent map[string]relay.Spent `cbor:"spent,omitempty"`
+	// Usage is what the entry VM has asked and repeated in the last window, by service.
+	Usage map[string]relay.Usage `cbor:"spent,omitempty"`
 	// Dead are the targets that have lately failed it and done nothing since, Well
 	// those that have done their part.
 	Dead []relay.TargetKey `cbor:"dead,omitempty"`
@@ -228,8 +228,8 @@
 // FleetPart is the sum over the entry VMs that renew with one control VM.
 type FleetPart struct {
 	Work map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
-	// Spent is the sum of what they have asked and repeated, VMs their number.
-	Spent map[string]relay.Spent `cbor:"spent,omitempty"`
+	// Usage is the sum of what they have asked and repeated, VMs their number.
+	Usage map[string]relay.Usage `cbor:"spent,omitempty"`
 	VMs   int                    `cbor:"vms"`
 	// Dead and Well count the entry VMs that found a target so.
 	Dead map[relay.TargetKey]int `cbor:"dead,omitempty"`
@@ -283,8 +283,8 @@
 	MarksWhole bool                           `cbor:"marks_whole,omitempty"`
 	MarksUpto  uint64                         `cbor:"marks_upto,omitempty"`
 	VMs        int                            `cbor:"vms,omitempty"`
-	Spent      map[string]relay.Spent         `cbor:"spent,omitempty"`
-	SpentBy    int                            `cbor:"spent_by,omitempty"`
+	Usage      map[string]relay.Usage         `cbor:"spent,omitempty"`
+	UsageBy    int                            `cbor:"spent_by,omitempty"`
 }
 
 // ControlVM is a control VM that entry VMs can renew with.
@@ -338,10 +338,10 @@
 	MarksWhole bool                           `cbor:"marks_whole,omitempty"`
 	MarksUpto  uint64                         `cbor:"marks_upto,omitempty"`
 	VMs        int                            `cbor:"vms,omitempty"`
-	// Spent is what SpentBy entry VMs have asked and repeated together in the last window,
+	// Usage is what UsageBy entry VMs have asked and repeated together in the last window,
 	// by service; it comes with WorkTold.
-	Spent   map[string]relay.Spent `cbor:"spent,omitempty"`
-	SpentBy int                    `cbor:"spent_by,omitempty"`
+	Usage   map[string]relay.Usage `cbor:"spent,omitempty"`
+	UsageBy int                    `cbor:"spent_by,omitempty"`
 }
 
 // Delta is one accepted change of the configuration.
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -139,7 +139,7 @@
 	case TargetSpoke:
 		n.targetSpoke(ev)
 	case WorkCounted:
-		n.entry.work, n.entry.spent = ev.Work, ev.Spent
+		n.entry.work, n.entry.usage = ev.Work, ev.Usage
 		n.entry.findings = ev.Findings
 	case RunsCrashed:
 		n.runsCrashed(ev)
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -57,8 +57,8 @@
 // lately found dead or well.
 type WorkCounted struct {
 	Work map[relay.TargetKey]relay.Work
-	// Spent is what this VM has asked and repeated in the last window, by service.
-	Spent    map[string]relay.Spent
+	// Usage is what this VM has asked and repeated in the last window, by service.
+	Usage    map[string]relay.Usage
 	Findings relay.Findings
 }
 
@@ -71,7 +71,7 @@
 // TargetsEnded tells the runtime of lives of targets that have ended because others have
 // begun, and who told: a control VM, or this one where a target spoke to it.
 type TargetsEnded struct {
-	Lives  []relay.Succession
+	Ended  []relay.Succession
 	Teller VMName
 }
 
@@ -86,10 +86,10 @@
 	OthersWhole bool
 	// OthersTold says that the leader knows what others have under way.
 	OthersTold bool
-	// Spent is what SpentBy entry VMs have asked and repeated in the last window, by
+	// Usage is what UsageBy entry VMs have asked and repeated in the last window, by
 	// service; it counts where OthersTold is set.
-	Spent   map[string]relay.Spent
-	SpentBy int
+	Usage   map[string]relay.Usage
+	UsageBy int
 	// Marks are those of targets that have changed; MarksWhole says that all others have
 	// none.
 	Marks      map[relay.TargetKey]relay.Mark
@@ -110,8 +110,8 @@
 	// Life and After name the last change that the asker has.
 	Life  uint64 `cbor:"life"`
 	After uint64 `cbor:"after"`
-	// Beats asks for signs of life too.
-	Beats bool `cbor:"beats,omitempty"`
+	// Heartbeats asks for signs of life too.
+	Heartbeats bool `cbor:"beats,omitempty"`
 	// OwnOnly asks for the targets that speak to the one asked: the asker has been told
 	// of all others.
 	OwnOnly bool `cbor:"own_only,omitempty"`
@@ -131,8 +131,8 @@
 	Upto    uint64         `cbor:"upto"`
 	Targets []relay.Target `cbor:"targets,omitempty"`
 	// Updates are of targets that the asker was told of up to After.
-	Updates []relay.TargetUpdate `cbor:"updates,omitempty"`
-	Beats   []relay.Beat         `cbor:"beats,omitempty"`
+	Updates    []relay.TargetUpdate `cbor:"updates,omitempty"`
+	Heartbeats []relay.Heartbeat    `cbor:"beats,omitempty"`
 	// Missed are the lives that do not count although they began last.
 	Missed []relay.Missed `cbor:"missed,omitempty"`
 	// Whole says that these are all targets that the teller knows of.
@@ -140,11 +140,11 @@
 }
 
 const (
-	// followEvery is the interval between two asks of an entry VM, and beatsEvery of
+	// followEvery is the interval between two asks of an entry VM, and heartbeatsEvery of
 	// a control VM, which brings signs of life; a change is pushed at once. An ask
 	// that is lost delays a change by as much, of the 2 s that it may take.
-	followEvery = 1500 * time.Millisecond
-	beatsEvery  = 500 * time.Millisecond
+	followEvery     = 1500 * time.Millisecond
+	heartbeatsEvery = 500 * time.Millisecond
 	// followFirst is that interval until a control VM has told all that it knows: where
 	// all VMs start together, the one that is asked first may not listen yet, and callers
 	// wait. A control VM that hears 300 followers ten times a second is busy for a part of
@@ -240,8 +240,8 @@
 	askedAt time.Time
 	hall    string
 	// beats says that it is a control VM, which is told what this one has heard itself.
-	beats   bool
-	beatsAt time.Time
+	beats        bool
+	heartbeatsAt time.Time
 }
 
 func (n *Node) startRegistry(hints []relay.Target) {
@@ -317,7 +317,7 @@
 func (n *Node) hear(t relay.Target) {
 	news := n.registry.targets.Hear(t, n.now)
 	ended, again := n.registry.targets.TakeTransitions()
-	n.endLives(ended, n.settings.Self.VM)
+	n.endIncarnations(ended, n.settings.Self.VM)
 	if !news && len(again) == 0 {
 		return
 	}
@@ -392,7 +392,7 @@
 func (n *Node) followInterval() time.Duration {
 	switch {
 	case n.settings.Control:
-		return beatsEvery
+		return heartbeatsEvery
 	case !n.registry.whole:
 		return followFirst
 	}
@@ -430,7 +430,7 @@
 	}
 	for i, vm := range others {
 		at := r.followed[vm]
-		ask := Follow{Life: at.life, After: at.after, Beats: true, OwnOnly: r.whole || i != r.wholeFrom%len(others), Hall: n.settings.Address.Hall}
+		ask := Follow{Life: at.life, After: at.after, Heartbeats: true, OwnOnly: r.whole || i != r.wholeFrom%len(others), Hall: n.settings.Address.Hall}
 		if !ask.OwnOnly {
 			ask.Life, ask.After = 0, 0
 		}
@@ -454,7 +454,7 @@
 		return
 	}
 	at := n.registry.followed[from]
-	ask := Follow{Life: at.life, After: at.after, Beats: n.settings.Control, OwnOnly: true, Came: true, Hall: n.settings.Address.Hall}
+	ask := Follow{Life: at.life, After: at.after, Heartbeats: n.settings.Control, OwnOnly: true, Came: true, Hall: n.settings.Address.Hall}
 	if !n.settings.Control {
 		ask.OwnOnly = false
 		ask.Away = !n.entry.tenure.homeAt.IsZero()
@@ -488,12 +488,12 @@
 			learned = append(learned, t)
 		}
 	}
-	for _, b := range news.Beats {
+	for _, b := range news.Heartbeats {
 		n.registry.targets.Alive(b.ID, b.Call, n.now)
 	}
 	n.acknowledgeNews(from, news)
 	ended, again := n.registry.targets.TakeTransitions()
-	n.endLives(ended, from)
+	n.endIncarnations(ended, from)
 	learned = slices.DeleteFunc(append(learned, again...), func(t relay.Target) bool { return !n.registry.targets.Counts(t.ID) })
 	n.noteLeaving(learned)
 	n.registry.news = n.registry.news || len(learned) > 0
@@ -502,8 +502,8 @@
 	}
 }
 
-// endLives gives up lives of targets that have ended, with what was ordered of them.
-func (n *Node) endLives(ended []relay.Succession, teller VMName) {
+// endIncarnations gives up lives of targets that have ended, with what was ordered of them.
+func (n *Node) endIncarnations(ended []relay.Succession, teller VMName) {
 	if len(ended) == 0 {
 		return
 	}
@@ -511,5 +511,5 @@
 	for _, s := range ended {
 		delete(n.leading.placing.orders, s.Old)
 	}
-	n.emit(TargetsEnded{Lives: ended, Teller: teller})
+	n.emit(TargetsEnded{Ended: ended, Teller: teller})
 }
--- a/internal/core/repair.go
+++ b/internal/core/repair.go
@@ -208,7 +208,7 @@
 		return
 	}
 	s.dispatched = false
-	if !n.entry.budget.spend() {
+	if !n.entry.budget.take() {
 		r := refusal(RefusedOverload, RanNo, "the engines have no room", "come back at the given time")
 		n.failStream(s, r.WithRetryAt(n.comeBack(n.poolOfStream(s))))
 		return
--- a/internal/core/spread_property_test.go
+++ b/internal/core/spread_property_test.go
@@ -75,7 +75,7 @@
 				s.learned[vm][target.ID] = target
 			}
 		case core.TargetsEnded:
-			for _, ended := range e.Lives {
+			for _, ended := range e.Ended {
 				delete(s.learned[vm], ended.Old)
 			}
 		case core.Send:
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -39,7 +39,7 @@
 func TestWordsAreToldByTheOneWhoHeardThem(t *testing.T) {
 	n := controlNode(nil, time.Unix(100, 0))
 	now := lead(n, time.Unix(100, 0))
-	n.Step(now, from("c3", core.Message{Follow: &core.Follow{OwnOnly: true, Beats: true}}))
+	n.Step(now, from("c3", core.Message{Follow: &core.Follow{OwnOnly: true, Heartbeats: true}}))
 	n.Step(now, from("e1", core.Message{Follow: &core.Follow{}}))
 	second := relay.Target{ID: "i-2", Address: "b", Call: 3}
 	n.Step(now, from("c2", core.Message{TargetNews: &core.TargetNews{Life: 9, Upto: 1, Targets: []relay.Target{second}}}))
@@ -272,7 +272,7 @@
 	for i := range 40 {
 		f.node.Step(f.now, from(core.VMName(fmt.Sprintf("e%d", i)), core.Message{Follow: &core.Follow{OwnOnly: true}}))
 	}
-	f.node.Step(f.now, from("c2", core.Message{Follow: &core.Follow{OwnOnly: true, Beats: true}}))
+	f.node.Step(f.now, from("c2", core.Message{Follow: &core.Follow{OwnOnly: true, Heartbeats: true}}))
 	f.asked["e1"]++
 	for _, effect := range f.node.Step(f.now, from("e1", core.Message{Renew: &core.Renew{Number: 1, Address: core.EntryAddress{VM: "e1"}}})) {
 		if send, ok := effect.(core.Send); ok && send.Envelope.Body.Grant != nil {
@@ -398,10 +398,10 @@
 	now := lead(n, time.Unix(100, 0))
 	spoke := relay.Target{ID: "i-1", Address: "a", Call: 1}
 	n.Step(now, core.TargetSpoke{Conn: 1, Target: spoke})
-	ask := core.Message{Follow: &core.Follow{OwnOnly: true, Beats: true}}
+	ask := core.Message{Follow: &core.Follow{OwnOnly: true, Heartbeats: true}}
 	first := newsTo(n.Step(now, from("c3", ask)), "c3")[0]
 	require.Len(t, first.Targets, 1)
-	n.Step(now, from("c3", core.Message{Follow: &core.Follow{Life: first.Life, After: first.Upto, Came: true, OwnOnly: true, Beats: true}}))
+	n.Step(now, from("c3", core.Message{Follow: &core.Follow{Life: first.Life, After: first.Upto, Came: true, OwnOnly: true, Heartbeats: true}}))
 	ask.Follow.Life, ask.Follow.After = first.Life, first.Upto
 	n.Step(now, core.TargetSpoke{Conn: 1, Target: relay.Target{ID: "i-2", Address: "b", Call: 1}})
 	require.Len(t, newsTo(nextPush(n, now), "c3"), 1)
@@ -415,5 +415,5 @@
 	beats := newsTo(n.Step(now, from("c3", ask)), "c3")
 	require.Len(t, beats, 1)
 	require.Empty(t, beats[0].Targets)
-	require.Equal(t, []relay.Beat{{ID: "i-1", Call: 2}}, beats[0].Beats, "that of the other would come before what it says")
+	require.Equal(t, []relay.Heartbeat{{ID: "i-1", Call: 2}}, beats[0].Heartbeats, "that of the other would come before what it says")
 }
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -50,8 +50,8 @@
 	decoded decoded
 	// work is what this VM has under way at registered targets.
 	work map[relay.TargetKey]relay.Work
-	// spent is what this VM has asked and repeated in the last window, by service.
-	spent map[string]relay.Spent
+	// usage is what this VM has asked and repeated in the last window, by service.
+	usage map[string]relay.Usage
 	// workSeen is the number of the newest change of work that this VM was told of.
 	workSeen uint64
 	// marksSeen is that of the newest change of marks.
@@ -241,7 +241,7 @@
 		WorkSeen:    n.entry.workSeen,
 		MarksSeen:   n.entry.marksSeen,
 		Work:        n.entry.work,
-		Spent:       n.entry.spent,
+		Usage:       n.entry.usage,
 		Dead:        n.entry.findings.Dead,
 		Well:        n.entry.findings.Well,
 		Slow:        n.entry.findings.Slow,
--- /dev/null
+++ b/internal/daemon/learning.go
@@ -0,0 +1,110 @@
+package daemon
+
+import (
+	"github.com/spoolbank/spoolbank/internal/clock"
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// This file takes what the Node has learned: effects that are for a gateway.
+
+// carryOut takes the effects that are for a gateway.
+func (g *Gateway) carryOut(effect core.Effect) {
+	switch e := effect.(type) {
+	case core.DocumentInForce:
+		g.takeDocument(e)
+	case core.TargetsLearned:
+		g.takeTargets(e.Targets)
+	case core.TargetsEnded:
+		g.endTargets(e)
+	case core.FleetLearned:
+		g.takeFleet(e)
+	case core.QuarantineInForce:
+		g.takeQuarantine(e)
+	case core.OrderLayers:
+		go g.order(e)
+	}
+}
+
+func (g *Gateway) takeTargets(targets []relay.Target) {
+	g.mu.Lock()
+	ended := g.router.EndedBy(targets)
+	g.mu.Unlock()
+	if len(ended) > 0 {
+		g.endTargets(core.TargetsEnded{Ended: ended})
+	}
+	g.mu.Lock()
+	g.router.TakeTargets(targets)
+	g.mu.Unlock()
+	g.checkInformed()
+	g.logLearned(targets)
+}
+
+// namedTargets is the number of targets that one line names: each change of a target
+// reaches every VM, so that lines must not grow with them.
+const namedTargets = 4
+
+// logLearned notes what targets have newly said, in one line.
+func (g *Gateway) logLearned(targets []relay.Target) {
+	var named []string
+	leaving, loading := 0, 0
+	for _, t := range targets {
+		if len(named) < namedTargets {
+			named = append(named, string(t.ID)+t.Layers.String())
+		}
+		if !t.Takes() {
+			leaving++
+		}
+		if t.Loading {
+			loading++
+		}
+	}
+	g.log.Info("targets learned", "targets", len(targets), "leaving", leaving, "loading", loading, "first", named)
+}
+
+func (g *Gateway) takeDocument(e core.DocumentInForce) {
+	g.mu.Lock()
+	g.router.TakeDocument(e.Document)
+	g.mu.Unlock()
+	g.log.Info("document in force", "version", e.Document.Version, "revision", e.Revision, "routes", len(e.Document.Routes))
+}
+
+func (g *Gateway) takeFleet(e core.FleetLearned) {
+	g.mu.Lock()
+	regained := !g.leaseHeld
+	g.leaseHeld = true
+	g.leaseUntil = e.LeaseUntil
+	g.router.TakeVMs(e.VMs)
+	if e.OthersTold {
+		g.router.TakeOthers(e.Others, e.OthersWhole)
+		g.router.TakeUsage(e.Usage, e.UsageBy, clock.Now())
+	}
+	g.router.TakeMarks(e.Marks, e.MarksWhole)
+	g.mu.Unlock()
+	g.checkInformed()
+	if regained {
+		g.log.Info("lease held", "until_in", clock.Until(e.LeaseUntil).String(), "entry_vms", e.VMs)
+	}
+}
+
+// checkInformed ends the wait of calls that came before this VM knew what to do
+// with them.
+func (g *Gateway) checkInformed() {
+	g.mu.Lock()
+	informed := clock.Now().Before(g.leaseUntil) && g.router.Informed()
+	g.mu.Unlock()
+	if informed {
+		g.informedOnce.Do(func() { close(g.informed) })
+	}
+}
+
+func (g *Gateway) order(o core.OrderLayers) {
+	outcome := core.OrderRefused
+	if clock.Sampled().Before(o.NotAfter) {
+		ctx, cancel := clock.WithDeadline(g.daemon.context, o.NotAfter)
+		outcome = g.platform.Engines.Order(ctx, o)
+		cancel()
+	}
+	g.meter.ordered(outcome)
+	g.daemon.post(core.LayersOrdered{Target: o.Target, Outcome: outcome})
+}
--- a/internal/daemon/probes.go
+++ b/internal/daemon/probes.go
@@ -106,7 +106,7 @@
 		select {
 		case <-q.done:
 			switch {
-			case errors.Is(q.err, ErrEngineSilent), q.err == nil && id.OtherLife(q.report.Born):
+			case errors.Is(q.err, ErrEngineSilent), q.err == nil && id.OtherIncarnation(q.report.Born):
 				r.silent = append(r.silent, id)
 			case q.err == nil && q.report.Pace > 0:
 				r.paces[id] = q.report.Pace
--- /dev/null
+++ b/internal/daemon/upkeep.go
@@ -0,0 +1,71 @@
+package daemon
+
+import (
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/clock"
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// This file is a gateway's own housekeeping.
+
+// askSlow asks engines that were slow how they are now.
+func (g *Gateway) askSlow(engines []relay.Stage) {
+	for _, e := range engines {
+		g.daemon.tomb.Go(func() error {
+			g.meter.probed()
+			report, err := g.probes.ask(g.daemon.context, e.Address)
+			if err != nil {
+				g.log.Info("engine that was slow does not answer", "target", e.Target, "error", err.Error())
+				return nil
+			}
+			if e.Target.OtherIncarnation(report.Born) {
+				g.log.Info("engine that was slow has started again", "target", e.Target, "born", report.Born)
+				return nil
+			}
+			g.takePaces(map[relay.TargetID]float64{e.Target: report.Pace})
+			return nil
+		})
+	}
+}
+
+// upkeepEvery is the interval of a gateway's own housekeeping.
+const upkeepEvery = 200 * time.Millisecond
+
+// noteSuspension logs that this VM was suspended, once for each time.
+func (g *Gateway) noteSuspension() {
+	total := clock.Suspended()
+	if total > g.suspended {
+		g.log.Info("this VM was suspended", "for", (total - g.suspended).String(), "in_all", total.String())
+	}
+	g.suspended = total
+}
+
+// upkeep tells the Node what is under way, and closes idle connections.
+func (g *Gateway) upkeep() error {
+	ticker := time.NewTicker(upkeepEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case tick := <-ticker.C:
+			g.daemon.outbox.upkeep(tick)
+			now := clock.Sampled()
+			g.exchanger.Sweep(now)
+			g.noteSuspension()
+			g.mu.Lock()
+			lost := g.leaseHeld && now.After(g.leaseUntil)
+			g.leaseHeld = g.leaseHeld && !lost
+			due := g.router.SlowDue(now)
+			counted := core.WorkCounted{Work: g.router.Own(), Usage: g.router.Usage(now), Findings: g.router.Findings(now)}
+			g.mu.Unlock()
+			if lost {
+				g.log.Info("lease lost: no leader is heard, callers are refused", "own_targets", len(counted.Work))
+			}
+			g.daemon.post(counted)
+			g.askSlow(due)
+		case <-g.daemon.tomb.Dying():
+			return nil
+		}
+	}
+}
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -182,7 +182,7 @@
 		w.culprit = first.Target
 		return true
 	}
-	if first.Target.OtherLife(report.Born) {
+	if first.Target.OtherIncarnation(report.Born) {
 		w.f.g.log.Info("engine has started again", "target", first.Target, "address", first.Address, "request", w.f.call.ID, "born", report.Born)
 		w.culprit = first.Target
 		return true
--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -32,7 +32,7 @@
 	pooledNotBegunShare = 0.85
 	// youngShare is the part of the fixed number that a process has at its start; it
 	// grows to the whole within a window. What the process before it on this VM has
-	// spent is not known.
+	// used is not known.
 	youngShare = 0.3
 	// sumsKept is the age up to which the sums over all VMs count: two renewals and the
 	// way to the leader and back. What a VM repeats in as long is not in them yet.
@@ -48,8 +48,8 @@
 	Window time.Duration
 }
 
-// Spent is what was asked of a service and repeated in the last window.
-type Spent struct {
+// Usage is what was asked of a service and repeated in the last window.
+type Usage struct {
 	// The fields are sent without their names: these values are sent most.
 	_        struct{} `cbor:",toarray"`
 	Requests int      `cbor:"requests"`
@@ -57,8 +57,8 @@
 }
 
 // Plus returns the sum.
-func (s Spent) Plus(o Spent) Spent {
-	return Spent{Requests: s.Requests + o.Requests, Repeats: s.Repeats + o.Repeats}
+func (s Usage) Plus(o Usage) Usage {
+	return Usage{Requests: s.Requests + o.Requests, Repeats: s.Repeats + o.Repeats}
 }
 
 // budget counts the requests and repeats of one service on this VM.
@@ -69,29 +69,29 @@
 	recent window
 }
 
-// sums are what the VMs of the fleet have spent together.
+// sums are what the VMs of the fleet have used together.
 type sums struct {
-	spent map[string]Spent
+	usage map[string]Usage
 	// vms is the number of VMs in them, and until when they count.
 	vms   int
 	until time.Time
 }
 
-// TakeSpent takes what all VMs that the leader hears of have spent, by service.
-func (r *Router) TakeSpent(spent map[string]Spent, vms int, now time.Time) {
-	r.sums = sums{spent: spent, vms: vms, until: now.Add(sumsKept)}
+// TakeUsage takes what all VMs that the leader hears of have used, by service.
+func (r *Router) TakeUsage(usage map[string]Usage, vms int, now time.Time) {
+	r.sums = sums{usage: usage, vms: vms, until: now.Add(sumsKept)}
 }
 
-// Spent returns what this VM has spent, by service.
-func (r *Router) Spent(now time.Time) map[string]Spent {
-	spent := make(map[string]Spent, len(r.budgets))
+// Usage returns what this VM has used, by service.
+func (r *Router) Usage(now time.Time) map[string]Usage {
+	usage := make(map[string]Usage, len(r.budgets))
 	for service, b := range r.budgets {
-		s := Spent{Requests: b.requests.total(now, r.settings.Budget.Window), Repeats: b.repeats.total(now, r.settings.Budget.Window)}
-		if s != (Spent{}) {
-			spent[service] = s
+		s := Usage{Requests: b.requests.total(now, r.settings.Budget.Window), Repeats: b.repeats.total(now, r.settings.Budget.Window)}
+		if s != (Usage{}) {
+			usage[service] = s
 		}
 	}
-	return spent
+	return usage
 }
 
 // window counts what happened lately.
@@ -122,15 +122,15 @@
 	return total
 }
 
-// spendOfSums takes one repeat, if what all VMs have left has it. Whole says that it may
+// takeOfSums takes one repeat, if what all VMs have left has it. Whole says that it may
 // take the last one.
-func (b *budget) spendOfSums(now time.Time, t BudgetTerms, spent Spent, heard, vms int, whole bool) bool {
+func (b *budget) takeOfSums(now time.Time, t BudgetTerms, usage Usage, heard, vms int, whole bool) bool {
 	known := float64(max(vms, heard, 1))
-	allowed := budgetCaution * (t.Share*float64(spent.Requests) + t.Fixed*float64(heard)/known)
+	allowed := budgetCaution * (t.Share*float64(usage.Requests) + t.Fixed*float64(heard)/known)
 	if !whole {
 		allowed *= pooledNotBegunShare
 	}
-	part := (allowed - float64(spent.Repeats)) / float64(max(heard, 1))
+	part := (allowed - float64(usage.Repeats)) / float64(max(heard, 1))
 	if float64(b.recent.total(now, sumsKept)+1) > part {
 		return false
 	}
@@ -144,8 +144,8 @@
 	b.recent.add(now, sumsKept)
 }
 
-// spend takes one repeat, if the budget has it. Whole says that it may take the last one.
-func (b *budget) spend(now time.Time, t BudgetTerms, vms int, age time.Duration, whole bool) bool {
+// take takes one repeat, if the budget has it. Whole says that it may take the last one.
+func (b *budget) take(now time.Time, t BudgetTerms, vms int, age time.Duration, whole bool) bool {
 	grown := min(max(float64(age)/float64(t.Window), youngShare), 1)
 	allowed := budgetCaution * (t.Share*float64(b.requests.total(now, t.Window)) + grown*t.Fixed/float64(max(vms, 1)))
 	if !whole {
--- a/internal/relay/incarnation.go
+++ b/internal/relay/incarnation.go
@@ -72,9 +72,9 @@
 	return born
 }
 
-// OtherLife reports whether what told a start speaks of another life than this one. It does
+// OtherIncarnation reports whether what told a start speaks of another life than this one. It does
 // not where either start is not told.
-func (id TargetID) OtherLife(born uint64) bool {
+func (id TargetID) OtherIncarnation(born uint64) bool {
 	own := id.Born()
 	return own != 0 && born != 0 && own != born
 }
@@ -109,8 +109,8 @@
 	at   time.Time
 }
 
-// lives is what a Registry keeps to tell which life counts.
-type lives struct {
+// incarnations is what a Registry keeps to tell which life counts.
+type incarnations struct {
 	// byName and byAddress hold the lives that only one of can run.
 	byName    map[string][]TargetID
 	byAddress map[string][]TargetID
@@ -120,12 +120,12 @@
 	revived []TargetID
 }
 
-func newLives() lives {
-	return lives{byName: make(map[string][]TargetID), byAddress: make(map[string][]TargetID), missed: make(map[TargetID]missedNote)}
+func newIncarnations() incarnations {
+	return incarnations{byName: make(map[string][]TargetID), byAddress: make(map[string][]TargetID), missed: make(map[TargetID]missedNote)}
 }
 
 // file notes a life under its name and address.
-func (l *lives) file(t Target) {
+func (l *incarnations) file(t Target) {
 	l.byName[t.ID.Name()] = withID(l.byName[t.ID.Name()], t.ID)
 	if t.Address != "" {
 		l.byAddress[t.Address] = withID(l.byAddress[t.Address], t.ID)
@@ -133,7 +133,7 @@
 }
 
 // unfile drops a life from its name and address.
-func (l *lives) unfile(t Target) {
+func (l *incarnations) unfile(t Target) {
 	dropID(l.byName, t.ID.Name(), t.ID)
 	dropID(l.byAddress, t.Address, t.ID)
 }
@@ -157,7 +157,7 @@
 
 // rivals returns the lives of which at most one runs beside a target: those of its name, and
 // those at its address.
-func (l *lives) rivals(t Target) []TargetID {
+func (l *incarnations) rivals(t Target) []TargetID {
 	all := l.byName[t.ID.Name()]
 	if t.Address == "" {
 		return all
@@ -170,19 +170,19 @@
 
 // missing reports whether a life has said nothing since it was noted as missed.
 func (r *Registry) missing(t Target) bool {
-	note, noted := r.lives.missed[t.ID]
+	note, noted := r.incarnations.missed[t.ID]
 	return noted && t.Call <= note.call
 }
 
 // refile works out again which life counts where a target's heartbeat may change that: the
 // target was not known, has another address, or was missed and speaks. It reports the last.
 func (r *Registry) refile(before, after Target, known bool) (spokeAgain bool) {
-	note, noted := r.lives.missed[after.ID]
+	note, noted := r.incarnations.missed[after.ID]
 	spokeAgain = noted && after.Call > note.call
 	if known && before.Address == after.Address && !spokeAgain {
 		return false
 	}
-	r.lives.file(after)
+	r.incarnations.file(after)
 	switch {
 	case !known:
 		// A life that never counted here does not end.
@@ -190,14 +190,14 @@
 		_, e.void = r.voidedBy(after)
 		r.targets[after.ID] = e
 	case before.Address != after.Address:
-		dropID(r.lives.byAddress, before.Address, before.ID)
-		r.settle(r.lives.byAddress[before.Address])
+		dropID(r.incarnations.byAddress, before.Address, before.ID)
+		r.settle(r.incarnations.byAddress[before.Address])
 	}
 	if spokeAgain {
-		delete(r.lives.missed, after.ID)
+		delete(r.incarnations.missed, after.ID)
 		r.renew(after.ID)
 	}
-	r.settle(r.lives.rivals(after))
+	r.settle(r.incarnations.rivals(after))
 	return spokeAgain
 }
 
@@ -223,10 +223,10 @@
 		e.void = void
 		r.change++
 		if void {
-			r.lives.ended = append(r.lives.ended, Succession{Old: id, New: by})
+			r.incarnations.ended = append(r.incarnations.ended, Succession{Old: id, New: by})
 		} else {
 			e.changed, e.introduced = r.change, r.change
-			r.lives.revived = append(r.lives.revived, id)
+			r.incarnations.revived = append(r.incarnations.revived, id)
 		}
 		r.targets[id] = e
 	}
@@ -235,7 +235,7 @@
 // voidedBy returns the life with the latest start that voids a target, if there is one.
 func (r *Registry) voidedBy(t Target) (by TargetID, void bool) {
 	latest := t.ID.Born()
-	for _, id := range r.lives.rivals(t) {
+	for _, id := range r.incarnations.rivals(t) {
 		if born := id.Born(); born > latest && !r.missing(r.targets[id].target) {
 			by, latest, void = id, born, true
 		}
@@ -247,28 +247,28 @@
 // spoken, to this VM or to another that it is told all signs of life by.
 func (r *Registry) missSilent(t Target, now time.Time) {
 	noted := false
-	for _, id := range r.lives.rivals(t) {
+	for _, id := range r.incarnations.rivals(t) {
 		e := r.targets[id]
 		if id.Born() <= t.ID.Born() || !e.silent(now) || r.missing(e.target) {
 			continue
 		}
-		r.lives.missed[id] = missedNote{call: e.target.Call, at: now}
+		r.incarnations.missed[id] = missedNote{call: e.target.Call, at: now}
 		noted = true
 	}
 	if noted {
-		r.settle(r.lives.rivals(t))
+		r.settle(r.incarnations.rivals(t))
 	}
 }
 
 // Miss takes the note of another VM.
 func (r *Registry) Miss(m Missed, now time.Time) {
 	e, known := r.targets[m.ID]
-	if note, noted := r.lives.missed[m.ID]; noted && note.call >= m.Call || known && e.target.Call > m.Call {
+	if note, noted := r.incarnations.missed[m.ID]; noted && note.call >= m.Call || known && e.target.Call > m.Call {
 		return
 	}
-	r.lives.missed[m.ID] = missedNote{call: m.Call, at: now}
+	r.incarnations.missed[m.ID] = missedNote{call: m.Call, at: now}
 	if known {
-		r.settle(r.lives.rivals(e.target))
+		r.settle(r.incarnations.rivals(e.target))
 	}
 }
 
@@ -276,7 +276,7 @@
 // that is forgotten here is told no more: two VMs would keep it alive between them.
 func (r *Registry) Missed() []Missed {
 	var missed []Missed
-	for id, note := range r.lives.missed {
+	for id, note := range r.incarnations.missed {
 		if _, known := r.targets[id]; !known {
 			continue
 		}
@@ -287,19 +287,19 @@
 }
 
 // TakeTransitions returns the lives that have ended, and those that count again, since it was
-// last called. Lives that did both since are left out of the one that no longer holds.
+// last called. Ended that did both since are left out of the one that no longer holds.
 func (r *Registry) TakeTransitions() (ended []Succession, again []Target) {
-	for _, s := range r.lives.ended {
+	for _, s := range r.incarnations.ended {
 		if r.targets[s.Old].void {
 			ended = append(ended, s)
 		}
 	}
-	for _, id := range r.lives.revived {
+	for _, id := range r.incarnations.revived {
 		if e, known := r.targets[id]; known && !e.void {
 			again = append(again, e.target)
 		}
 	}
-	r.lives.ended, r.lives.revived = nil, nil
+	r.incarnations.ended, r.incarnations.revived = nil, nil
 	return ended, again
 }
 
@@ -316,7 +316,7 @@
 	if t.ID.Born() != 0 {
 		return leaving
 	}
-	for _, id := range r.lives.byName[t.ID.Name()] {
+	for _, id := range r.incarnations.byName[t.ID.Name()] {
 		if id != t.ID && !r.targets[id].void {
 			other := t
 			other.ID = id
@@ -326,19 +326,19 @@
 	return leaving
 }
 
-// forgetLives drops the lives that the registry no longer knows, and notes from before a
+// forgetIncarnations drops the lives that the registry no longer knows, and notes from before a
 // time.
-func (r *Registry) forgetLives(forgotten []Target, after time.Time) {
+func (r *Registry) forgetIncarnations(forgotten []Target, after time.Time) {
 	for _, t := range forgotten {
-		r.lives.unfile(t)
+		r.incarnations.unfile(t)
 	}
-	for id, note := range r.lives.missed {
+	for id, note := range r.incarnations.missed {
 		if _, known := r.targets[id]; !known && note.at.Before(after) {
-			delete(r.lives.missed, id)
+			delete(r.incarnations.missed, id)
 		}
 	}
 	for _, t := range forgotten {
-		r.settle(r.lives.rivals(t))
+		r.settle(r.incarnations.rivals(t))
 	}
 }
 
--- a/internal/relay/incarnation_test.go
+++ b/internal/relay/incarnation_test.go
@@ -58,10 +58,10 @@
 
 func TestOnlyStartsThatAreToldDiffer(t *testing.T) {
 	id := relay.NewTargetID("i-1", 7)
-	require.True(t, id.OtherLife(8))
-	require.False(t, id.OtherLife(7))
-	require.False(t, id.OtherLife(0))
-	require.False(t, relay.TargetID("i-1").OtherLife(7))
+	require.True(t, id.OtherIncarnation(8))
+	require.False(t, id.OtherIncarnation(7))
+	require.False(t, id.OtherIncarnation(0))
+	require.False(t, relay.TargetID("i-1").OtherIncarnation(7))
 }
 
 // What a life has said does not hold of the next one, whose numbers are lower.
--- a/internal/relay/policy_test.go
+++ b/internal/relay/policy_test.go
@@ -129,7 +129,7 @@
 	relay.PooledRepeats: func(p relay.Policy) any {
 		r, _ := routerUnder(p, nil)
 		r.TakeVMs(100)
-		r.TakeSpent(nil, 100, start)
+		r.TakeUsage(nil, 100, start)
 		return r.Repeat("s", true, start)
 	},
 	relay.ConnectionShares: func(p relay.Policy) any {
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -86,8 +86,8 @@
 type Registry struct {
 	targets map[TargetID]entry
 	// names holds the keys of targets, sorted: they are gone through several times a second.
-	names []TargetID
-	lives lives
+	names        []TargetID
+	incarnations incarnations
 	// change numbers what was taken, for those who follow the registry.
 	change uint64
 }
@@ -110,7 +110,7 @@
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{targets: make(map[TargetID]entry), lives: newLives()}
+	return &Registry{targets: make(map[TargetID]entry), incarnations: newIncarnations()}
 }
 
 // Hear takes a target's own word, and reports whether followers are to be told of it
@@ -218,9 +218,9 @@
 		dropped := r.targets[id].target
 		r.names = slices.Delete(r.names, at, at+1)
 		delete(r.targets, id)
-		delete(r.lives.missed, id)
-		r.lives.unfile(dropped)
-		r.settle(r.lives.rivals(dropped))
+		delete(r.incarnations.missed, id)
+		r.incarnations.unfile(dropped)
+		r.settle(r.incarnations.rivals(dropped))
 	}
 }
 
@@ -257,8 +257,8 @@
 	return targets
 }
 
-// Beat is a sign of life.
-type Beat struct {
+// Heartbeat is a sign that a target lives.
+type Heartbeat struct {
 	// The fields are sent without their names: each control VM is told of all targets by
 	// each other, every beat, and the names took as much as the start does in an ID.
 	_    struct{} `cbor:",toarray"`
@@ -266,15 +266,15 @@
 	Call uint64   `cbor:"call"`
 }
 
-// BeatsSince returns who spoke to this very VM after a time.
-func (r *Registry) BeatsSince(after time.Time) []Beat {
-	var beats []Beat
+// HeartbeatsSince returns who spoke to this very VM after a time.
+func (r *Registry) HeartbeatsSince(after time.Time) []Heartbeat {
+	var heartbeats []Heartbeat
 	for _, id := range r.names {
 		if e := r.targets[id]; !e.void && e.firstHand && e.heardAt.After(after) {
-			beats = append(beats, Beat{ID: id, Call: e.target.Call})
+			heartbeats = append(heartbeats, Heartbeat{ID: id, Call: e.target.Call})
 		}
 	}
-	return beats
+	return heartbeats
 }
 
 // All returns every target that counts, sorted by identity.
@@ -300,7 +300,7 @@
 // it registered later and has spoken again since, so that only a late word of the first is
 // newer.
 func (r *Registry) replaced(e entry, after, replacedAfter time.Time) bool {
-	for _, id := range r.lives.byAddress[e.target.Address] {
+	for _, id := range r.incarnations.byAddress[e.target.Address] {
 		other := r.targets[id]
 		if id == e.target.ID || other.void {
 			continue
@@ -328,7 +328,7 @@
 			delete(r.targets, id)
 		}
 	}
-	r.forgetLives(forgotten, after)
+	r.forgetIncarnations(forgotten, after)
 	r.names = slices.DeleteFunc(r.names, func(id TargetID) bool {
 		_, kept := r.targets[id]
 		return !kept
--- a/internal/relay/repeat_test.go
+++ b/internal/relay/repeat_test.go
@@ -77,7 +77,7 @@
 func TestStreamsInTheMiddleHaveBudgetThatOthersMayNotTake(t *testing.T) {
 	r, _ := newRouter(nil)
 	r.TakeVMs(10)
-	r.TakeSpent(map[string]relay.Spent{"s": {Requests: 1000, Repeats: 340}}, 10, start)
+	r.TakeUsage(map[string]relay.Usage{"s": {Requests: 1000, Repeats: 340}}, 10, start)
 	granted := 0
 	for r.Repeat("s", false, start) {
 		granted++
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -192,12 +192,12 @@
 	// A few VMs may repeat more than their part, and all of them together keep the bound.
 	for step := range 18 {
 		now := start.Add(time.Duration(step) * 500 * time.Millisecond)
-		told := map[string]relay.Spent{"s": {Requests: 3400}}
+		told := map[string]relay.Usage{"s": {Requests: 3400}}
 		for _, r := range routers {
-			told["s"] = told["s"].Plus(relay.Spent{Repeats: r.Spent(now)["s"].Repeats})
+			told["s"] = told["s"].Plus(relay.Usage{Repeats: r.Usage(now)["s"].Repeats})
 		}
 		for _, r := range routers {
-			r.TakeSpent(told, vms, now)
+			r.TakeUsage(told, vms, now)
 		}
 		if step == 1 {
 			require.GreaterOrEqual(t, total, 2*40, "40 VMs that meet a lost target, of which none has a part of one")
@@ -217,9 +217,9 @@
 func TestPartsOfVMsThatAreNotHeardOfAreLeftToThem(t *testing.T) {
 	r, _ := newRouter(nil)
 	r.TakeVMs(10)
-	r.TakeSpent(map[string]relay.Spent{"s": {Repeats: 95}}, 5, start)
+	r.TakeUsage(map[string]relay.Usage{"s": {Repeats: 95}}, 5, start)
 	require.False(t, r.Repeat("s", true, start), "five of ten VMs have 100 of 200")
-	r.TakeSpent(map[string]relay.Spent{"s": {Repeats: 95}}, 10, start)
+	r.TakeUsage(map[string]relay.Usage{"s": {Repeats: 95}}, 10, start)
 	require.True(t, r.Repeat("s", true, start))
 }
 
@@ -227,7 +227,7 @@
 func TestWithoutFreshSumsAVMKeepsToItsPart(t *testing.T) {
 	r, _ := newRouter(nil)
 	r.TakeVMs(100)
-	r.TakeSpent(nil, 100, start)
+	r.TakeUsage(nil, 100, start)
 	later := start.Add(2 * time.Second)
 	granted := 0
 	for r.Repeat("s", true, later) {
@@ -236,7 +236,7 @@
 	require.LessOrEqual(t, granted, 2)
 }
 
-// A process does not know what the one before it on its VM has spent.
+// A process does not know what the one before it on its VM has used.
 func TestAYoungProcessRepeatsLess(t *testing.T) {
 	r, _ := newRouter(engines(today))
 	r.TakeVMs(10)
--- /dev/null
+++ b/internal/relay/work.go
@@ -0,0 +1,123 @@
+package relay
+
+// This file counts what is under way at targets, by this VM and by others.
+
+// Work is what is under way at a target.
+type Work struct {
+	// The fields are sent without their names: these values are sent most.
+	_        struct{} `cbor:",toarray"`
+	Requests int      `cbor:"requests"`
+	// Tokens is the memory that the requests take: tokens times the layers that the
+	// target runs of each.
+	Tokens int `cbor:"tokens"`
+	// Unread is the tokens of prompts whose answer has not begun.
+	Unread int `cbor:"unread"`
+}
+
+// Plus returns the sum.
+func (w Work) Plus(o Work) Work {
+	return Work{Requests: w.Requests + o.Requests, Tokens: w.Tokens + o.Tokens, Unread: w.Unread + o.Unread}
+}
+
+// Minus returns the difference, at least nothing.
+func (w Work) Minus(o Work) Work {
+	return Work{
+		Requests: max(w.Requests-o.Requests, 0),
+		Tokens:   max(w.Tokens-o.Tokens, 0),
+		Unread:   max(w.Unread-o.Unread, 0),
+	}
+}
+
+// Times returns the work of n VMs that have this each.
+func (w Work) Times(n int) Work {
+	return Work{Requests: n * w.Requests, Tokens: n * w.Tokens, Unread: n * w.Unread}
+}
+
+// TakeOthers takes what other VMs have under way. Whole says that targets that are
+// missing have none; otherwise they have about what they had.
+func (r *Router) TakeOthers(work map[TargetKey]Work, whole bool) {
+	r.othersKnown = r.othersKnown || whole
+	for _, t := range r.targets {
+		if w, ok := work[t.key]; ok || whole {
+			t.others = w
+		}
+		t.ownTold = t.own
+	}
+}
+
+const (
+	// herdMost bounds how many other VMs are taken to have done as this one did
+	// since the last word on them: with more, one request of this VM's own would
+	// weigh too much.
+	herdMost = 10
+	// herdUsual is how many requests more than before are chance: at ten requests a second
+	// a VM begins and ends about two between two reports.
+	herdUsual = 2
+)
+
+// load is what is under way at a target, as far as is known or likely. The word
+// on the other VMs is up to half a second old; since then they have most likely
+// done what this VM did, above all when all turn away from a lost engine at once.
+//
+// A VM that has been told nothing yet has most likely started together with all others:
+// it takes each of them to have as much under way as it has itself.
+func (r *Router) load(t *target) Work {
+	if !r.othersKnown && r.settings.Policy.Has(StartSampling) {
+		return t.own.Times(r.vms)
+	}
+	load := t.own.Plus(t.others)
+	more := t.own.Requests - t.ownTold.Requests - herdUsual
+	if more <= 0 || !r.settings.Policy.Has(HerdGuess) {
+		return load
+	}
+	herd := min(r.vms-1, herdMost)
+	load.Requests += herd * more
+	load.Tokens += herd * more * t.own.Tokens / t.own.Requests
+	return load
+}
+
+// OthersKnown reports whether this VM has been told what others have under way.
+func (r *Router) OthersKnown() bool { return r.othersKnown }
+
+// Own returns what this VM has under way.
+func (r *Router) Own() map[TargetKey]Work {
+	own := make(map[TargetKey]Work)
+	for _, t := range r.targets {
+		if t.own.Requests > 0 {
+			own[t.key] = t.own
+		}
+	}
+	return own
+}
+
+// Begun notes that the answer on a path has begun: its prompt has been read.
+func (r *Router) Begun(p Path) {
+	for _, s := range p.Stages {
+		if t, ok := r.targets[s.Target]; ok {
+			t.own.Unread -= p.prompt
+		}
+	}
+}
+
+// Release gives a path back. Begun says that Begun was called for it.
+func (r *Router) Release(p Path, begun bool) {
+	if !begun {
+		r.Begun(p)
+	}
+	r.count(p, -1)
+}
+
+func (r *Router) count(p Path, sign int) {
+	r.changing += sign * p.changes
+	for _, s := range p.Stages {
+		t, ok := r.targets[s.Target]
+		if !ok {
+			continue
+		}
+		t.own.Requests += sign
+		t.own.Tokens += sign * p.tokens * s.Layers.Len()
+		if (t.Gone || t.void) && t.own.Requests <= 0 {
+			r.drop(t)
+		}
+	}
+}
