core: an engine that holds what it was ordered is not marked as moving

An engine that has loaded and said so kept its order until the plan is next compared; the marks are worked out by another timer, and a mark that fell between went out with the leases: VMs sent the engine nothing until the next ones, up to half a second, after each load. Change: an order that its engine says it has carried out marks nothing. TestAnEngineThatHoldsWhatItWasOrderedIsNotMoving fails each time on the tree before.

--- a/internal/core/change_log_test.go
+++ b/internal/core/change_log_test.go
@@ -77,3 +77,32 @@
 		require.Empty(t, f.marks[vm], vm)
 	}
 }
+
+// An engine that had loaded and said so was marked as moving until its order was next looked
+// at: VMs sent it nothing for up to half a second, and a fleet of one engine refused callers.
+func TestAnEngineThatHoldsWhatItWasOrderedIsNotMoving(t *testing.T) {
+	f := newEngineFleet(t, smallFleet, 30)
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
+	f.run(4 * time.Second)
+	f.put(1)
+	noneMoves := func() {
+		for _, vm := range f.entries() {
+			for _, m := range f.marks[vm] {
+				require.False(t, m.Has(relay.MarkMoving), vm)
+			}
+		}
+	}
+	f.until("all engines hold layers", 20*time.Second, func() bool {
+		for _, e := range f.engines {
+			if e.left > 0 {
+				e.left, e.beatAt = 1, f.now // it loads at once, and says so at once
+			}
+		}
+		noneMoves()
+		return f.loaded()
+	})
+	for range 100 {
+		f.run(tickEvery)
+		noneMoves()
+	}
+}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -250,8 +250,10 @@
 			marks[key] = relay.MarkSilent
 		}
 	}
-	for id := range n.leading.placing.orders {
-		if t, ok := n.registry.targets.Get(id); ok && t.Layers.Len() > 0 {
+	for id, order := range n.leading.placing.orders {
+		// One that says it holds what it was ordered has moved, though its order is looked at
+		// only later: marked until then, it got nothing for up to half a second.
+		if t, ok := n.registry.targets.Get(id); ok && t.Layers.Len() > 0 && t.Layers != order.layers {
 			marks[id.Key()] = marks[id.Key()].With(relay.MarkMoving)
 		}
 	}
