relay: a target that does not tell its start ends again under its name

Cause: reports of one request were told apart by target alone. Of targets that do not tell their starts, an ended one comes back under the same identity, and its next end counted as a repeated report: two such targets never made up three losses. Change: reports are of one run where their times overlap. Where starts are told, as on the users' platform, nothing changes.

--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -60,6 +60,12 @@
 	Began, Ended time.Time
 }
 
+// Same reports whether another report is of this run. A target that does not tell its start may
+// end again under its name: that is another run, which this one does not overlap.
+func (r CrashedRun) Same(o CrashedRun) bool {
+	return r.Request == o.Request && r.Target == o.Target && !r.Began.After(o.Ended) && !o.Began.After(r.Ended)
+}
+
 // suspect is what is known of one request.
 type suspect struct {
 	// runs are the newest crashed ones, by their ends.
@@ -86,7 +92,7 @@
 // Take takes a run, and reports whether its request is to be put into quarantine.
 func (s *Suspects) Take(run CrashedRun) bool {
 	known := s.get(run.Request, run.Ended)
-	if !run.Ended.After(known.ranWellAt) || slices.ContainsFunc(known.runs, func(o CrashedRun) bool { return o.Target == run.Target }) {
+	if !run.Ended.After(known.ranWellAt) || slices.ContainsFunc(known.runs, run.Same) {
 		return known.endsTargets()
 	}
 	runs := append(slices.Clip(known.runs), run)
