relay: take back that reports are told apart by their times

Cause: told reports of one request apart by whether their runs overlap. A report is repeated for ten seconds, and its times count back from each sending: with other delays on the way a short run does not overlap itself. What it was for stays open: targets that do not tell their starts count once, however often they end.

--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -113,7 +113,7 @@
 
 // add takes a run in the place of an earlier word on it.
 func (c *crashes) add(run relay.CrashedRun) {
-	c.runs = slices.DeleteFunc(c.runs, run.Same)
+	c.runs = slices.DeleteFunc(c.runs, func(o relay.CrashedRun) bool { return o.Request == run.Request && o.Target == run.Target })
 	c.runs = append(c.runs, run)
 	c.runs = c.runs[max(0, len(c.runs)-crashesHeld):]
 }
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -33,6 +33,8 @@
 // has to end as many targets anew. Of one whose copies always come five at a time, five reach
 // targets once more. A hall that falls piece by piece under copies that are sent on within it
 // may blame them; an operator lets them go, or their time does.
+// A target that does not tell its start is one target, however often it ends: reports of one run
+// are repeated, and come with other delays each time.
 // One that falls silent with its target, or that ends it in mid-answer, is never suspected:
 // nothing tells it from a loss of power, or from the others in mid-answer beside it.
 
@@ -60,12 +62,6 @@
 	Began, Ended time.Time
 }
 
-// Same reports whether another report is of this run. A target that does not tell its start may
-// end again under its name: that is another run, which this one does not overlap.
-func (r CrashedRun) Same(o CrashedRun) bool {
-	return r.Request == o.Request && r.Target == o.Target && !r.Began.After(o.Ended) && !o.Began.After(r.Ended)
-}
-
 // suspect is what is known of one request.
 type suspect struct {
 	// runs are the newest crashed ones, by their ends.
@@ -92,7 +88,7 @@
 // Take takes a run, and reports whether its request is to be put into quarantine.
 func (s *Suspects) Take(run CrashedRun) bool {
 	known := s.get(run.Request, run.Ended)
-	if !run.Ended.After(known.ranWellAt) || slices.ContainsFunc(known.runs, run.Same) {
+	if !run.Ended.After(known.ranWellAt) || slices.ContainsFunc(known.runs, func(o CrashedRun) bool { return o.Target == run.Target }) {
 		return known.endsTargets()
 	}
 	runs := append(slices.Clip(known.runs), run)
