daemon, platform: logs tell what targets say of themselves with their answers

Cause: logs did not say whether a refusal asked for rest, nor when its request had been picked and sent, so that the hypotheses could not be told apart. Change: a line for each answer that says so (request, target, status, leaving, rest, ages of the pick and of the sending), a counter by kind, and a line for what can't be read. Nothing is decided by it.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -119,7 +119,7 @@
 
 // attempt is the present sending of a request.
 type attempt struct {
-	sentAt time.Time
+	pickedAt, sentAt time.Time
 	// read says that the prompt has been read on the present path.
 	read bool
 	// pace is that of the answer on the present path.
@@ -199,6 +199,7 @@
 			f.askedAt = clock.Now()
 		}
 		f.service = path.Service
+		f.pickedAt = clock.Now()
 		r := f.tryAndRelease(ctx, path)
 		path = f.lastPath
 		f.count++
@@ -300,6 +301,7 @@
 		return f.broken(ctx, path, watch, err)
 	}
 	defer answer.Close()
+	f.takeNotice(path, answer)
 	verdict := f.g.platform.Codec.Verdict(answer.Status, answer.Header)
 	if verdict.NotRun {
 		return f.notRun(path, verdict, answer)
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -36,6 +36,8 @@
 	quarantine  metric.Int64Gauge
 	// unused counts what other writers sent and is not used.
 	unused metric.Int64Counter
+	// notices counts the answers with which targets say that they leave or want to rest.
+	notices metric.Int64Counter
 }
 
 // latencyBuckets are the bounds of latency histograms, in seconds, around the
@@ -72,6 +74,7 @@
 	g.unanswered = counter("spoolbank.target.overdue.unanswered")
 	g.connections = counter("spoolbank.callers.connections")
 	g.unused = counter("spoolbank.target.words.unusable")
+	g.notices = counter("spoolbank.target.notices")
 	g.runsCrashed = counter("spoolbank.requests.crashed")
 	gauge, failed := m.meter.Int64Gauge("spoolbank.requests.quarantined")
 	if failed != nil {
@@ -119,6 +122,15 @@
 	g.unused.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", string(reason))))
 }
 
+func (g *gatewayMetrics) noticed(n relay.Notice) {
+	if n.Leaving {
+		g.notices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "leaving")))
+	}
+	if !n.RestUntil.IsZero() {
+		g.notices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "rest")))
+	}
+}
+
 func (g *gatewayMetrics) targetsEnded(lives int) { g.ended.Add(context.Background(), int64(lives)) }
 
 func (g *gatewayMetrics) crashed(runs int) { g.runsCrashed.Add(context.Background(), int64(runs)) }
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -37,6 +37,9 @@
 	Head(h Hop) http.Header
 	// Verdict reads what a target says of a request with its answer.
 	Verdict(status int, h http.Header) Verdict
+	// Notice reads what a target says of itself with an answer. Its error is of
+	// UnusableErrors, one for each part that can't be read; the notice has the others.
+	Notice(id relay.TargetID, status int, h http.Header, now time.Time) (relay.Notice, error)
 	// Refuse gives a caller a final answer of the system's own.
 	Refuse(w http.ResponseWriter, r *relay.Refusal, now time.Time)
 }
--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -33,6 +33,10 @@
 	return daemon.Verdict{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Promise: slices.Contains(promises, status)}
 }
 
+func (plainCodec) Notice(relay.TargetID, int, http.Header, time.Time) (relay.Notice, error) {
+	return relay.Notice{}, nil
+}
+
 func (plainCodec) Refuse(w http.ResponseWriter, r *relay.Refusal, _ time.Time) {
 	if r.NotRun() {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/internal/daemon/readers_test.go
+++ b/internal/daemon/readers_test.go
@@ -37,6 +37,10 @@
 // bareCodec sends on what it gets.
 type bareCodec struct{}
 
+func (bareCodec) Notice(relay.TargetID, int, http.Header, time.Time) (relay.Notice, error) {
+	return relay.Notice{}, nil
+}
+
 func (bareCodec) Head(h daemon.Hop) http.Header {
 	header := http.Header{headerID: {h.Call.ID}}
 	if h.After != "" {
