daemon: failing tests of targets that ask for rest, and that say that they leave

Cause: no code reads either of an answer; a VM's own pause of 0.1 to 0.8 s is all that keeps it away.

--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -33,8 +34,13 @@
 	return daemon.Verdict{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Promise: slices.Contains(promises, status)}
 }
 
-func (plainCodec) Notice(relay.TargetID, int, http.Header, time.Time) (relay.Notice, error) {
-	return relay.Notice{}, nil
+// Notice reads the seconds of a rest, and whether the target leaves.
+func (plainCodec) Notice(_ relay.TargetID, _ int, h http.Header, now time.Time) (relay.Notice, error) {
+	n := relay.Notice{Leaving: h.Get("Leaving") != ""}
+	if seconds, err := strconv.Atoi(h.Get("Rest")); err == nil {
+		n.RestUntil = now.Add(time.Duration(seconds) * time.Second)
+	}
+	return n, nil
 }
 
 func (plainCodec) Refuse(w http.ResponseWriter, r *relay.Refusal, _ time.Time) {
