relay, daemon, core: targets that rest are left alone, and a departure told by an answer counts

Cause: nothing read what targets say of themselves with their answers; a pause of the VM's own making, 0.1 to 0.8 s, stood in the place of a rest, and a target that leaves got work until a heartbeat said so. Change: rests are kept by incarnation, apart from what is believed of targets; nothing picks a target that rests, and what was picked is looked at once more as it is sent, on whichever connection; reports, orders and new paths pass the same look. Callers of a service that rests are refused at once and told to come back spread over as long again. While a target of a plain service rests, the others get twice their slots at most. A departure is final for its incarnation and goes to the control VMs with each renewal until they say so too, where it counts as a heartbeat that says so.

--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -156,6 +156,7 @@
 		return
 	}
 	n.crashesHeard(r.Crashed, r.Survived)
+	n.departuresHeard(r.Departures, from.VM)
 	h := n.holderOf(from, r)
 	if n.leads() {
 		n.renewLease(n.settings.Self.VM, r.renewal(from))
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -198,6 +198,8 @@
 	Well []relay.TargetKey `cbor:"well,omitempty"`
 	// Slow are those that say that they are slow.
 	Slow []relay.TargetKey `cbor:"slow,omitempty"`
+	// Departures are targets that have said to it with an answer that they leave.
+	Departures []relay.TargetID `cbor:"departures,omitempty"`
 	// Crashed are runs that ended with their target, Survived requests that have run well
 	// since they were among these.
 	Crashed  []CrashReport    `cbor:"crashed,omitempty"`
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -141,6 +141,9 @@
 	case WorkCounted:
 		n.entry.work, n.entry.usage = ev.Work, ev.Usage
 		n.entry.findings = ev.Findings
+		if n.settings.Control {
+			n.departuresHeard(ev.Findings.Leaving, n.settings.Self.VM)
+		}
 	case RunsCrashed:
 		n.runsCrashed(ev)
 	case RequestSurvived:
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -327,6 +327,20 @@
 	n.saveTargets(t.Leaving)
 }
 
+// departuresHeard takes that targets have said to a VM with their answers that they leave: the
+// same as a heartbeat that says so.
+func (n *Node) departuresHeard(ids []relay.TargetID, teller VMName) {
+	for _, id := range ids {
+		if !n.registry.targets.Depart(id) {
+			continue
+		}
+		n.note("target leaves, as it said with an answer to "+string(teller), string(id))
+		n.registry.leftAt = n.registry.targets.Change()
+		n.registry.news = true
+		n.saveTargets(true)
+	}
+}
+
 // hearsLeader reports whether this control VM is in touch with a quorum: it
 // leads with a lease, or has heard the one who leads.
 func (n *Node) hearsLeader() bool {
@@ -485,7 +499,9 @@
 	}
 	for _, t := range news.Targets {
 		if n.registry.targets.Learn(t, n.now) {
-			learned = append(learned, t)
+			// The teller may not know of a departure that this VM was told of before.
+			known, _ := n.registry.targets.Get(t.ID)
+			learned = append(learned, known)
 		}
 	}
 	for _, b := range news.Heartbeats {
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -245,6 +245,7 @@
 		Dead:        n.entry.findings.Dead,
 		Well:        n.entry.findings.Well,
 		Slow:        n.entry.findings.Slow,
+		Departures:  n.entry.findings.Leaving,
 		Crashed:     n.entry.crashes.reports(n.now),
 		Survived:    n.entry.crashes.cleared(n.now),
 	}})
--- a/internal/daemon/choosing.go
+++ b/internal/daemon/choosing.go
@@ -16,7 +16,7 @@
 	until := f.waitUntil()
 	for {
 		path, refusal := f.g.choose(f)
-		if refusal == nil || refusal.Kind == relay.RefusedCrashes || !f.mayWait() || !f.pause(ctx, until) {
+		if refusal == nil || refusal.Kind == relay.RefusedCrashes || !refusal.NotBefore.Before(until) || !f.mayWait() || !f.pause(ctx, until) {
 			return path, refusal
 		}
 	}
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -264,6 +264,13 @@
 	g.router.Refused(id, clock.Now())
 }
 
+// answered notes that a target has run a request.
+func (g *Gateway) answered(id relay.TargetID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.router.Answered(id, clock.Now())
+}
+
 func (g *Gateway) succeeded(id relay.TargetID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -280,6 +287,7 @@
 	request := &target.Request{
 		Method: f.call.Method, URI: f.call.URI, Host: f.call.Host, Header: header, Body: f.call.Body,
 		Fresh:   f.route.Repeat == relay.RepeatNever,
+		Admit:   func() error { return f.g.mayReach(first.Target) },
 		Matches: func(h http.Header) bool { return f.g.platform.Codec.Verdict(0, h).ID == f.call.ID },
 	}
 	living, over := f.g.exchanges.follow(ctx, first.Target)
@@ -301,10 +309,10 @@
 		return f.broken(ctx, path, watch, err)
 	}
 	defer answer.Close()
-	f.takeNotice(path, answer)
+	notice := f.takeNotice(path, answer)
 	verdict := f.g.platform.Codec.Verdict(answer.Status, answer.Header)
 	if verdict.NotRun {
-		return f.notRun(path, verdict, answer)
+		return f.notRun(path, verdict, notice, answer)
 	}
 	if f.route.Stream && answer.Status == http.StatusOK {
 		return f.stream(ctx, path, watch, answer)
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -38,6 +38,10 @@
 	unused metric.Int64Counter
 	// notices counts the answers with which targets say that they leave or want to rest.
 	notices metric.Int64Counter
+	// held counts the requests that were held back as they were sent, and resting is the
+	// number of targets that rest.
+	held    metric.Int64Counter
+	resting metric.Int64Gauge
 }
 
 // latencyBuckets are the bounds of latency histograms, in seconds, around the
@@ -74,13 +78,18 @@
 	g.unanswered = counter("spoolbank.target.overdue.unanswered")
 	g.connections = counter("spoolbank.callers.connections")
 	g.unused = counter("spoolbank.target.words.unusable")
+	g.held = counter("spoolbank.requests.held_back")
 	g.notices = counter("spoolbank.target.notices")
 	g.runsCrashed = counter("spoolbank.requests.crashed")
-	gauge, failed := m.meter.Int64Gauge("spoolbank.requests.quarantined")
-	if failed != nil {
-		err = failed
+	gauge := func(name string) metric.Int64Gauge {
+		level, failed := m.meter.Int64Gauge(name)
+		if failed != nil {
+			err = failed
+		}
+		return level
 	}
-	g.quarantine = gauge
+	g.quarantine = gauge("spoolbank.requests.quarantined")
+	g.resting = gauge("spoolbank.target.resting")
 	return g, err
 }
 
@@ -131,6 +140,10 @@
 	}
 }
 
+func (g *gatewayMetrics) heldBack() { g.held.Add(context.Background(), 1) }
+
+func (g *gatewayMetrics) targetsResting(n int) { g.resting.Record(context.Background(), int64(n)) }
+
 func (g *gatewayMetrics) targetsEnded(lives int) { g.ended.Add(context.Background(), int64(lives)) }
 
 func (g *gatewayMetrics) crashed(runs int) { g.runsCrashed.Add(context.Background(), int64(runs)) }
--- a/internal/daemon/learning.go
+++ b/internal/daemon/learning.go
@@ -102,7 +102,7 @@
 	outcome := core.OrderRefused
 	if clock.Sampled().Before(o.NotAfter) {
 		ctx, cancel := clock.WithDeadline(g.daemon.context, o.NotAfter)
-		outcome = g.platform.Engines.Order(ctx, o)
+		outcome, _ = g.platform.Engines.Order(ctx, o)
 		cancel()
 	}
 	g.meter.ordered(outcome)
--- a/internal/daemon/outcome.go
+++ b/internal/daemon/outcome.go
@@ -37,6 +37,9 @@
 	if watch.silent {
 		return f.leftSilent(path, watch)
 	}
+	if errors.Is(err, ErrHeldBack) {
+		return f.heldBack(path)
+	}
 	if cause := context.Cause(watch.living); cause != nil {
 		f.last = cause.Error()
 	}
@@ -54,6 +57,17 @@
 	return resultBroken
 }
 
+// heldBack takes a request that was not sent because its target has spoken since it was
+// picked. Where it was a second sending, the first one may have run.
+func (f *forwarding) heldBack(path relay.Path) result {
+	f.g.meter.heldBack()
+	f.full = append(f.full, path.First().Target)
+	if f.resent {
+		return resultBroken
+	}
+	return resultNotSent
+}
+
 // noteBrokenOff notes that a target closed the connection in the middle of the request. One
 // that fell silent may be behind a cut: nothing that it was sent is to blame.
 func (f *forwarding) noteBrokenOff(path relay.Path, watch *watcher, err error) {
@@ -88,14 +102,18 @@
 }
 
 // notRun takes an answer that says that the request has not run.
-func (f *forwarding) notRun(path relay.Path, v Verdict, answer *target.Answer) result {
+// Where it asks for rest, that is kept instead of the pause for a target that is full: it is not
+// found dead however often it refuses.
+func (f *forwarding) notRun(path relay.Path, v Verdict, notice relay.Notice, answer *target.Answer) result {
 	drain(answer)
 	culprit := path.First()
 	if s, ok := path.At(v.AtFault); ok {
 		culprit = s
 	}
 	f.last = "target " + culprit.Address + " answered " + strconv.Itoa(answer.Status) + ", not run"
-	f.g.refusedBy(culprit.Target)
+	if culprit.Target != path.First().Target || notice.RestUntil.IsZero() {
+		f.g.refusedBy(culprit.Target)
+	}
 	f.noteStageLost(culprit)
 	f.full = append(f.full, culprit.Target)
 	return resultNotRun
--- a/internal/daemon/platform.go
+++ b/internal/daemon/platform.go
@@ -70,16 +70,17 @@
 	AtFault string
 }
 
-// Engines speaks to model engines beside the requests.
+// Engines speaks to model engines beside the requests. Each call returns what the engine says
+// of itself with its answers, also where they refuse what was asked.
 type Engines interface {
 	// Order tells an engine to hold layers.
-	Order(ctx context.Context, o core.OrderLayers) core.OrderOutcome
+	Order(ctx context.Context, o core.OrderLayers) (core.OrderOutcome, relay.Notice)
 	// Report asks an engine how it is. Its error is an ErrEngineSilent where the engine
-	// did not answer.
-	Report(ctx context.Context, address string) (EngineReport, error)
+	// did not answer, and an ErrHeldBack where it was not asked.
+	Report(ctx context.Context, engine relay.Stage) (EngineReport, error)
 	// Repath tells the first engine of a path to go on with a request along it: other
 	// engines than before read what it has so far.
-	Repath(ctx context.Context, request string, p relay.Path) error
+	Repath(ctx context.Context, request string, p relay.Path) (relay.Notice, error)
 }
 
 // ErrEngineSilent says that an engine did not answer at all.
@@ -93,9 +94,11 @@
 	// Pace is how many times longer than usual its steps take at present; 0 where it
 	// does not say.
 	Pace float64
-	// Born is the start of the life that says so, in Unix milliseconds; 0 where it does not
-	// say.
+	// Born is the start of the incarnation that says so, in Unix milliseconds; 0 where it does
+	// not say.
 	Born uint64
+	// Notice is what the engine says of itself, also where the report can't be used.
+	Notice relay.Notice
 }
 
 // Call is a caller's request, read whole.
--- a/internal/daemon/probes.go
+++ b/internal/daemon/probes.go
@@ -41,21 +41,21 @@
 )
 
 // start returns the question to an engine whose answer is no older than kept.
-func (p *probes) start(address string, kept time.Duration) *probe {
+func (p *probes) start(engine relay.Stage, kept time.Duration) *probe {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	q, ok := p.known[address]
+	q, ok := p.known[engine.Address]
 	if !ok || clock.Since(q.at) > kept {
 		q = &probe{at: clock.Now(), done: make(chan struct{})}
-		p.known[address] = q
-		go p.run(q, address)
+		p.known[engine.Address] = q
+		go p.run(q, engine)
 	}
 	return q
 }
 
 // ask returns what an engine says.
-func (p *probes) ask(ctx context.Context, address string) (EngineReport, error) {
-	q := p.start(address, probeKept)
+func (p *probes) ask(ctx context.Context, engine relay.Stage) (EngineReport, error) {
+	q := p.start(engine, probeKept)
 	select {
 	case <-q.done:
 		return q.report, q.err
@@ -64,10 +64,10 @@
 	}
 }
 
-func (p *probes) run(q *probe, address string) {
+func (p *probes) run(q *probe, engine relay.Stage) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeLimit)
 	defer cancel()
-	q.report, q.err = p.engines.Report(ctx, address)
+	q.report, q.err = p.engines.Report(ctx, engine)
 	close(q.done)
 }
 
@@ -86,7 +86,7 @@
 func (p *probes) call(ctx context.Context, path relay.Path) roll {
 	asked := make([]*probe, len(path.Stages))
 	for i, s := range path.Stages {
-		asked[i] = p.start(s.Address, aliveKept)
+		asked[i] = p.start(s, aliveKept)
 	}
 	until := clock.Now().Add(aliveWithin)
 	timer := time.NewTimer(aliveWithin)
--- a/internal/daemon/probes_test.go
+++ b/internal/daemon/probes_test.go
@@ -17,14 +17,16 @@
 // reportingEngines answer by their address.
 type reportingEngines map[string]func(ctx context.Context) (daemon.EngineReport, error)
 
-func (e reportingEngines) Order(context.Context, core.OrderLayers) core.OrderOutcome {
-	return core.OrderRefused
+func (e reportingEngines) Order(context.Context, core.OrderLayers) (core.OrderOutcome, relay.Notice) {
+	return core.OrderRefused, relay.Notice{}
 }
 
-func (e reportingEngines) Repath(context.Context, string, relay.Path) error { return nil }
+func (e reportingEngines) Repath(context.Context, string, relay.Path) (relay.Notice, error) {
+	return relay.Notice{}, nil
+}
 
-func (e reportingEngines) Report(ctx context.Context, address string) (daemon.EngineReport, error) {
-	return e[address](ctx)
+func (e reportingEngines) Report(ctx context.Context, engine relay.Stage) (daemon.EngineReport, error) {
+	return e[engine.Address](ctx)
 }
 
 func after(wait time.Duration, r daemon.EngineReport, err error) func(ctx context.Context) (daemon.EngineReport, error) {
--- a/internal/daemon/readers_test.go
+++ b/internal/daemon/readers_test.go
@@ -204,11 +204,13 @@
 // livingEngines answer that all is well.
 type livingEngines struct{}
 
-func (livingEngines) Order(context.Context, core.OrderLayers) core.OrderOutcome {
-	return core.OrderRefused
+func (livingEngines) Order(context.Context, core.OrderLayers) (core.OrderOutcome, relay.Notice) {
+	return core.OrderRefused, relay.Notice{}
 }
-func (livingEngines) Repath(context.Context, string, relay.Path) error { return nil }
-func (livingEngines) Report(context.Context, string) (daemon.EngineReport, error) {
+func (livingEngines) Repath(context.Context, string, relay.Path) (relay.Notice, error) {
+	return relay.Notice{}, nil
+}
+func (livingEngines) Report(context.Context, relay.Stage) (daemon.EngineReport, error) {
 	return daemon.EngineReport{Pace: 1}, nil
 }
 
--- a/internal/daemon/repath.go
+++ b/internal/daemon/repath.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	// An order without an answer may have been taken: the answer goes on either way, and
 	// only the count of what is under way is off until it ends.
-	err := f.g.platform.Engines.Repath(ctx, f.call.ID, path)
+	_, err := f.g.platform.Engines.Repath(ctx, f.call.ID, path)
 	f.g.log.Info("request gets another path", "request", f.call.ID, "why", why, "instead_of", from, "path", path.String(), "error", errorText(err))
 	f.g.meter.repathed(err == nil)
 	if err != nil {
--- a/internal/daemon/repeating.go
+++ b/internal/daemon/repeating.go
@@ -65,7 +65,10 @@
 	if len(f.attempts.Ran) > 0 {
 		return &relay.Refusal{Kind: relay.RefusedUnknownRun, Reason: "its target broke off: " + f.last + "; " + d.String()}
 	}
-	return &relay.Refusal{Kind: relay.RefusedNotTaken, RetryAt: clock.Now().Add(comeBackAtOnce), Reason: "no target took it: " + f.last + "; " + d.String()}
+	f.g.mu.Lock()
+	retryAt := f.g.router.ComeBack(f.service, comeBackAtOnce, clock.Now())
+	f.g.mu.Unlock()
+	return &relay.Refusal{Kind: relay.RefusedNotTaken, RetryAt: retryAt, Reason: "no target took it: " + f.last + "; " + d.String()}
 }
 
 // couldRepeat reports whether the request may go to another target if its present try is
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -15,7 +15,7 @@
 	for _, e := range engines {
 		g.daemon.tomb.Go(func() error {
 			g.meter.probed()
-			report, err := g.probes.ask(g.daemon.context, e.Address)
+			report, err := g.probes.ask(g.daemon.context, e)
 			if err != nil {
 				g.log.Info("engine that was slow does not answer", "target", e.Target, "error", err.Error())
 				return nil
@@ -57,11 +57,15 @@
 			lost := g.leaseHeld && now.After(g.leaseUntil)
 			g.leaseHeld = g.leaseHeld && !lost
 			due := g.router.SlowDue(now)
+			g.router.ForgetRests(now)
+			g.router.ForgetDepartures(now)
+			resting := g.router.RestingTargets(now)
 			counted := core.WorkCounted{Work: g.router.Own(), Usage: g.router.Usage(now), Findings: g.router.Findings(now)}
 			g.mu.Unlock()
 			if lost {
 				g.log.Info("lease lost: no leader is heard, callers are refused", "own_targets", len(counted.Work))
 			}
+			g.meter.targetsResting(resting)
 			g.daemon.post(counted)
 			g.askSlow(due)
 		case <-g.daemon.tomb.Dying():
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -167,7 +167,7 @@
 func (w *watcher) probe() bool {
 	first := w.f.lastPath.First()
 	w.f.g.meter.probed()
-	report, err := w.f.g.probes.ask(w.ctx, first.Address)
+	report, err := w.f.g.probes.ask(w.ctx, first)
 	if w.ctx.Err() != nil {
 		return true
 	}
--- a/internal/daemon/watcher_test.go
+++ b/internal/daemon/watcher_test.go
@@ -62,7 +62,7 @@
 // mute is engines that answer no question.
 type mute struct{ daemon.Engines }
 
-func (mute) Report(context.Context, string) (daemon.EngineReport, error) {
+func (mute) Report(context.Context, relay.Stage) (daemon.EngineReport, error) {
 	return daemon.EngineReport{}, daemon.ErrEngineSilent
 }
 
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -44,6 +44,7 @@
 // TakeTargets takes what targets have newly said.
 func (r *Router) TakeTargets(targets []Target) {
 	for _, t := range targets {
+		r.confirmDeparture(t)
 		known, ok := r.targets[t.ID]
 		if !ok {
 			known = &target{Target: t, key: t.ID.Key()}
@@ -78,7 +79,7 @@
 func (r *Router) usable(service string, a Ask, now time.Time, suspects bool) []*target {
 	var usable []*target
 	for _, t := range r.members[service] {
-		if !t.Takes() || t.silent && !slices.Contains(a.Only, t.ID) || t.moving || now.Before(t.fullUntil) || a.avoids(t.ID) {
+		if !r.takes(t) || !r.rested(t, now) || t.silent && !slices.Contains(a.Only, t.ID) || t.moving || now.Before(t.fullUntil) || a.avoids(t.ID) {
 			continue
 		}
 		if !suspects && now.Before(t.suspectUntil) {
@@ -116,11 +117,12 @@
 
 // chooseTarget picks the target of a plain service with the least under way.
 func (r *Router) chooseTarget(s *Service, a Ask, now time.Time) (Path, bool) {
+	scarce := r.scarce(s.Name, now)
 	for _, suspects := range []bool{false, true} {
 		var best *target
 		least := 0.0
 		for _, t := range r.usable(s.Name, a, now, suspects) {
-			if t.own.Requests >= r.connLimit(s) {
+			if t.own.Requests >= r.connLimit(s) || !r.hasPlace(t, scarce) {
 				continue
 			}
 			busy := float64(r.load(t).Requests) + r.rand.Float64()*crossHall
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -101,7 +101,7 @@
 func (r *Router) SlowDue(now time.Time) []Stage {
 	var due []Stage
 	for _, t := range r.targets {
-		if now.Before(t.slowUntil) && !now.Before(t.slowUntil.Add(-slowAskAhead)) && t.Takes() && !t.void {
+		if now.Before(t.slowUntil) && !now.Before(t.slowUntil.Add(-slowAskAhead)) && r.takes(t) && !t.void {
 			due = append(due, Stage{Target: t.ID, Address: t.Address})
 		}
 	}
@@ -141,11 +141,13 @@
 	Dead, Well []TargetKey
 	// Slow are those that say that they are slow.
 	Slow []TargetKey
+	// Leaving are those that have said with an answer that they leave.
+	Leaving []TargetID
 }
 
 // Findings returns what this VM has lately found.
 func (r *Router) Findings(now time.Time) Findings {
-	var f Findings
+	f := Findings{Leaving: r.Departures(now)}
 	if !r.settings.Policy.Has(SharedFindings) {
 		return f
 	}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -45,6 +45,8 @@
 	Kind RefusalKind
 	// RetryAt is when to come back; zero where coming back is of no use.
 	RetryAt time.Time
+	// NotBefore is when the next look for a target is of use; zero where any may be.
+	NotBefore time.Time
 	// Reason is for the log and the caller.
 	Reason string
 }
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -104,6 +104,8 @@
 	turned uint64
 	// firstHand says that the target spoke to this VM last.
 	firstHand bool
+	// departed says that this VM was told by one that the target has answered that it leaves.
+	departed bool
 	// void says that another life runs in the place of this one.
 	void bool
 }
@@ -173,6 +175,21 @@
 	return !r.targets[t.ID].void && (differs || turned && next.Leaving || spokeAgain || present.void)
 }
 
+// Depart takes that a target has said to another VM with an answer that it leaves, and reports
+// whether that is new. It says nothing of when the target spoke.
+func (r *Registry) Depart(id TargetID) bool {
+	e, known := r.targets[id]
+	if !known || e.void || e.target.Leaving {
+		return false
+	}
+	r.change++
+	e.target.Leaving = true
+	e.departed = true
+	e.changed, e.turned = r.change, r.change
+	r.targets[id] = e
+	return true
+}
+
 // silent reports whether a target counts as lost: who asks for all targets is not told of
 // it, so that its next word is news.
 func (e entry) silent(now time.Time) bool { return now.Sub(e.heardAt) > SilentAfter }
@@ -232,10 +249,10 @@
 	return r.find(func(e entry) bool { return e.changed > change })
 }
 
-// OwnSince returns the targets that speak to this very VM and have changed after a change,
-// or have turned to it since.
+// OwnSince returns the targets that speak to this very VM, or of whose departure it was told,
+// and that have changed after a change or have turned to it since.
 func (r *Registry) OwnSince(change uint64) []Target {
-	return r.find(func(e entry) bool { return max(e.changed, e.turned) > change && e.firstHand })
+	return r.find(func(e entry) bool { return max(e.changed, e.turned) > change && (e.firstHand || e.departed) })
 }
 
 // Introduced reports whether one who was told all up to a change knows what an update does
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -29,10 +29,13 @@
 	targets  map[TargetID]*target
 	members  map[string][]*target
 	// marks are those of all targets that have any, also of ones not known here yet.
-	marks   map[TargetKey]Mark
-	budgets map[string]*budget
-	sums    sums
-	vms     int
+	marks map[TargetKey]Mark
+	// rests and departures are what targets have said to this VM with their answers.
+	rests      map[TargetID]rest
+	departures map[TargetID]departure
+	budgets    map[string]*budget
+	sums       sums
+	vms        int
 	// othersKnown says that this VM has been told what others have under way.
 	othersKnown bool
 	// changing counts the changes of halls on the paths under way.
@@ -50,14 +53,16 @@
 // NewRouter returns a Router without a document.
 func NewRouter(s Settings) *Router {
 	return &Router{
-		settings: s,
-		rand:     rand.New(rand.NewPCG(s.Seed, 1)),
-		targets:  make(map[TargetID]*target),
-		members:  make(map[string][]*target),
-		marks:    make(map[TargetKey]Mark),
-		budgets:  make(map[string]*budget),
-		waits:    make(map[string]average),
-		vms:      1,
+		settings:   s,
+		rand:       rand.New(rand.NewPCG(s.Seed, 1)),
+		targets:    make(map[TargetID]*target),
+		members:    make(map[string][]*target),
+		marks:      make(map[TargetKey]Mark),
+		rests:      make(map[TargetID]rest),
+		departures: make(map[TargetID]departure),
+		budgets:    make(map[string]*budget),
+		waits:      make(map[string]average),
+		vms:        1,
 	}
 }
 
@@ -101,13 +106,16 @@
 }
 
 // covered reports whether a service has a target, or engines for each layer.
-func (r *Router) covered(s *Service) bool {
+func (r *Router) covered(s *Service) bool { return r.coveredBy(s, r.takes) }
+
+// coveredBy reports whether targets of a service that a condition holds for can serve it.
+func (r *Router) coveredBy(s *Service, condition func(*target) bool) bool {
 	if s.Engine == nil || s.Engine.Layers <= 0 {
-		return slices.ContainsFunc(r.members[s.Name], func(t *target) bool { return t.Takes() })
+		return slices.ContainsFunc(r.members[s.Name], condition)
 	}
 	counts := make([]int, s.Engine.Layers)
 	for _, t := range r.members[s.Name] {
-		if t.Takes() && t.Layers.Len() > 0 && t.Layers.Last <= s.Engine.Layers {
+		if condition(t) && t.Layers.Len() > 0 && t.Layers.Last <= s.Engine.Layers {
 			hold(counts, t.Layers)
 		}
 	}
@@ -166,7 +174,7 @@
 	}
 	service, ok := r.services[name]
 	if !ok {
-		return Path{}, r.noRoom(now, "the service "+name+" is not in the configuration")
+		return Path{}, &Refusal{Kind: RefusedNoRoom, RetryAt: r.soon(now), Reason: "the service " + name + " is not in the configuration"}
 	}
 	var path Path
 	if service.Engine != nil && service.Engine.Layers > 0 {
@@ -175,7 +183,7 @@
 		path, ok = r.chooseTarget(service, a, now)
 	}
 	if !ok {
-		return Path{}, r.noRoom(now, "no target of "+name+" has room")
+		return Path{}, r.noRoom(name, a, now)
 	}
 	r.count(path, 1)
 	for _, s := range path.Stages {
@@ -217,6 +225,14 @@
 	return now.Add(returnSoon + time.Duration(r.rand.Int64N(int64(returnSpread))))
 }
 
-func (r *Router) noRoom(now time.Time, reason string) *Refusal {
-	return &Refusal{Kind: RefusedNoRoom, RetryAt: r.soon(now), Reason: reason}
+// noRoom returns the refusal of a request that finds no target. Where it finds none because
+// targets rest, none has a place before their rest ends: its caller is to come back after that,
+// at a time drawn from as long again, so that no more come at once than were turned away.
+func (r *Router) noRoom(service string, a Ask, now time.Time) *Refusal {
+	until, length := r.restsUntil(service, a, now)
+	if until.IsZero() {
+		return &Refusal{Kind: RefusedNoRoom, RetryAt: r.soon(now), Reason: "no target of " + service + " has room"}
+	}
+	spread := time.Duration(r.rand.Int64N(int64(max(length, returnLeast))))
+	return &Refusal{Kind: RefusedNoRoom, RetryAt: until.Add(spread), NotBefore: until, Reason: "targets of " + service + " have asked for rest"}
 }
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -107,6 +107,9 @@
 	Kept KeptWait
 	// Again says that the request takes the place of one on a silent connection.
 	Again bool
+	// Admit is asked once a connection is there, at the last moment before anything is sent.
+	// The request is not sent where it returns an error; nil lets all pass.
+	Admit func() error
 }
 
 // Answer is the head of an answer, with its body still to be read. Close ends it.
@@ -176,6 +179,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
+	if err := r.admitted(); err != nil {
+		x.push(l)
+		return nil, fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
 	l.request = r
 	l.answered = false
 	l.sentAt = clock.Now()
@@ -196,6 +203,14 @@
 	return answer, nil
 }
 
+// admitted asks Admit.
+func (r *Request) admitted() error {
+	if r.Admit == nil {
+		return nil
+	}
+	return r.Admit()
+}
+
 // take returns a quiet kept connection, or a new one.
 func (x *Exchanger) take(ctx context.Context, address string, fresh bool) (*link, error) {
 	for !fresh {
@@ -214,7 +229,7 @@
 		return nil, err
 	}
 	x.Dialled()
-	l := &link{Conn: conn, address: address, pool: x}
+	l := &link{Conn: conn, address: address, pool: x, until: clock.Now().Add(idleDefault)}
 	l.reader = bufio.NewReaderSize(l, bufferSize)
 	return l, nil
 }
