--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-logr/logr"
 
+	"github.com/spoolbank/spoolbank/internal/clock"
 	"github.com/spoolbank/spoolbank/internal/core"
 	"github.com/spoolbank/spoolbank/internal/relay"
 	"github.com/spoolbank/spoolbank/settings"
@@ -214,3 +215,16 @@
 	known := e.take(id)
 	return known.fingerprints(), known.midway
 }
+
+// Heed has a gateway do as a target asks.
+func Heed(g *Gateway, id relay.TargetID, notice relay.Notice) { g.heed(id, notice, clock.Now()) }
+
+// EnginesOf returns the engines as a gateway speaks to them.
+func EnginesOf(g *Gateway) Engines { return g.platform.Engines }
+
+// FindingsOf returns what a gateway has lately found of targets.
+func FindingsOf(g *Gateway) relay.Findings {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.router.Findings(clock.Now())
+}
--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -56,6 +56,8 @@
 type step struct {
 	runs bool
 	text string
+	// meanwhile is called before the answer, nil where nothing happens.
+	meanwhile func()
 	// ends has the target refuse new connections, and close this one, after that.
 	ends bool
 }
@@ -111,6 +113,9 @@
 		if s.ends {
 			w.listener.Close()
 		}
+		if s.meanwhile != nil {
+			s.meanwhile()
+		}
 		if _, err := io.WriteString(conn, s.text); err != nil || s.text == "" || s.ends {
 			return
 		}
--- a/internal/daemon/rests_test.go
+++ b/internal/daemon/rests_test.go
@@ -1,12 +1,20 @@
 package daemon_test
 
 import (
+	"context"
+	"errors"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/spoolbank/spoolbank/internal/clock"
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/daemon"
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
@@ -47,3 +55,164 @@
 	}
 	require.EqualValues(t, 1, w.next.Load(), "requests that reach it")
 }
+
+// Whatever a target that rests or leaves answers, what it says of itself counts: also with an
+// answer that can't be handed on, or that goes on for long.
+func TestAnyAnswerTellsOfATarget(t *testing.T) {
+	const body = "Content-Length: 2\r\n\r\nok"
+	for name, s := range map[string]step{
+		"whole":                 {text: "HTTP/1.1 200 OK\r\nId: a\r\nLeaving: 1\r\n" + body},
+		"failed":                {text: "HTTP/1.1 500 No\r\nId: a\r\nLeaving: 1\r\n" + body},
+		"refused":               {text: "HTTP/1.1 503 No\r\nId: a\r\nNot-Run: 1\r\nLeaving: 1\r\n" + body},
+		"rest, not run":         {text: "HTTP/1.1 503 No\r\nId: a\r\nNot-Run: 1\r\nRest: 9\r\n" + body},
+		"rest, it may have run": {text: "HTTP/1.1 503 No\r\nId: a\r\nRest: 9\r\n" + body},
+		"cut off in the middle": {text: "HTTP/1.1 200 OK\r\nId: a\r\nLeaving: 1\r\nContent-Length: 9\r\n\r\nok", ends: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorker(t, s, served)
+			g := newEntry(t, relay.RepeatNever, 1, w)
+			ask(t, g)
+			require.Equal(t, http.StatusServiceUnavailable, ask(t, g))
+			require.EqualValues(t, 1, w.next.Load())
+		})
+	}
+}
+
+// A stream's head tells of its target at once, though the answer goes on.
+func TestTheHeadOfAStreamTellsOfItsTarget(t *testing.T) {
+	p := newPausing(t)
+	p.header = "Leaving: 1\r\n"
+	g := pausingEntry(t, relay.Target{ID: "i-1", Service: "s", Address: p.address, Slots: 10, Call: 1})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := serve(ctx, g, httptest.NewRecorder())
+	closed(t, "the stream begins", p.begun)
+	for daemon.FindingsOf(g).Leaving == nil {
+		require.NoError(t, t.Context().Err())
+		runtime.Gosched()
+	}
+	require.Equal(t, http.StatusServiceUnavailable, ask(t, g))
+	require.Equal(t, 1, daemon.UnderWay(g), "what runs there goes on")
+	cancel()
+	closed(t, "the call ends", done)
+}
+
+// A request that was sent on a kept connection, which is gone, is not sent again on a new one
+// when its target has asked for rest, or said that it leaves, between the two.
+func TestASecondSendingIsHeldBack(t *testing.T) {
+	for name, notice := range map[string]relay.Notice{
+		"rest":    {RestUntil: time.Now().Add(time.Hour)},
+		"leaving": {Leaving: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var g *daemon.Gateway
+			var w *worker
+			dropped := step{meanwhile: func() { daemon.Heed(g, relay.TargetID(w.address), notice) }}
+			w = newWorker(t, served, dropped, served)
+			g = newEntry(t, relay.RepeatAlways, 2, w)
+			require.Equal(t, http.StatusOK, ask(t, g))
+			require.Equal(t, http.StatusBadGateway, ask(t, g), "the first sending may have run")
+			require.EqualValues(t, 2, w.next.Load())
+			require.Empty(t, daemon.FindingsOf(g).Dead, "it has done nothing wrong")
+			require.Zero(t, daemon.UnderWay(g))
+		})
+	}
+}
+
+// A request that was turned away goes to another target, and only there.
+func TestARequestGoesOnBesideATargetThatRests(t *testing.T) {
+	rests, serves := newWorker(t, resting), newWorker(t, served)
+	g := newEntry(t, relay.RepeatAlways, 2, rests, serves)
+	for range 20 {
+		require.Equal(t, http.StatusOK, ask(t, g))
+	}
+	require.LessOrEqual(t, rests.next.Load(), int32(1))
+}
+
+// A target that asks for rest again and again lives: it is not found dead, and what runs there
+// is not given up.
+func TestATargetThatRestsIsNotFoundDead(t *testing.T) {
+	s := newSuspendable(t)
+	w := newWorker(t, resting)
+	g := newEntry(t, relay.RepeatAlways, 1, w)
+	for range 10 {
+		now := clock.Sampled()
+		call := &daemon.Call{ID: "a", Arrived: now, Deadline: now.Add(5 * time.Second), Method: http.MethodPost, URI: "/", Path: "/", Host: "h"}
+		require.Equal(t, http.StatusServiceUnavailable, askCall(t, g, call))
+		s.ahead += 4 * time.Second
+	}
+	require.EqualValues(t, 10, w.next.Load())
+	require.Empty(t, daemon.FindingsOf(g).Dead)
+}
+
+// A stream in the middle waits for a room; where its targets rest for longer than its caller
+// waits, it is told at once.
+func TestNobodyIsHeldUntilALongRestEnds(t *testing.T) {
+	p := newPausing(t)
+	g := pausingEntry(t, relay.Target{ID: "i-1", Service: "s", Address: p.address, Slots: 10, Call: 1})
+	daemon.Heed(g, "i-1", relay.Notice{RestUntil: time.Now().Add(3 * time.Hour)})
+	later := time.Now().Add(time.Hour)
+	status := askCall(t, g, &daemon.Call{ID: "a", Arrived: later, Deadline: later, Method: http.MethodPost, URI: "/", Path: "/", Host: "h", After: "7"})
+	require.Equal(t, http.StatusServiceUnavailable, status)
+}
+
+// countingEngines count what they are asked, and say something of themselves.
+type countingEngines struct {
+	asked  *atomic.Int32
+	notice *relay.Notice
+}
+
+func (e countingEngines) Order(context.Context, core.OrderLayers) (core.OrderOutcome, relay.Notice) {
+	e.asked.Add(1)
+	return core.OrderBegun, *e.notice
+}
+
+func (e countingEngines) Report(context.Context, relay.Stage) (daemon.EngineReport, error) {
+	e.asked.Add(1)
+	return daemon.EngineReport{Notice: *e.notice}, nil
+}
+
+func (e countingEngines) Repath(context.Context, string, relay.Path) (relay.Notice, error) {
+	e.asked.Add(1)
+	return *e.notice, nil
+}
+
+// Reports, orders and new paths are held back too, do not count as answered or as lost, and
+// their answers tell of the engine as well. One that leaves is still asked for what it runs.
+func TestNothingElseIsAskedOfAnEngineThatRests(t *testing.T) {
+	const id = relay.TargetID("i-1")
+	asks := map[string]func(e daemon.Engines) (held bool){
+		"report": func(e daemon.Engines) bool {
+			_, err := e.Report(t.Context(), relay.Stage{Target: id})
+			require.NotErrorIs(t, err, daemon.ErrEngineSilent)
+			return errors.Is(err, daemon.ErrHeldBack)
+		},
+		"order": func(e daemon.Engines) bool {
+			outcome, _ := e.Order(t.Context(), core.OrderLayers{Target: id})
+			return outcome == core.OrderRefused
+		},
+		"path": func(e daemon.Engines) bool {
+			_, err := e.Repath(t.Context(), "a", relay.Path{Stages: []relay.Stage{{Target: id}}})
+			return errors.Is(err, daemon.ErrHeldBack)
+		},
+	}
+	for told, tell := range asks {
+		for asked, ask := range asks {
+			t.Run(asked+" after "+told, func(t *testing.T) {
+				engines := countingEngines{asked: new(atomic.Int32), notice: &relay.Notice{RestUntil: time.Now().Add(time.Hour)}}
+				g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: engines}, &relay.Document{Version: 1}, nil)
+				require.NoError(t, err)
+				require.False(t, tell(daemon.EnginesOf(g)))
+				require.True(t, ask(daemon.EnginesOf(g)))
+				require.EqualValues(t, 1, engines.asked.Load())
+			})
+		}
+		t.Run(told+" of one that leaves", func(t *testing.T) {
+			engines := countingEngines{asked: new(atomic.Int32), notice: &relay.Notice{Leaving: true}}
+			g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: engines}, &relay.Document{Version: 1}, nil)
+			require.NoError(t, err)
+			require.False(t, tell(daemon.EnginesOf(g)))
+			require.False(t, tell(daemon.EnginesOf(g)))
+			require.Equal(t, []relay.TargetID{id}, daemon.FindingsOf(g).Leaving)
+		})
+	}
+}
--- a/internal/daemon/watcher_test.go
+++ b/internal/daemon/watcher_test.go
@@ -23,6 +23,8 @@
 	begun   chan struct{}
 	goOn    chan struct{}
 	givenUp chan struct{}
+	// header are further lines of its answer's head.
+	header string
 }
 
 func newPausing(t *testing.T) *pausing {
@@ -51,7 +53,7 @@
 		_, _ = reader.ReadByte() // nothing else is sent on it
 		close(p.givenUp)
 	}()
-	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 13\r\n\r\nid: 1\n\n"); err != nil {
+	if _, err := io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n"+p.header+"Content-Length: 13\r\n\r\nid: 1\n\n"); err != nil {
 		return
 	}
 	close(p.begun)
--- a/internal/relay/rests.go
+++ b/internal/relay/rests.go
@@ -149,4 +149,3 @@
 	}
 	return now.Add(atOnce)
 }
-
--- /dev/null
+++ b/internal/target/admit_test.go
@@ -0,0 +1,33 @@
+package target_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/target"
+)
+
+// What is not admitted once its connection is there is not sent, and the connection is kept for
+// what is.
+func TestWhatIsNotAdmittedIsNotSent(t *testing.T) {
+	s := newScripted(t, answerTo("1", "ok"))
+	x := target.NewExchanger(func() {})
+	refused := errors.New("not now")
+	for _, fresh := range []bool{false, true} {
+		_, err := x.Do(context.Background(), s.address, &target.Request{
+			Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{}, Fresh: fresh,
+			Matches: func(http.Header) bool { return true },
+			Admit:   func() error { return refused },
+		})
+		require.ErrorIs(t, err, refused)
+		require.ErrorIs(t, err, target.ErrNotSent)
+	}
+	body, err := exchange(t, x, s.address, false)
+	require.NoError(t, err)
+	require.Equal(t, "ok", body, "the first of its answers")
+	require.EqualValues(t, 2, s.conns.Load(), "one for each that asked for a new one, and none for the last")
+}
