core, query, daemon: operators see which targets rest and end a rest

Cause: a rest is the target's word, and is kept for as long as it says; a target that asks for a year by mistake would serve nobody until it or every VM starts again.

--- a/cmd/spoolbank/cmd/help.go
+++ b/cmd/spoolbank/cmd/help.go
@@ -15,6 +15,7 @@
   show vms | leases | replicas                  the system's own VMs
   show requests where state = running           asked of every entry VM
   show quarantine                               requests that ended their targets
+  show rests                                    targets that want nothing for now, asked of every entry VM
   show pipelines | models | events | organisations | services | config
 
   declare model fiji layers=32 versions=[v3, v4] adapters=[notices]
@@ -31,6 +32,7 @@
   drain target r07
   remove event open
   remove quarantine FINGERPRINT                 let such a request go
+  remove rest i-7f3a91c2                        ask a target again that wanted to be left alone
 
 Classes run from 0 (first) to 3. A word that reads as a number is one; quote it
 to make it a text. A command carries --operator and --number: sent again under
--- a/internal/core/config/change.go
+++ b/internal/core/config/change.go
@@ -19,6 +19,9 @@
 	KindService      Kind = "service"
 	// KindQuarantine is a request in quarantine, which can be removed but not declared.
 	KindQuarantine Kind = "quarantine"
+	// KindRest is the rest that a target has asked VMs for, which can be removed but not
+	// declared.
+	KindRest Kind = "rest"
 )
 
 // Kinds returns the kinds that can be declared, sorted.
@@ -28,7 +31,7 @@
 
 // Removable returns the kinds that can be removed, sorted.
 func Removable() []Kind {
-	kinds := append(Kinds(), KindQuarantine)
+	kinds := append(Kinds(), KindQuarantine, KindRest)
 	slices.Sort(kinds)
 	return kinds
 }
@@ -292,6 +295,8 @@
 		return s.Services.Has(r.Name)
 	case KindQuarantine:
 		return s.Quarantine.Has(r.Name)
+	case KindRest:
+		return true // each VM knows its own: one that knows of none has nothing to end
 	}
 	return false
 }
@@ -300,6 +305,9 @@
 	if !s.Has(r) {
 		return s, &InvalidError{r, "is not declared", fmt.Sprintf("`show %ss` lists what is", r.Kind)}
 	}
+	if r.Kind == KindRest {
+		return s.withEndedRest(r.Name), nil
+	}
 	if users := s.users(r); len(users) > 0 {
 		return s, &InvalidError{r, fmt.Sprintf("is used by %s", users[0]), fmt.Sprintf("remove %s first", users[0])}
 	}
--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -214,6 +214,8 @@
 	Document      Document          `cbor:"document"`
 	// Quarantine are the requests that are sent to no target.
 	Quarantine Set[QuarantinedRequest] `cbor:"quarantine"`
+	// EndedRests are the targets whose rests operators have ended of late.
+	EndedRests Set[EndedRest] `cbor:"ended_rests,omitempty"`
 }
 
 // Document is a whole configuration in the form in which its operator wrote it.
--- a/internal/core/halls_test.go
+++ b/internal/core/halls_test.go
@@ -43,6 +43,10 @@
 	marks  map[core.VMName]map[relay.TargetKey]relay.Mark
 	// quarantine is what each entry VM was told of requests that end their targets.
 	quarantine map[core.VMName]map[relay.Fingerprint]time.Time
+	// restsEnded is what each entry VM was told of rests that operators ended, shown the rows
+	// of the table that an operator was answered last.
+	restsEnded map[core.VMName][]string
+	shown      [][]string
 	// loses says which messages are lost, nil where none are.
 	loses func(core.Envelope) bool
 	// renewed counts, by VM, the renewals that came to it; bytes what it sent.
@@ -81,6 +85,7 @@
 		disks: make(map[core.VMName]*core.Recovered), settings: make(map[core.VMName]core.Settings),
 		renewed: make(map[core.VMName]int), sent: make(map[core.VMName]int), bytes: make(map[core.VMName]int),
 		found:      make(map[core.VMName]relay.Findings),
+		restsEnded: make(map[core.VMName][]string),
 		quarantine: make(map[core.VMName]map[relay.Fingerprint]time.Time),
 		marks:      make(map[core.VMName]map[relay.TargetKey]relay.Mark), kinds: make(map[string]int), decode: decodeEmpty,
 	}
@@ -179,6 +184,12 @@
 			}
 		case core.FleetLearned:
 			f.takeFleet(vm, e)
+		case core.RestsEnded:
+			f.restsEnded[vm] = append(f.restsEnded[vm], e.Targets...)
+		case core.Answer:
+			if e.Result.Table != nil {
+				f.shown = e.Result.Table.Rows
+			}
 		case core.QuarantineInForce:
 			f.quarantine[vm] = e.Until
 		case core.OrderLayers:
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -350,6 +350,7 @@
 	n.fleetTaken(g)
 	if n.entry.config.Revision != before.Revision {
 		n.quarantineTaken(before)
+		n.endRests(before)
 		n.configTaken()
 		n.renew()
 	}
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -228,3 +228,9 @@
 	defer g.mu.Unlock()
 	return g.router.Findings(clock.Now())
 }
+
+// CarryOut has a gateway's daemon carry out an effect of its Node.
+func CarryOut(g *Gateway, effect core.Effect) {
+	g.daemon.gateway = g
+	g.daemon.carryOut(effect)
+}
--- a/internal/daemon/learning.go
+++ b/internal/daemon/learning.go
@@ -21,6 +21,8 @@
 		g.takeFleet(e)
 	case core.QuarantineInForce:
 		g.takeQuarantine(e)
+	case core.RestsEnded:
+		g.endRests(e.Targets)
 	case core.OrderLayers:
 		go g.order(e)
 	}
--- a/internal/daemon/notices.go
+++ b/internal/daemon/notices.go
@@ -90,6 +90,15 @@
 	}
 }
 
+// endRests asks targets again whose rests an operator has ended.
+func (g *Gateway) endRests(targets []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, name := range targets {
+		g.log.Info("rests are ended by an operator", "target", name, "rests", g.router.EndRests(name))
+	}
+}
+
 // unusableNotice counts and logs the parts of a notice that can't be read.
 func (g *Gateway) unusableNotice(id relay.TargetID, err error) {
 	var parts interface{ Unwrap() []error }
--- a/internal/daemon/rests_test.go
+++ b/internal/daemon/rests_test.go
@@ -216,3 +216,12 @@
 		})
 	}
 }
+
+func TestAnOperatorHasARestingTargetAskedAgain(t *testing.T) {
+	w := newWorker(t, resting, served)
+	g := newEntry(t, relay.RepeatAlways, 1, w)
+	require.Equal(t, http.StatusServiceUnavailable, ask(t, g))
+	require.Len(t, daemon.FindingsOf(g).Resting, 1)
+	daemon.CarryOut(g, core.RestsEnded{Targets: []string{w.address}})
+	require.Equal(t, http.StatusOK, ask(t, g))
+}
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -59,13 +59,12 @@
 			due := g.router.SlowDue(now)
 			g.router.ForgetRests(now)
 			g.router.ForgetDepartures(now)
-			resting := g.router.RestingTargets(now)
 			counted := core.WorkCounted{Work: g.router.Own(), Usage: g.router.Usage(now), Findings: g.router.Findings(now)}
 			g.mu.Unlock()
 			if lost {
 				g.log.Info("lease lost: no leader is heard, callers are refused", "own_targets", len(counted.Work))
 			}
-			g.meter.targetsResting(resting)
+			g.meter.targetsResting(len(counted.Findings.Resting))
 			g.daemon.post(counted)
 			g.askSlow(due)
 		case <-g.daemon.tomb.Dying():
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -143,11 +143,13 @@
 	Slow []TargetKey
 	// Leaving are those that have said with an answer that they leave.
 	Leaving []TargetID
+	// Resting are those that have asked this VM for rest: for its operators.
+	Resting []RestingTarget
 }
 
 // Findings returns what this VM has lately found.
 func (r *Router) Findings(now time.Time) Findings {
-	f := Findings{Leaving: r.Departures(now)}
+	f := Findings{Leaving: r.Departures(now), Resting: r.RestingTargets(now)}
 	if !r.settings.Policy.Has(SharedFindings) {
 		return f
 	}
--- a/internal/relay/rests.go
+++ b/internal/relay/rests.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -27,7 +28,7 @@
 // after its rest until it answers, nothing would change.
 //
 // Invariants: a rest is not shortened by its target; what is known of one goes only after its
-// end.
+// end, or where an operator ends it.
 //
 // Limits: a rest is of the VM that was asked. A VM that starts again knows of none, and may ask
 // once. What is on its way when a rest is told arrives within it. Engines have places of
@@ -78,17 +79,32 @@
 	maps.DeleteFunc(r.rests, func(_ TargetID, known rest) bool { return !known.holds(now) })
 }
 
-// RestingTargets returns the number of targets that rest.
-func (r *Router) RestingTargets(now time.Time) int {
-	resting := 0
-	for _, known := range r.rests {
+// RestingTarget is a target that wants nothing from this VM until a time.
+type RestingTarget struct {
+	Target TargetID
+	Until  time.Time
+}
+
+// RestingTargets returns the targets that rest, sorted.
+func (r *Router) RestingTargets(now time.Time) []RestingTarget {
+	var resting []RestingTarget
+	for id, known := range r.rests {
 		if known.holds(now) {
-			resting++
+			resting = append(resting, RestingTarget{Target: id, Until: known.until})
 		}
 	}
+	slices.SortFunc(resting, func(a, b RestingTarget) int { return cmp.Compare(a.Target, b.Target) })
 	return resting
 }
 
+// EndRests ends the rests of all incarnations of a target, as its operator asks, and returns
+// how many there were.
+func (r *Router) EndRests(name string) int {
+	before := len(r.rests)
+	maps.DeleteFunc(r.rests, func(id TargetID, _ rest) bool { return id.Name() == name })
+	return before - len(r.rests)
+}
+
 // scarce reports whether a target of a service rests: the others have to bear its load.
 func (r *Router) scarce(service string, now time.Time) bool {
 	if len(r.rests) == 0 {
--- a/internal/relay/rests_test.go
+++ b/internal/relay/rests_test.go
@@ -82,6 +82,16 @@
 	require.Equal(t, next, picked(t, r, a, start))
 }
 
+func TestAnOperatorEndsARest(t *testing.T) {
+	first, second := relay.NewTargetID("i-1", 100), relay.NewTargetID("i-1", 200)
+	r, a := plainRouter(second)
+	r.Rest(first, start.Add(time.Hour), start)
+	r.Rest(second, start.Add(time.Hour), start)
+	require.Zero(t, r.EndRests("i-2"))
+	require.Equal(t, 2, r.EndRests("i-1"))
+	require.Equal(t, second, picked(t, r, a, start))
+}
+
 func TestOthersAreGivenTheRequestsOfATargetThatRests(t *testing.T) {
 	r, a := plainRouter("i-1", "i-2", "i-3")
 	r.Rest("i-1", start.Add(time.Second), start)
@@ -153,9 +163,9 @@
 	r, _ := plainRouter("i-1", "i-2")
 	r.Rest("i-1", start.Add(time.Second), start)
 	r.Rest("i-2", start.Add(2*time.Second), start)
-	require.Equal(t, 2, r.RestingTargets(start))
+	require.Len(t, r.RestingTargets(start), 2)
 	r.ForgetRests(start.Add(time.Second))
-	require.Equal(t, 1, r.RestingTargets(start.Add(time.Second)))
+	require.Equal(t, []relay.RestingTarget{{Target: "i-2", Until: start.Add(2 * time.Second)}}, r.RestingTargets(start.Add(time.Second)))
 }
 
 func TestATargetThatSaidThatItLeavesIsGivenNothing(t *testing.T) {
--- a/query/query.go
+++ b/query/query.go
@@ -41,6 +41,7 @@
 	Quarantine    What = "quarantine"
 	Replicas      What = "replicas"
 	Requests      What = "requests"
+	Rests         What = "rests"
 	Services      What = "services"
 	Targets       What = "targets"
 	VMs           What = "vms"
@@ -48,7 +49,7 @@
 
 // Lists returns all lists that can be shown, sorted.
 func Lists() []What {
-	return []What{Config, Events, Leases, Models, Organisations, Pipelines, Quarantine, Replicas, Requests, Services, Targets, VMs}
+	return []What{Config, Events, Leases, Models, Organisations, Pipelines, Quarantine, Replicas, Requests, Rests, Services, Targets, VMs}
 }
 
 // Statement is a parsed statement: exactly one field is set.
@@ -72,7 +73,7 @@
 
 // Local reports whether each VM knows the list of itself only, so that the
 // client has to ask them all.
-func (s Show) Local() bool { return s.What == Requests }
+func (s Show) Local() bool { return s.What == Requests || s.What == Rests }
 
 // Condition is a test on a field of a row.
 type Condition struct {
