core, target: plain services behind the product's own interface are left alone too

Change: the rest comes back with the end of a dispatch and is kept by target; no route over a target that rests is taken, a call that waited for its claim meanwhile goes to another one, and callers whose time ends before the first rest does are refused at once. Test: a world in which runners rest (fails without the change of routing).

--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -95,12 +95,27 @@
 		return refusal(RefusedOverload, RanNo, "it could not be served before its deadline", "come back at the given time, or give a later deadline").
 			WithRetryAt(n.comeBack(p)), false
 	}
+	if refusal, rests := n.poolRests(p, w); rests {
+		return refusal, false
+	}
 	p.queue.push(w.rank(), w.organisation, w.weight, w.cost, w)
 	n.entry.inProgress[w.organisation]++
 	n.pump(p)
 	return Refusal{}, true
 }
 
+// poolRests returns the refusal of work that can't begin in time because all that could run it
+// rest. It is to come back after the first of the rests, spread over as long again.
+func (n *Node) poolRests(p *pool, w *waiting) (Refusal, bool) {
+	first, all := n.restEnds(p)
+	if !all || first.Before(p.latest(w)) {
+		return Refusal{}, false
+	}
+	spread := max(first.Sub(n.now), time.Second)
+	return refusal(RefusedOverload, RanNo, "all that could run it have asked for rest", "come back at the given time").
+		WithRetryAt(first.Add(time.Duration(n.rand.Int64N(int64(spread))))), true
+}
+
 // readmit puts work that had its turn and was refused by a target back in line.
 // It is not charged again, so that it goes to the front of its flow's share.
 func (p *pool) readmit(w *waiting, avoid string) *waiting {
@@ -182,6 +197,10 @@
 func (p *pool) latest(w *waiting) time.Time { return w.deadline.Add(-p.service(w.cost)) }
 
 func (n *Node) expire(p *pool, w *waiting) {
+	if refusal, rests := n.poolRests(p, w); rests && !w.gone {
+		n.dropWaiting(w, refusal)
+		return
+	}
 	if w.gone || n.now.Before(p.latest(w)) {
 		return
 	}
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -212,7 +212,13 @@
 	return refusal(RefusedUnknown, RanUnknown, "it may have run, and its answer is not known", "look it up at the service before sending it under a new identity")
 }
 
+// dispatchCall sends a call to its runner. One that has asked for rest since it was picked is
+// left alone.
 func (n *Node) dispatchCall(c *call) {
+	if runner := c.stages[0].Target; n.rests(runner) {
+		n.retryCall(c, runner)
+		return
+	}
 	c.phase = phaseDispatched
 	c.beganAt = n.now
 	n.emit(Dispatch{
@@ -231,6 +237,7 @@
 	if c == nil || c.phase != phaseDispatched {
 		return
 	}
+	n.restTarget(e.Target, e.RestUntil)
 	p := n.entry.pools[c.pool]
 	switch e.Result {
 	case ResultDone:
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -112,6 +112,9 @@
 	Target string
 	Result RunResult
 	Answer CallAnswer
+	// RestUntil is until when the target wants no calls from this VM; zero where it asks for
+	// no rest.
+	RestUntil time.Time
 }
 
 // Watched is what a look at a target brought.
--- a/internal/core/rests_test.go
+++ b/internal/core/rests_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -48,3 +49,37 @@
 		require.Len(t, f.shown, rows, vm)
 	}
 }
+
+// A runner of a plain service that asks for rest gets no call of that VM meanwhile: others take
+// them, and where all rest for longer than a caller waits it is refused at once, and told to come
+// back after the first rest.
+func TestARunnerThatAsksForRestGetsNoCalls(t *testing.T) {
+	w := newWorld(t, 41, 3, 1)
+	w.setUp()
+	w.settled()
+	w.rests["s1"] = w.now.Add(30 * time.Second)
+	for i := range 40 {
+		a := w.lookUp("vm4", fmt.Sprintf("first%d", i))
+		w.advance(200 * time.Millisecond)
+		require.NotNil(t, a.answer, "%v", a.refusal)
+	}
+	require.LessOrEqual(t, w.reached["s1"]["vm4"], 1)
+	ends := w.now.Add(15 * time.Second)
+	w.rests["s2"] = ends
+	byClock := w.clock(w.vms["vm4"]).Add(15 * time.Second)
+	w.call("vm4", "told")
+	w.advance(time.Second)
+	before := w.reached["s2"]["vm4"]
+	for i := range 20 {
+		a := w.call("vm4", fmt.Sprintf("second%d", i))
+		w.advance(100 * time.Millisecond)
+		require.NotNil(t, a.refusal)
+		require.Equal(t, core.RanNo, a.refusal.Ran)
+		require.False(t, a.refusal.RetryAt.Before(byClock), "%v before %v", a.refusal.RetryAt, byClock)
+	}
+	require.Equal(t, before, w.reached["s2"]["vm4"])
+	w.advance(20 * time.Second)
+	a := w.call("vm4", "third")
+	w.advance(time.Second)
+	require.NotNil(t, a.answer, "%v", a.refusal)
+}
--- a/internal/core/world_targets_test.go
+++ b/internal/core/world_targets_test.go
@@ -73,6 +73,12 @@
 	w.push(delivery{at: w.now.Add(w.latency()), run: func() {
 		ended := core.DispatchEnded{Conn: d.Conn, ID: d.ID, Target: d.Target, Result: core.ResultRefused}
 		r := w.runners[d.Target]
+		w.reached[d.Target][v.name]++
+		if until := w.rests[d.Target]; w.now.Before(until) {
+			ended.RestUntil = w.clock(v).Add(until.Sub(w.now))
+			w.push(delivery{at: w.now.Add(w.latency()), to: v.name, life: life, event: ended})
+			return
+		}
 		if w.reachable(d.Target) && w.clock(v).Before(d.NotAfter) {
 			r.runs[d.ID]++
 			ended.Result = core.ResultDone
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -54,6 +54,10 @@
 	// targets that say so themselves.
 	platform []string
 	leaves   map[string]bool
+	// rests is until when a runner turns calls away and asks for rest; reached counts the calls
+	// that come to each, by the VM that they come from.
+	rests   map[string]time.Time
+	reached map[string]map[core.VMName]int
 }
 
 // vm is one VM: its process, its disk and its clock.
@@ -115,7 +119,7 @@
 func newWorld(t require.TestingT, seed uint64, controls, entries int) *world {
 	w := &world{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: epochStart,
-		vms: make(map[core.VMName]*vm), engines: make(map[string]*engine), runners: make(map[string]*runner),
+		vms: make(map[core.VMName]*vm), engines: make(map[string]*engine), rests: make(map[string]time.Time), reached: make(map[string]map[core.VMName]int), runners: make(map[string]*runner),
 		cut: make(map[[2]core.VMName]bool), asks: make(map[core.ConnID]*ask), results: make(map[core.ConnID]core.Result),
 		prints: make(map[core.Index]string), floors: make(map[core.ConnID]config.Revision), sent: make(map[string]bool),
 		dead: make(map[string]bool), leaves: make(map[string]bool),
@@ -139,6 +143,7 @@
 		w.engines[name] = &engine{name: name, Engine: fake.NewEngine(fake.EngineOptions{Name: name, Slots: 64, Fence: i%2 == 0, Hops: hops{w}})}
 	}
 	for i := range 2 {
+		w.reached[fmt.Sprintf("s%d", i+1)] = make(map[core.VMName]int)
 		w.runners[fmt.Sprintf("s%d", i+1)] = &runner{runs: make(map[core.RequestID]int)}
 	}
 	return w
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -232,6 +232,7 @@
 	if err != nil {
 		return ended
 	}
+	ended.RestUntil, _ = RestUntil(response.StatusCode, response.Header, clock.Now()) // what can't be read asks for no rest
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) != "" {
 		ended.Result = core.ResultRefused
 		return ended
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -126,6 +126,17 @@
 			require.Equal(t, test.want, ended.Result)
 		})
 	}
+	resting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(target.HeaderNotRun, "no room")
+		w.Header().Set(target.HeaderRetryAfter, "60")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer resting.Close()
+	asked := time.Now()
+	until := asked.Add(time.Minute)
+	rests := target.NewClient().Dispatch(t.Context(), core.Dispatch{Address: resting.Listener.Addr().String(), Deadline: until, NotAfter: until}, target.Call{Method: "POST", Path: "/"})
+	require.Equal(t, core.ResultRefused, rests.Result)
+	require.False(t, rests.RestUntil.Before(until))
 	server := httptest.NewServer(nil)
 	address := server.Listener.Addr().String()
 	server.Close()
