--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -34,6 +34,9 @@
 	// half of the VMs find it dead; moving that it was ordered to hold other layers.
 	silent bool
 	moving bool
+	// rest and departed are what it has said with its answers: see Router.noteSaid.
+	rest     rest
+	departed bool
 	// void says that another life runs in the place of this one. A void target is no member
 	// of its service.
 	void bool
@@ -50,6 +53,7 @@
 			known = &target{Target: t, key: t.ID.Key()}
 			known.takeMark(r.marks[known.key])
 			r.targets[t.ID] = known
+			r.noteSaid(t.ID)
 			r.members[t.Service] = append(r.members[t.Service], known)
 			continue
 		}
@@ -79,7 +83,7 @@
 func (r *Router) usable(service string, a Ask, now time.Time, suspects bool) []*target {
 	var usable []*target
 	for _, t := range r.members[service] {
-		if !r.takes(t) || r.rests[t.ID].holds(now) || t.silent && !slices.Contains(a.Only, t.ID) || t.moving || now.Before(t.fullUntil) || a.avoids(t.ID) {
+		if !t.takes() || t.rest.holds(now) || t.silent && !slices.Contains(a.Only, t.ID) || t.moving || now.Before(t.fullUntil) || a.avoids(t.ID) {
 			continue
 		}
 		if !suspects && now.Before(t.suspectUntil) {
--- a/internal/relay/departures.go
+++ b/internal/relay/departures.go
@@ -19,9 +19,10 @@
 //
 // Limits: it takes the other VMs up to a renewal and two ways between VMs to learn of it.
 
-// departureKept is how long after the last answer that says so a departure is reported, and
-// known of a target that is known no more: as long as control VMs know silent targets.
-const departureKept = time.Minute
+// saidKept is how long after the last answer that says so a departure is reported, and how long
+// what a target has said is kept once it is not known any more: as long as control VMs know
+// silent targets.
+const saidKept = time.Minute
 
 // departure is that a target has said with an answer that it leaves.
 type departure struct {
@@ -40,6 +41,7 @@
 		present.confirmed = true
 	}
 	r.departures[id] = present
+	r.noteSaid(id)
 	return !known && !present.confirmed
 }
 
@@ -50,10 +52,16 @@
 	return said || known && !t.Takes()
 }
 
-// takes reports whether a target may be given new work.
-func (r *Router) takes(t *target) bool {
-	_, said := r.departures[t.ID]
-	return !said && t.Takes()
+// takes reports whether the target may be given new work.
+func (t *target) takes() bool { return !t.departed && t.Takes() }
+
+// noteSaid notes at a target, if it is known, what it has said with its answers: each request
+// looks at all targets of its service.
+func (r *Router) noteSaid(id TargetID) {
+	if t, known := r.targets[id]; known {
+		t.rest = r.rests[id]
+		_, t.departed = r.departures[id]
+	}
 }
 
 // confirmDeparture takes the control VM's news of a target.
@@ -69,7 +77,7 @@
 func (r *Router) Departures(now time.Time) []TargetID {
 	var reported []TargetID
 	for id, d := range r.departures {
-		if !d.confirmed && now.Before(d.saidAt.Add(departureKept)) {
+		if !d.confirmed && now.Before(d.saidAt.Add(saidKept)) {
 			reported = append(reported, id)
 		}
 	}
@@ -80,7 +88,7 @@
 // ForgetDepartures drops what was said by targets that are known no more.
 func (r *Router) ForgetDepartures(now time.Time) {
 	for id, d := range r.departures {
-		if _, known := r.targets[id]; !known && !now.Before(d.saidAt.Add(departureKept)) {
+		if _, known := r.targets[id]; !known && !now.Before(d.saidAt.Add(saidKept)) {
 			delete(r.departures, id)
 		}
 	}
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -101,7 +101,7 @@
 func (r *Router) SlowDue(now time.Time) []Stage {
 	var due []Stage
 	for _, t := range r.targets {
-		if now.Before(t.slowUntil) && !now.Before(t.slowUntil.Add(-slowAskAhead)) && r.takes(t) && !t.void {
+		if now.Before(t.slowUntil) && !now.Before(t.slowUntil.Add(-slowAskAhead)) && t.takes() && !t.void {
 			due = append(due, Stage{Target: t.ID, Address: t.Address})
 		}
 	}
--- a/internal/relay/rests.go
+++ b/internal/relay/rests.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sort"
 	"time"
 )
 
@@ -31,8 +32,9 @@
 // end, or where an operator ends it.
 //
 // Limits: a rest is of the VM that was asked. A VM that starts again knows of none, and may ask
-// once. What is on its way when a rest is told arrives within it. Engines have places of
-// their own account (path.go), and none fewer while one of them rests.
+// once; so may another process of the VM that was asked, which orders layers. What is on its way
+// when a rest is told arrives within it. Engines have places by their memory and slots
+// (path.go), and none fewer while one of them rests.
 
 const (
 	// placesPerSlot is the requests at a time that a target of a plain service gets from all
@@ -66,6 +68,7 @@
 	}
 	present.until = until
 	r.rests[id] = present
+	r.noteSaid(id)
 }
 
 // Resting returns until when a target wants nothing from this VM, and whether it does.
@@ -74,9 +77,13 @@
 	return known.until, known.holds(now)
 }
 
-// ForgetRests drops the rests that have ended.
+// ForgetRests drops the rests that have ended, and those of targets that have not been known for
+// a while: each incarnation of one that starts again and again may ask for a year.
 func (r *Router) ForgetRests(now time.Time) {
-	maps.DeleteFunc(r.rests, func(_ TargetID, known rest) bool { return !known.holds(now) })
+	maps.DeleteFunc(r.rests, func(id TargetID, known rest) bool {
+		_, here := r.targets[id]
+		return !known.holds(now) || !here && !now.Before(known.began.Add(saidKept))
+	})
 }
 
 // RestingTarget is a target that wants nothing from this VM until a time.
@@ -100,9 +107,15 @@
 // EndRests ends the rests of all incarnations of a target, as its operator asks, and returns
 // how many there were.
 func (r *Router) EndRests(name string) int {
-	before := len(r.rests)
-	maps.DeleteFunc(r.rests, func(id TargetID, _ rest) bool { return id.Name() == name })
-	return before - len(r.rests)
+	ended := 0
+	for id := range r.rests {
+		if id.Name() == name {
+			delete(r.rests, id)
+			r.noteSaid(id)
+			ended++
+		}
+	}
+	return ended
 }
 
 // scarce reports whether a target of a service rests: the others have to bear its load.
@@ -110,10 +123,7 @@
 	if len(r.rests) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(r.members[service], func(t *target) bool {
-		_, resting := r.Resting(t.ID, now)
-		return resting && r.takes(t)
-	})
+	return slices.ContainsFunc(r.members[service], func(t *target) bool { return t.rest.holds(now) && t.takes() })
 }
 
 // hasPlace reports whether a target of a plain service has a place for one request more.
@@ -127,32 +137,28 @@
 	if !r.scarce(service, now) {
 		return time.Time{}, 0
 	}
-	var ends []rest
+	if r.servedBy(service, a, now) {
+		return time.Time{}, 0
+	}
+	var rests []rest
 	for _, t := range r.members[service] {
-		if known := r.rests[t.ID]; known.holds(now) && r.takes(t) {
-			ends = append(ends, known)
+		if t.rest.holds(now) && t.takes() {
+			rests = append(rests, t.rest)
 		}
 	}
-	slices.SortFunc(ends, func(x, y rest) int { return x.until.Compare(y.until) })
-	serves := func(at time.Time) bool { return r.servedBy(service, a, at) }
-	if serves(now) {
+	slices.SortFunc(rests, func(x, y rest) int { return x.until.Compare(y.until) })
+	// Whoever is over its rest stays so: the more of them are, the more is served.
+	first := sort.Search(len(rests), func(i int) bool { return r.servedBy(service, a, rests[i].until) })
+	if first == len(rests) {
 		return time.Time{}, 0
 	}
-	for _, end := range ends {
-		if serves(end.until) {
-			return end.until, end.until.Sub(end.began)
-		}
-	}
-	return time.Time{}, 0
+	return rests[first].until, rests[first].until.Sub(rests[first].began)
 }
 
 // servedBy reports whether the targets of a service that do not rest at a time, by what is
 // known now, can serve a request.
 func (r *Router) servedBy(service string, a Ask, at time.Time) bool {
-	awake := func(t *target) bool {
-		_, resting := r.Resting(t.ID, at)
-		return !resting && r.takes(t)
-	}
+	awake := func(t *target) bool { return !t.rest.holds(at) && t.takes() }
 	begins := func(t *target) bool { return awake(t) && t.Layers.First == 0 && a.mayBegin(t.ID) }
 	return slices.ContainsFunc(r.members[service], begins) && r.coveredBy(r.services[service], awake)
 }
--- a/internal/relay/rests_test.go
+++ b/internal/relay/rests_test.go
@@ -168,6 +168,20 @@
 	require.Equal(t, []relay.RestingTarget{{Target: "i-2", Until: start.Add(2 * time.Second)}}, r.RestingTargets(start.Add(time.Second)))
 }
 
+// Each incarnation of a target that starts again and again may ask for a year.
+func TestRestsOfTargetsThatAreNotKnownAreForgotten(t *testing.T) {
+	r, _ := plainRouter("i-1")
+	year := start.Add(365 * 24 * time.Hour)
+	r.Rest("i-1", year, start)
+	for born := range uint64(100) {
+		r.Rest(relay.NewTargetID("i-2", born+1), year, start)
+	}
+	r.ForgetRests(start.Add(time.Second))
+	require.Len(t, r.RestingTargets(start.Add(time.Second)), 101, "it may be learned again")
+	r.ForgetRests(start.Add(time.Hour))
+	require.Len(t, r.RestingTargets(start.Add(time.Hour)), 1)
+}
+
 func TestATargetThatSaidThatItLeavesIsGivenNothing(t *testing.T) {
 	ready := plainTarget("i-1")
 	ready.Call = 9
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -106,7 +106,7 @@
 }
 
 // covered reports whether a service has a target, or engines for each layer.
-func (r *Router) covered(s *Service) bool { return r.coveredBy(s, r.takes) }
+func (r *Router) covered(s *Service) bool { return r.coveredBy(s, (*target).takes) }
 
 // coveredBy reports whether targets of a service that a condition holds for can serve it.
 func (r *Router) coveredBy(s *Service, condition func(*target) bool) bool {
