--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -12,7 +12,7 @@
 // it, and when. registry.go has the problem and the algorithm as a whole.
 
 // followAsked answers one who follows this VM's registry. Who asks under another
-// life is told from the beginning.
+// incarnation is told from the beginning.
 func (n *Node) followAsked(id ReplicaID, f Follow) {
 	if !n.settings.Control {
 		return
@@ -57,7 +57,7 @@
 	n.registry.news = n.registry.news || n.registry.targets.Change() > present.after
 }
 
-// positionIn returns the last change of a life that the asker has, 0 where it has none.
+// positionIn returns the last change of an incarnation that the asker has, 0 where it has none.
 func (f Follow) positionIn(life uint64) uint64 {
 	if f.Life != life {
 		return 0
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -16,29 +16,29 @@
 // Algorithm: soft state, without the log. A control VM keeps what targets told
 // it and pushes each change to all who follow it, other control VMs among them.
 // Control VMs follow each other, and each is told what the other has heard itself: were
-// each of k control VMs to tell all that it knows, every one would get every word k times.
+// each of k control VMs to tell all that it knows, every one would get every message k times.
 // An entry VM follows the control VM that it renews with, which tells it all that it knows:
-// a word needs two hops, and an entry VM has one peer for it.
-// Words on one life of a target are ordered by its own numbering; leaving is
+// a message needs two hops, and an entry VM has one peer for it.
+// Messages of one incarnation of a target are ordered by its own numbering; leaving is
 // never taken back. Which of its lives counts, each VM finds out from those that it knows
 // (relay/incarnation.go). A follower names the last change that it has. One that has just
 // started has one control VM tell it what that knows of all targets, hints among it.
 //
 // A control VM saves what it knows now and then, without a sync. After a loss of
 // power of all VMs the hints let them serve before the targets have spoken again,
-// which takes up to 3 s. A hint counts as long as a word that comes at the start: one
+// which takes up to 3 s. A hint counts as long as a message that comes at the start: one
 // that counted for half as long was void while live targets still looked for a control
 // VM, and what ran there was given up. A target that is gone is found dead by its use.
 //
-// Invariants: a control VM that has not heard the leader lately takes no word,
+// Invariants: a control VM that has not heard the leader lately takes no message,
 // so that a target goes to one whose followers can hear it; what is pushed is
 // what targets said, never a guess.
 //
-// Limits: a word that only one control VM has heard is lost with it if it dies
+// Limits: a message that only one control VM has heard is lost with it if it dies
 // within one push; targets repeat what they say until they end, and a control VM that
 // a target turns to tells of it again.
 
-// TargetSpoke is a word of a target that came to this VM.
+// TargetSpoke is a message of a target that came to this VM.
 type TargetSpoke struct {
 	Conn   ConnID
 	Target relay.Target
@@ -68,7 +68,7 @@
 // TargetsLearned tells the runtime what targets have newly said.
 type TargetsLearned struct{ Targets []relay.Target }
 
-// TargetsEnded tells the runtime of lives of targets that have ended because others have
+// TargetsEnded tells the runtime of incarnations of targets that have ended because others have
 // begun, and who told: a control VM, or this one where a target spoke to it.
 type TargetsEnded struct {
 	Ended  []relay.Succession
@@ -133,7 +133,7 @@
 	// Updates are of targets that the asker was told of up to After.
 	Updates    []relay.TargetUpdate `cbor:"updates,omitempty"`
 	Heartbeats []relay.Heartbeat    `cbor:"beats,omitempty"`
-	// Missed are the lives that do not count although they began last.
+	// Missed are the incarnations that do not count although they began last.
 	Missed []relay.Missed `cbor:"missed,omitempty"`
 	// Whole says that these are all targets that the teller knows of.
 	Whole bool `cbor:"whole,omitempty"`
@@ -168,14 +168,14 @@
 	deadRatio   = 2
 	// pushCost is the wait between two pushes for each follower. Encoding and sending one
 	// takes some 100 us of half a core (estimated, not measured), so that pushes take a fifth of it at the most: 76
-	// followers are pushed to every 76 ms, 300 every 0.3 s, of the 2 s that a word may take.
+	// followers are pushed to every 76 ms, 300 every 0.3 s, of the 2 s that a message may take.
 	pushCost = time.Millisecond
 	// deafAfter is the silence of the leader after which a control VM takes no
 	// word: an election ends within it.
 	deafAfter = 1500 * time.Millisecond
 )
 
-// registry is a Node's part in spreading the words of targets.
+// registry is a Node's part in spreading the messages of targets.
 type registry struct {
 	targets   *relay.Registry
 	followers map[VMName]*follower
@@ -211,7 +211,7 @@
 	after uint64
 }
 
-// afterIn returns the last change that is known of a life.
+// afterIn returns the last change that is known of an incarnation.
 func (p position) afterIn(life uint64) uint64 {
 	if p.life != life {
 		return 0
@@ -300,7 +300,7 @@
 	return n.registry.targets.Silent(n.now.Add(-silentAfter), n.now.Add(-replacedAfter))
 }
 
-// targetSpoke takes a target's own word.
+// targetSpoke takes a target's own message.
 func (n *Node) targetSpoke(s TargetSpoke) {
 	if !n.hearsLeader() {
 		n.emit(TargetHeard{Conn: s.Conn})
@@ -313,7 +313,7 @@
 	n.emit(TargetHeard{Conn: s.Conn, Taken: true, HeldBack: heldBack})
 }
 
-// hear spreads a target's own word.
+// hear spreads a target's own message.
 func (n *Node) hear(t relay.Target) {
 	news := n.registry.targets.Hear(t, n.now)
 	ended, again := n.registry.targets.TakeTransitions()
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -22,7 +22,7 @@
 	probes   metric.Int64Counter
 	repaths  metric.Int64Counter
 	orders   metric.Int64Counter
-	// ended counts the lives of targets in whose place this VM has learned of others.
+	// ended counts the incarnations of targets in whose place this VM has learned of others.
 	ended metric.Int64Counter
 	// asked counts the engines that were asked whether they live, unanswered those that
 	// did not answer in time.
--- a/internal/daemon/probes.go
+++ b/internal/daemon/probes.go
@@ -73,7 +73,7 @@
 
 // roll is what the engines of a path answered.
 type roll struct {
-	// silent are those that did not answer, or where another life did.
+	// silent are those that did not answer, or where another incarnation did.
 	silent []relay.TargetID
 	// paces are those that told how slow they are.
 	paces map[relay.TargetID]float64
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -15,7 +15,7 @@
 type watcher struct {
 	f   *forwarding
 	ctx context.Context
-	// living ends with the life of the target that got the request.
+	// living ends with the incarnation of the target that got the request.
 	living context.Context
 	began  time.Time
 	// heard is when the last bytes came.
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -37,7 +37,7 @@
 	// rest and departed are what it has said with its answers: see Router.noteSaid.
 	rest     rest
 	departed bool
-	// void says that another life runs in the place of this one. A void target is no member
+	// void says that another incarnation runs in the place of this one. A void target is no member
 	// of its service.
 	void bool
 	// failures is a moving mean of recent results: 0 all well, 1 all failed.
--- a/internal/relay/digest.go
+++ b/internal/relay/digest.go
@@ -11,7 +11,7 @@
 // before. It sends a sum of hashes for each of some buckets of targets, and is told of the
 // buckets that differ: at 3,000 targets of which one has changed, some 320 bytes and 47
 // targets instead of 3,000, which are 225 KB (computed). When the VMs of one hall out of
-// three turn to the others, words on targets take 4.1 MB in 4 s instead of 21.3 (reducer, 300
+// three turn to the others, messages of targets take 4.1 MB in 4 s instead of 21.3 (reducer, 300
 // VMs, 3,000 targets).
 //
 // Limits: two registries with the same sums that differ pass for equal once in four thousand
@@ -27,7 +27,7 @@
 
 func (id TargetID) bucket() int { return int(id.Key() % digestBuckets) }
 
-// Digest returns the sums of the registry. Void lives are not in it; missed ones differ from
+// Digest returns the sums of the registry. Void incarnations are not in it; missed ones differ from
 // those that speak again.
 func (r *Registry) Digest() Digest {
 	d := make(Digest, digestBuckets)
--- a/internal/relay/incarnation.go
+++ b/internal/relay/incarnation.go
@@ -8,31 +8,31 @@
 	"time"
 )
 
-// This file tells the lives of a target apart, its incarnations: one that starts again under
-// its name knows nothing of its last life's requests and holds none of its layers.
+// This file tells the incarnations of a target apart: one that starts again under
+// its name knows nothing of the requests of the one before and holds none of its layers.
 //
-// Problem: what a life that has ended had sent may arrive after what the next one sends, by
+// Problem: what an incarnation that has ended had sent may arrive after what the next one sends, by
 // any way and in any order, and must not bring it back.
 //
 // Algorithm: the start is a part of the identity, so that all that is kept by TargetID is of
-// one life. Of the lives of one name, and of those at one address, the one with the latest
-// start counts and the others are void. Each registry finds that out from the lives that it
+// one incarnation. Of the incarnations of one name, and of those at one address, the one with the latest
+// start counts and the others are void. Each registry finds that out from the incarnations that it
 // knows, so that neither the order of arrival nor any clock of its own matters.
 //
-// Where a clock was set back, the life that runs has not the latest start. It is taken once
+// Where a clock was set back, the incarnation that runs has not the latest start. It is taken once
 // the later ones have been silent for SilentAfter: the control VM that hears it notes them as
-// missed, up to the last word that it has of each, and tells others with it. A missed life
-// voids nothing. Its next word, which is newer than the note, ends that.
+// missed, up to the last message that it has of each, and tells others with it. A missed incarnation
+// voids nothing. Its next message, which is newer than the note, ends that.
 //
-// Invariants: what counts depends on the lives and notes that are known, not on the order in
-// which they arrived; a void life is told to nobody, saved nowhere and given nothing.
+// Invariants: what counts depends on the incarnations and notes that are known, not on the order in
+// which they arrived; a void incarnation is told to nobody, saved nowhere and given nothing.
 //
-// Limits: a word of an earlier life that comes when the later one has been silent for
+// Limits: a message of an earlier incarnation that comes when the later one has been silent for
 // SilentAfter has the earlier one count until the later one speaks or the earlier one is
 // silent for as long. A target at an address that one with a later start had before, by
 // another machine's clock, is taken up to SilentAfter late.
 
-// TargetID names one life of a target: by its name and, where it is told, its start.
+// TargetID names one incarnation of a target: by its name and, where it is told, its start.
 type TargetID string
 
 // startMark stands between the name and the start in a TargetID, and startBase is the base
@@ -42,7 +42,7 @@
 	startBase = 36
 )
 
-// NewTargetID returns the identity of the life of a target that began at a start, in Unix
+// NewTargetID returns the identity of the incarnation of a target that began at a start, in Unix
 // milliseconds; 0 where that is not told. Two different pairs have different identities.
 func NewTargetID(name string, born uint64) TargetID {
 	if born == 0 && !strings.Contains(name, startMark) {
@@ -51,7 +51,7 @@
 	return TargetID(name + startMark + strconv.FormatUint(born, startBase))
 }
 
-// Name returns the name that all lives of the target have.
+// Name returns the name that all incarnations of the target have.
 func (id TargetID) Name() string {
 	if at := strings.LastIndex(string(id), startMark); at >= 0 {
 		return string(id[:at])
@@ -59,7 +59,7 @@
 	return string(id)
 }
 
-// Born returns the start of this life in Unix milliseconds, or 0 where it is not told.
+// Born returns the start of this incarnation in Unix milliseconds, or 0 where it is not told.
 func (id TargetID) Born() uint64 {
 	at := strings.LastIndex(string(id), startMark)
 	if at < 0 {
@@ -72,7 +72,7 @@
 	return born
 }
 
-// OtherIncarnation reports whether what told a start speaks of another life than this one. It does
+// OtherIncarnation reports whether what told a start speaks of another incarnation than this one. It does
 // not where either start is not told.
 func (id TargetID) OtherIncarnation(born uint64) bool {
 	own := id.Born()
@@ -84,18 +84,18 @@
 // 1,000 deployments; the one then counts as busy, or is left alone, with the other.
 type TargetKey uint32
 
-// Key returns the key of this life: that of another life of the same name differs.
+// Key returns the key of this incarnation: that of another incarnation of the same name differs.
 func (id TargetID) Key() TargetKey {
 	h := fnv.New32a()
 	h.Write([]byte(id)) // a hash takes everything
 	return TargetKey(h.Sum32())
 }
 
-// Succession says that a life of a target, or the target at an address, has ended because
+// Succession says that an incarnation of a target, or the target at an address, has ended because
 // another one has begun.
 type Succession struct{ Old, New TargetID }
 
-// Missed is a note that a life with a later start was silent when one with an earlier start
+// Missed is a note that an incarnation with a later start was silent when one with an earlier start
 // spoke: it counts no more unless it has spoken after Call.
 type Missed struct {
 	_    struct{} `cbor:",toarray"`
@@ -109,9 +109,9 @@
 	at   time.Time
 }
 
-// incarnations is what a Registry keeps to tell which life counts.
+// incarnations is what a Registry keeps to tell which incarnation counts.
 type incarnations struct {
-	// byName and byAddress hold the lives that only one of can run.
+	// byName and byAddress hold the incarnations that only one of can run.
 	byName    map[string][]TargetID
 	byAddress map[string][]TargetID
 	missed    map[TargetID]missedNote
@@ -124,7 +124,7 @@
 	return incarnations{byName: make(map[string][]TargetID), byAddress: make(map[string][]TargetID), missed: make(map[TargetID]missedNote)}
 }
 
-// file notes a life under its name and address.
+// file notes an incarnation under its name and address.
 func (l *incarnations) file(t Target) {
 	l.byName[t.ID.Name()] = withID(l.byName[t.ID.Name()], t.ID)
 	if t.Address != "" {
@@ -132,7 +132,7 @@
 	}
 }
 
-// unfile drops a life from its name and address.
+// unfile drops an incarnation from its name and address.
 func (l *incarnations) unfile(t Target) {
 	dropID(l.byName, t.ID.Name(), t.ID)
 	dropID(l.byAddress, t.Address, t.ID)
@@ -155,7 +155,7 @@
 	}
 }
 
-// rivals returns the lives of which at most one runs beside a target: those of its name, and
+// rivals returns the incarnations of which at most one runs beside a target: those of its name, and
 // those at its address.
 func (l *incarnations) rivals(t Target) []TargetID {
 	all := l.byName[t.ID.Name()]
@@ -168,13 +168,13 @@
 	return all
 }
 
-// missing reports whether a life has said nothing since it was noted as missed.
+// missing reports whether an incarnation has said nothing since it was noted as missed.
 func (r *Registry) missing(t Target) bool {
 	note, noted := r.incarnations.missed[t.ID]
 	return noted && t.Call <= note.call
 }
 
-// refile works out again which life counts where a target's heartbeat may change that: the
+// refile works out again which incarnation counts where a target's heartbeat may change that: the
 // target was not known, has another address, or was missed and speaks. It reports the last.
 func (r *Registry) refile(before, after Target, known bool) (spokeAgain bool) {
 	note, noted := r.incarnations.missed[after.ID]
@@ -185,7 +185,7 @@
 	r.incarnations.file(after)
 	switch {
 	case !known:
-		// A life that never counted here does not end.
+		// An incarnation that never counted here does not end.
 		e := r.targets[after.ID]
 		_, e.void = r.voidedBy(after)
 		r.targets[after.ID] = e
@@ -201,7 +201,7 @@
 	return spokeAgain
 }
 
-// renew marks a life as changed, so that followers are sent it again.
+// renew marks an incarnation as changed, so that followers are sent it again.
 func (r *Registry) renew(id TargetID) {
 	r.change++
 	e := r.targets[id]
@@ -209,7 +209,7 @@
 	r.targets[id] = e
 }
 
-// settle works out which of some lives are void, and notes those where that has changed.
+// settle works out which of some incarnations are void, and notes those where that has changed.
 func (r *Registry) settle(ids []TargetID) {
 	for _, id := range ids {
 		e, known := r.targets[id]
@@ -232,7 +232,7 @@
 	}
 }
 
-// voidedBy returns the life with the latest start that voids a target, if there is one.
+// voidedBy returns the incarnation with the latest start that voids a target, if there is one.
 func (r *Registry) voidedBy(t Target) (by TargetID, void bool) {
 	latest := t.ID.Born()
 	for _, id := range r.incarnations.rivals(t) {
@@ -243,7 +243,7 @@
 	return by, void
 }
 
-// missSilent notes the silent ones of the lives with a later start than one that has just
+// missSilent notes the silent ones of the incarnations with a later start than one that has just
 // spoken, to this VM or to another that it is told all signs of life by.
 func (r *Registry) missSilent(t Target, now time.Time) {
 	noted := false
@@ -272,7 +272,7 @@
 	}
 }
 
-// Missed returns the notes on lives that have said nothing since, sorted. A note on a life
+// Missed returns the notes on incarnations that have said nothing since, sorted. A note on an incarnation
 // that is forgotten here is told no more: two VMs would keep it alive between them.
 func (r *Registry) Missed() []Missed {
 	var missed []Missed
@@ -286,7 +286,7 @@
 	return missed
 }
 
-// TakeTransitions returns the lives that have ended, and those that count again, since it was
+// TakeTransitions returns the incarnations that have ended, and those that count again, since it was
 // last called. Ended that did both since are left out of the one that no longer holds.
 func (r *Registry) TakeTransitions() (ended []Succession, again []Target) {
 	for _, s := range r.incarnations.ended {
@@ -303,13 +303,13 @@
 	return ended, again
 }
 
-// Counts reports whether a life is known and not void.
+// Counts reports whether an incarnation is known and not void.
 func (r *Registry) Counts(id TargetID) bool {
 	e, known := r.targets[id]
 	return known && !e.void
 }
 
-// signOff returns the lives that a target which signs off speaks of: the one whose start it
+// signOff returns the incarnations that a target which signs off speaks of: the one whose start it
 // tells or, where it tells none, those of its name that count here at this moment.
 func (r *Registry) signOff(t Target) []Target {
 	leaving := []Target{t}
@@ -326,7 +326,7 @@
 	return leaving
 }
 
-// forgetIncarnations drops the lives that the registry no longer knows, and notes from before a
+// forgetIncarnations drops the incarnations that the registry no longer knows, and notes from before a
 // time.
 func (r *Registry) forgetIncarnations(forgotten []Target, after time.Time) {
 	for _, t := range forgotten {
@@ -342,7 +342,7 @@
 	}
 }
 
-// EndedBy returns the lives known here that end with the first words of others. A VM that
+// EndedBy returns the incarnations known here that end with the first messages of others. A VM that
 // follows a registry for long may know targets that its own registry has forgotten.
 func (r *Router) EndedBy(words []Target) (ended []Succession) {
 	names, addresses := make(map[string]TargetID), make(map[string]TargetID)
@@ -365,10 +365,10 @@
 	return ended
 }
 
-// latest keeps the life with the later start at a key.
+// latest keeps the incarnation with the later start at a key.
 func latest(of map[string]TargetID, key string, id TargetID) { of[key] = later(of[key], id) }
 
-// later returns the life with the later start.
+// later returns the incarnation with the later start.
 func later(a, b TargetID) TargetID {
 	if b.Born() > a.Born() {
 		return b
@@ -376,7 +376,7 @@
 	return a
 }
 
-// End takes the lives that have ended: they get nothing new, what runs there counts as lost,
+// End takes the incarnations that have ended: they get nothing new, what runs there counts as lost,
 // and nothing that is known of them is carried over. It returns the addresses of those that
 // this VM knew.
 func (r *Router) End(ended []Succession) (addresses []string) {
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -20,7 +20,7 @@
 	// Call is the number of the message that said so; a higher one is newer.
 	Call uint64 `cbor:"call"`
 	// Leaving targets take no new work. Gone ones have signed off. Neither is
-	// ever taken back in one life.
+	// ever taken back by the incarnation.
 	Leaving bool `cbor:"leaving,omitempty"`
 	Gone    bool `cbor:"gone,omitempty"`
 	// Layers is what an engine holds. Loading says that it is carrying out an
@@ -32,7 +32,7 @@
 	Load int `cbor:"-"`
 }
 
-// TargetUpdate is what a target says in its life that changes, for those who have been told
+// TargetUpdate is what an incarnation of a target says that changes, for those who have been told
 // the rest: a third of the bytes of a Target.
 type TargetUpdate struct {
 	_       struct{}     `cbor:",toarray"`
@@ -61,14 +61,14 @@
 // Takes reports whether the target may be given new work.
 func (t Target) Takes() bool { return !t.Leaving && !t.Gone }
 
-// merge returns the newer of two words on the same life, with the marks that
+// merge returns the newer of two messages of the same incarnation, with the marks that
 // are never taken back.
 func (t Target) merge(other Target) Target {
 	newer := t
 	if other.Call > t.Call {
 		newer = other
 		if newer.Address == "" {
-			// A word that only signs off says nothing else.
+			// A message that only signs off says nothing else.
 			newer = t
 			newer.Call = other.Call
 		}
@@ -82,7 +82,7 @@
 // and a half, so that one late heartbeat does no harm.
 const SilentAfter = 3 * time.Second
 
-// Registry holds the targets by life. The zero value is not usable.
+// Registry holds the targets by incarnation. The zero value is not usable.
 type Registry struct {
 	targets map[TargetID]entry
 	// names holds the keys of targets, sorted: they are gone through several times a second.
@@ -106,7 +106,7 @@
 	firstHand bool
 	// departed says that this VM was told by one that the target has answered that it leaves.
 	departed bool
-	// void says that another life runs in the place of this one.
+	// void says that another incarnation runs in the place of this one.
 	void bool
 }
 
@@ -115,7 +115,7 @@
 	return &Registry{targets: make(map[TargetID]entry), incarnations: newIncarnations()}
 }
 
-// Hear takes a target's own word, and reports whether followers are to be told of it
+// Hear takes a target's own message, and reports whether followers are to be told of it
 // before they ask.
 func (r *Registry) Hear(t Target, now time.Time) bool {
 	if !t.Gone {
@@ -128,7 +128,7 @@
 	return news
 }
 
-// Learn takes what another VM was told, and reports whether it is new. A void life is not.
+// Learn takes what another VM was told, and reports whether it is new. A void incarnation is not.
 func (r *Registry) Learn(t Target, now time.Time) bool { return r.take(t, now, false) }
 
 func (r *Registry) take(t Target, now time.Time, firstHand bool) bool {
@@ -149,7 +149,7 @@
 		e.firstHand = present.firstHand || firstHand && differs
 	}
 	// A target that turns to this VM is told of again to other control VMs, also where it
-	// says nothing new: the VM that it spoke to before may have died with its last word. It
+	// says nothing new: the VM that it spoke to before may have died with its last message. It
 	// can wait for them to ask, unless the target leaves: after a loss of all VMs every
 	// target turns to one that it has not spoken to. Who follows this VM alone has been told.
 	turned := firstHand && !present.firstHand && !late
@@ -191,7 +191,7 @@
 }
 
 // silent reports whether a target counts as lost: who asks for all targets is not told of
-// it, so that its next word is news.
+// it, so that its next message is news.
 func (e entry) silent(now time.Time) bool { return now.Sub(e.heardAt) > SilentAfter }
 
 // differs compares all but the number of the message.
@@ -220,7 +220,7 @@
 	}
 }
 
-// Get returns the newest word on a target.
+// Get returns the newest message of a target.
 func (r *Registry) Get(id TargetID) (Target, bool) {
 	e, ok := r.targets[id]
 	return e.target, ok
@@ -262,7 +262,7 @@
 	return ok && e.introduced <= change
 }
 
-// find returns the targets that a condition holds for, sorted by identity. Void lives are
+// find returns the targets that a condition holds for, sorted by identity. Void incarnations are
 // not among them.
 func (r *Registry) find(wanted func(entry) bool) []Target {
 	var targets []Target
@@ -299,7 +299,7 @@
 
 // Silent returns the targets that have said nothing after a time and have not
 // signed off, and the void ones. Where another target at the same address has spoken since,
-// less silence is enough: an address has one target at a time, and words of one that died
+// less silence is enough: an address has one target at a time, and messages of one that died
 // may still come late.
 func (r *Registry) Silent(after, replacedAfter time.Time) []TargetID {
 	var silent []TargetID
