--- a/internal/core/common_start.go
+++ b/internal/core/common_start.go
@@ -9,12 +9,12 @@
 // leader is left, and everybody waited for a promise to nobody: 0.5 to 0.8 s without any
 // service, while callers came back.
 //
-// Algorithm: a replica that has heard no leader in its life asks all voters whether that is
-// so with them too. Each answer names the life that it is of. Once each voter, and not only
-// a quorum, has answered, and has answered again in the same life what was asked after the
+// Algorithm: a replica that has heard no leader in its incarnation asks all voters whether that is
+// so with them too. Each answer names the incarnation that it is of. Once each voter, and not only
+// a quorum, has answered, and has answered again in the same incarnation what was asked after the
 // last of these answers, all of them were in lives without a leader at one moment: a leader
 // is a voter, so that nobody led. The one with the newest log, and of those the first by
-// name, then stands for election, and a voter that is in the life that it spoke of, and
+// name, then stands for election, and a voter that is in the incarnation that it spoke of, and
 // still has heard no leader, does not deny it its vote. Any other voter does.
 //
 // Invariants: at the moment between the two answers no lease runs. Who gains one later was
@@ -35,7 +35,7 @@
 
 // commonStart is what a replica knows of others that have just started.
 type commonStart struct {
-	// known says that this replica has led or heard a leader in this life.
+	// known says that this replica has led or heard a leader in this incarnation.
 	known bool
 	askAt time.Time
 	// asked is the number of the newest ask.
@@ -44,11 +44,11 @@
 	started map[ReplicaID]startedVoter
 }
 
-// startedVoter is what a voter has said of its life.
+// startedVoter is what a voter has said of its incarnation.
 type startedVoter struct {
-	life uint64
-	end  logEnd
-	// since is the number of the newest ask when its first answer of this life came, and
+	incarnation uint64
+	end         logEnd
+	// since is the number of the newest ask when its first answer of this incarnation came, and
 	// answered that of the newest ask that it has answered.
 	since, answered uint64
 }
@@ -98,11 +98,11 @@
 	r.common.askAt = n.now.Add(commonStartEvery)
 	r.common.asked++
 	for _, id := range r.otherVoters() {
-		n.send(id.VM, Message{StartAsk: &StartAsk{Life: n.settings.Seed, Number: r.common.asked}})
+		n.send(id.VM, Message{StartAsk: &StartAsk{Incarnation: n.settings.Seed, Number: r.common.asked}})
 	}
 }
 
-// startAsked tells another voter that this one has heard no leader in its life.
+// startAsked tells another voter that this one has heard no leader in its incarnation.
 func (n *Node) startAsked(from ReplicaID, a StartAsk) {
 	r := &n.replica
 	if r.common.known || !r.members.IsVoter(from) || !r.members.IsVoter(r.id) {
@@ -110,7 +110,7 @@
 	}
 	end := r.end()
 	n.sendAfterSync(from.VM, Message{StartReply: &StartReply{
-		AskedBy: a.Life, Number: a.Number, Life: n.settings.Seed, LastTerm: end.term, LastIndex: end.index,
+		AskedBy: a.Incarnation, Number: a.Number, Incarnation: n.settings.Seed, LastTerm: end.term, LastIndex: end.index,
 	}})
 }
 
@@ -125,9 +125,9 @@
 		r.common.started = make(map[ReplicaID]startedVoter)
 	}
 	v, known := r.common.started[from]
-	first := !known || v.life != s.Life
+	first := !known || v.incarnation != s.Incarnation
 	if first {
-		v = startedVoter{life: s.Life, since: r.common.asked}
+		v = startedVoter{incarnation: s.Incarnation, since: r.common.asked}
 	}
 	v.end = logEnd{term: s.LastTerm, index: s.LastIndex}
 	v.answered = max(v.answered, s.Number)
--- a/internal/core/departures_test.go
+++ b/internal/core/departures_test.go
@@ -160,7 +160,7 @@
 	ready := f.target
 	ready.Call += 100
 	ready.Slots = 12
-	news := core.TargetNews{Life: 99, Upto: 1, Targets: []relay.Target{ready}}
+	news := core.TargetNews{Incarnation: 99, Upto: 1, Targets: []relay.Target{ready}}
 	f.step("e0-0", core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: "c1-1", Incarnation: 99}, To: "e0-0", Body: core.Message{TargetNews: &news}}})
 	require.Equal(t, ready.Slots, f.learned["e0-0"][departing].Slots)
 	require.True(t, f.learned["e0-0"][departing].Leaving)
--- a/internal/core/election.go
+++ b/internal/core/election.go
@@ -233,7 +233,7 @@
 		if id != r.id {
 			vote := v
 			if reason == voteAfterCommonStart {
-				vote.StartedIn = r.common.started[id].life
+				vote.StartedIn = r.common.started[id].incarnation
 			}
 			n.sendAfterSync(id.VM, Message{Vote: &vote})
 		}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -126,7 +126,7 @@
 // then.
 func (n *Node) heardOfAll() bool {
 	for vm, f := range n.registry.followers {
-		if _, heard := n.leading.parts[vm]; f.beats && n.now.Before(f.until) && !heard {
+		if _, heard := n.leading.parts[vm]; f.control && n.now.Before(f.until) && !heard {
 			return false
 		}
 	}
--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -33,7 +33,7 @@
 	present.until = n.now.Add(followLife)
 	present.askedAt = n.now
 	present.hall = f.Hall
-	present.beats = f.Heartbeats
+	present.control = f.Heartbeats
 	if !present.acknowledge(f.positionIn(n.settings.Seed), n.now) && !present.overdue(n.now) {
 		n.tellHeartbeats(from, present)
 		return
@@ -58,8 +58,8 @@
 }
 
 // positionIn returns the last change of an incarnation that the asker has, 0 where it has none.
-func (f Follow) positionIn(life uint64) uint64 {
-	if f.Life != life {
+func (f Follow) positionIn(incarnation uint64) uint64 {
+	if f.Incarnation != incarnation {
 		return 0
 	}
 	return f.After
@@ -97,7 +97,7 @@
 // way wait: a sign of life bears the number of its message, and what the message says would
 // count as late once it comes.
 func (n *Node) tellHeartbeats(vm VMName, f *follower) {
-	if !f.beats {
+	if !f.control {
 		return
 	}
 	onTheirWay := make(map[relay.TargetID]bool)
@@ -105,7 +105,7 @@
 		onTheirWay[t.ID] = true
 	}
 	beats := slices.DeleteFunc(n.registry.targets.HeartbeatsSince(f.heartbeatsAt), func(b relay.Heartbeat) bool { return onTheirWay[b.ID] })
-	n.send(vm, Message{TargetNews: &TargetNews{Life: n.settings.Seed, After: f.acknowledged, Upto: f.acknowledged, Heartbeats: beats}})
+	n.send(vm, Message{TargetNews: &TargetNews{Incarnation: n.settings.Seed, After: f.acknowledged, Upto: f.acknowledged, Heartbeats: beats}})
 }
 
 // noteLeaving notes that targets among some leave.
@@ -124,9 +124,9 @@
 		return // it costs nothing while none leaves
 	}
 	f.leaving = n.registry.targets.Change()
-	leaving := slices.DeleteFunc(n.newsAfter(after, f.beats), func(t relay.Target) bool { return t.Takes() })
+	leaving := slices.DeleteFunc(n.newsAfter(after, f.control), func(t relay.Target) bool { return t.Takes() })
 	if len(leaving) > 0 {
-		n.send(vm, Message{TargetNews: &TargetNews{Life: n.settings.Seed, After: f.acknowledged, Upto: f.acknowledged, Targets: leaving}})
+		n.send(vm, Message{TargetNews: &TargetNews{Incarnation: n.settings.Seed, After: f.acknowledged, Upto: f.acknowledged, Targets: leaving}})
 	}
 }
 
@@ -170,11 +170,11 @@
 		if f.lost > 0 {
 			f.after = f.acknowledged
 		}
-		if f.after == 0 && !f.beats {
+		if f.after == 0 && !f.control {
 			n.tellAll(vm, f, nil)
 			continue
 		}
-		at := place{after: f.after, own: f.beats}
+		at := place{after: f.after, own: f.control}
 		targets, known := news[at]
 		if !known {
 			targets = n.newsAfter(at.after, at.own)
@@ -213,7 +213,7 @@
 
 // tell sends a follower news of targets, which bring it to the newest change.
 func (n *Node) tell(vm VMName, f *follower, targets []relay.Target, news TargetNews) {
-	news.Life = n.settings.Seed
+	news.Incarnation = n.settings.Seed
 	news.After = f.after
 	news.Upto = n.registry.targets.Change()
 	news.Missed = n.registry.targets.Missed()
@@ -224,7 +224,7 @@
 		}
 		news.Targets = append(news.Targets, t)
 	}
-	if f.beats {
+	if f.control {
 		news.Heartbeats = n.registry.targets.HeartbeatsSince(f.heartbeatsAt)
 		f.heartbeatsAt = n.now
 	}
--- /dev/null
+++ b/internal/core/following.go
@@ -0,0 +1,185 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// This file is the follower's side of the registry: whom a VM asks for what is new of targets, and
+// how it takes it. registry.go has the problem and the algorithm as a whole.
+
+// Follow asks a control VM for the changes of its registry.
+type Follow struct {
+	// Incarnation and After name the last change that the asker has.
+	Incarnation uint64 `cbor:"life"`
+	After       uint64 `cbor:"after"`
+	// Heartbeats asks for signs of life too.
+	Heartbeats bool `cbor:"beats,omitempty"`
+	// OwnOnly asks for the targets that speak to the one asked: the asker has been told
+	// of all others.
+	OwnOnly bool `cbor:"own_only,omitempty"`
+	// Came acknowledges the last news, and asks for none.
+	Came bool `cbor:"came,omitempty"`
+	// Digest is set where the asker has been told of targets, and never by the one asked.
+	Digest relay.Digest `cbor:"digest,omitempty"`
+	// Hall is the asker's. Away says of an entry VM that no control VM of it has answered.
+	Hall string `cbor:"hall,omitempty"`
+	Away bool   `cbor:"away,omitempty"`
+}
+
+// TargetNews brings the changes of a registry after After, up to Upto.
+type TargetNews struct {
+	Incarnation uint64         `cbor:"life"`
+	After       uint64         `cbor:"after,omitempty"`
+	Upto        uint64         `cbor:"upto"`
+	Targets     []relay.Target `cbor:"targets,omitempty"`
+	// Updates are of targets that the asker was told of up to After.
+	Updates    []relay.TargetUpdate `cbor:"updates,omitempty"`
+	Heartbeats []relay.Heartbeat    `cbor:"beats,omitempty"`
+	// Missed are the incarnations that do not count although they began last.
+	Missed []relay.Missed `cbor:"missed,omitempty"`
+	// Whole says that these are all targets that the teller knows of.
+	Whole bool `cbor:"whole,omitempty"`
+}
+
+type position struct {
+	incarnation uint64
+	after       uint64
+}
+
+// afterIn returns the last change that is known of an incarnation.
+func (p position) afterIn(incarnation uint64) uint64 {
+	if p.incarnation != incarnation {
+		return 0
+	}
+	return p.after
+}
+
+func (n *Node) followInterval() time.Duration {
+	switch {
+	case n.settings.Control:
+		return heartbeatsEvery
+	case !n.registry.whole:
+		return followFirst
+	}
+	return followEvery
+}
+
+// follow asks for what is new: an entry VM the control VM that it renews with.
+func (n *Node) follow() {
+	if n.settings.Control {
+		n.followControls()
+		return
+	}
+	source := n.entry.tenure.source
+	if source == "" || source == n.settings.Self.VM {
+		return
+	}
+	at, known := n.registry.followed[source]
+	ask := Follow{Incarnation: at.incarnation, After: at.after, Hall: n.settings.Address.Hall, Away: !n.entry.tenure.homeAt.IsZero()}
+	if !known && n.registry.whole {
+		ask.Digest = n.registry.targets.Digest()
+	}
+	n.send(source, Message{Follow: &ask})
+}
+
+// followControls asks all other control VMs for what is new. Until one of them has told
+// all that it knows, one after the other is asked for that.
+func (n *Node) followControls() {
+	r := &n.registry
+	others := slices.DeleteFunc(n.controlVMs(), func(vm VMName) bool { return vm == n.settings.Self.VM })
+	if len(others) == 0 {
+		return
+	}
+	if r.wholeFrom == 0 {
+		r.wholeFrom = 1 + n.rand.IntN(len(others))
+	}
+	for i, vm := range others {
+		at := r.followed[vm]
+		ask := Follow{Incarnation: at.incarnation, After: at.after, Heartbeats: true, OwnOnly: r.whole || i != r.wholeFrom%len(others), Hall: n.settings.Address.Hall}
+		if !ask.OwnOnly {
+			ask.Incarnation, ask.After = 0, 0
+		}
+		n.send(vm, Message{Follow: &ask})
+	}
+	r.wholeFrom++
+}
+
+func (n *Node) receiveRegistry(e Envelope) {
+	switch b := e.Body; {
+	case b.Follow != nil:
+		n.followAsked(e.From, *b.Follow)
+	case b.TargetNews != nil:
+		n.newsTaken(e.From.VM, *b.TargetNews)
+	}
+}
+
+// acknowledgeNews acknowledges a control VM's news, so that it sends what is next.
+func (n *Node) acknowledgeNews(from VMName, news TargetNews) {
+	if len(news.Targets) == 0 && len(news.Updates) == 0 {
+		return
+	}
+	at := n.registry.followed[from]
+	ask := Follow{Incarnation: at.incarnation, After: at.after, Heartbeats: n.settings.Control, OwnOnly: true, Came: true, Hall: n.settings.Address.Hall}
+	if !n.settings.Control {
+		ask.OwnOnly = false
+		ask.Away = !n.entry.tenure.homeAt.IsZero()
+	}
+	n.send(from, Message{Follow: &ask})
+}
+
+// newsTaken takes what a control VM has heard.
+func (n *Node) newsTaken(from VMName, news TargetNews) {
+	at := n.registry.followed[from]
+	if news.After == 0 || news.Incarnation == at.incarnation && news.After <= at.after {
+		// Otherwise news before these were lost, and are asked for again.
+		n.registry.followed[from] = position{incarnation: news.Incarnation, after: max(news.Upto, at.afterIn(news.Incarnation))}
+	}
+	n.registry.whole = n.registry.whole || news.Whole
+	for _, m := range news.Missed {
+		n.registry.targets.Miss(m, n.now)
+	}
+	var learned []relay.Target
+	for _, u := range news.Updates {
+		t, known := n.registry.targets.Get(u.ID)
+		if !known {
+			// It was forgotten here: all is asked for again.
+			n.registry.followed[from] = position{}
+			continue
+		}
+		news.Targets = append(news.Targets, t.With(u))
+	}
+	for _, t := range news.Targets {
+		if n.registry.targets.Learn(t, n.now) {
+			// The teller may not know of a departure that this VM was told of before.
+			known, _ := n.registry.targets.Get(t.ID)
+			learned = append(learned, known)
+		}
+	}
+	for _, b := range news.Heartbeats {
+		n.registry.targets.Alive(b.ID, b.Call, n.now)
+	}
+	n.acknowledgeNews(from, news)
+	ended, again := n.registry.targets.TakeTransitions()
+	n.endIncarnations(ended, from)
+	learned = slices.DeleteFunc(append(learned, again...), func(t relay.Target) bool { return !n.registry.targets.Counts(t.ID) })
+	n.noteLeaving(learned)
+	n.registry.news = n.registry.news || len(learned) > 0
+	if len(learned) > 0 && n.settings.Entry {
+		n.emit(TargetsLearned{Targets: learned})
+	}
+}
+
+// endIncarnations gives up lives of targets that have ended, with what was ordered of them.
+func (n *Node) endIncarnations(ended []relay.Succession, teller VMName) {
+	if len(ended) == 0 {
+		return
+	}
+	n.registry.news = true
+	for _, s := range ended {
+		delete(n.leading.placing.orders, s.Old)
+	}
+	n.emit(TargetsEnded{Ended: ended, Teller: teller})
+}
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -200,7 +200,7 @@
 func (n *Node) liveControls() []ControlVM {
 	controls := []ControlVM{{VM: n.settings.Self.VM, Hall: n.settings.Address.Hall}}
 	for _, vm := range slices.Sorted(maps.Keys(n.registry.followers)) {
-		if f := n.registry.followers[vm]; f.beats && n.now.Before(f.askedAt.Add(elsewhereAfter)) {
+		if f := n.registry.followers[vm]; f.control && n.now.Before(f.askedAt.Add(elsewhereAfter)) {
 			controls = append(controls, ControlVM{VM: vm, Hall: f.hall})
 		}
 	}
@@ -276,7 +276,7 @@
 func (n *Node) entryFollowers() int {
 	vms := 0
 	for _, f := range n.registry.followers {
-		if !f.beats && n.now.Before(f.until) {
+		if !f.control && n.now.Before(f.until) {
 			vms++
 		}
 	}
@@ -289,7 +289,7 @@
 	var expected []VMName
 	for _, vm := range slices.Sorted(maps.Keys(n.registry.followers)) {
 		f := n.registry.followers[vm]
-		if _, holds := n.forwarding.holders[vm]; !holds && !f.beats && n.now.Before(f.until) {
+		if _, holds := n.forwarding.holders[vm]; !holds && !f.control && n.now.Before(f.until) {
 			expected = append(expected, vm)
 		}
 	}
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -87,19 +87,19 @@
 }
 
 // StartAsk asks a voter whether it has heard no leader in its life either. Who has heard one
-// does not answer. Life is the asker's, and Number counts its asks.
+// does not answer. Incarnation is the asker's, and Number counts its asks.
 type StartAsk struct {
-	Life   uint64 `cbor:"life"`
-	Number uint64 `cbor:"number"`
+	Incarnation uint64 `cbor:"life"`
+	Number      uint64 `cbor:"number"`
 }
 
 // StartReply answers a StartAsk of AskedBy with the sender's life and the end of its log.
 type StartReply struct {
-	AskedBy   uint64 `cbor:"asked_by"`
-	Number    uint64 `cbor:"number"`
-	Life      uint64 `cbor:"life"`
-	LastTerm  Term   `cbor:"last_term"`
-	LastIndex Index  `cbor:"last_index"`
+	AskedBy     uint64 `cbor:"asked_by"`
+	Number      uint64 `cbor:"number"`
+	Incarnation uint64 `cbor:"life"`
+	LastTerm    Term   `cbor:"last_term"`
+	LastIndex   Index  `cbor:"last_index"`
 }
 
 // VoteReply answers a Vote.
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -105,40 +105,6 @@
 func (TargetsEnded) isEffect()   {}
 func (FleetLearned) isEffect()   {}
 
-// Follow asks a control VM for the changes of its registry.
-type Follow struct {
-	// Life and After name the last change that the asker has.
-	Life  uint64 `cbor:"life"`
-	After uint64 `cbor:"after"`
-	// Heartbeats asks for signs of life too.
-	Heartbeats bool `cbor:"beats,omitempty"`
-	// OwnOnly asks for the targets that speak to the one asked: the asker has been told
-	// of all others.
-	OwnOnly bool `cbor:"own_only,omitempty"`
-	// Came acknowledges the last news, and asks for none.
-	Came bool `cbor:"came,omitempty"`
-	// Digest is set where the asker has been told of targets, and never by the one asked.
-	Digest relay.Digest `cbor:"digest,omitempty"`
-	// Hall is the asker's. Away says of an entry VM that no control VM of it has answered.
-	Hall string `cbor:"hall,omitempty"`
-	Away bool   `cbor:"away,omitempty"`
-}
-
-// TargetNews brings the changes of a registry after After, up to Upto.
-type TargetNews struct {
-	Life    uint64         `cbor:"life"`
-	After   uint64         `cbor:"after,omitempty"`
-	Upto    uint64         `cbor:"upto"`
-	Targets []relay.Target `cbor:"targets,omitempty"`
-	// Updates are of targets that the asker was told of up to After.
-	Updates    []relay.TargetUpdate `cbor:"updates,omitempty"`
-	Heartbeats []relay.Heartbeat    `cbor:"beats,omitempty"`
-	// Missed are the incarnations that do not count although they began last.
-	Missed []relay.Missed `cbor:"missed,omitempty"`
-	// Whole says that these are all targets that the teller knows of.
-	Whole bool `cbor:"whole,omitempty"`
-}
-
 const (
 	// followEvery is the interval between two asks of an entry VM, and heartbeatsEvery of
 	// a control VM, which brings signs of life; a change is pushed at once. An ask
@@ -155,8 +121,8 @@
 	// forgetAfter is the silence after which a target is dropped: far longer than
 	// a cut between VMs lasts.
 	forgetAfter = 60 * time.Second
-	// silentAfter is the silence after which a target counts as lost: two beats of
-	// 1.2 s and a half, so that one late beat does no harm.
+	// silentAfter is the silence after which a target counts as lost: two heartbeats of
+	// 1.2 s and a half, so that one late heartbeat does no harm.
 	silentAfter = relay.SilentAfter
 	// replacedAfter is that silence where another target has its address: a beat and
 	// a quarter.
@@ -206,19 +172,6 @@
 	leftAt uint64
 }
 
-type position struct {
-	life  uint64
-	after uint64
-}
-
-// afterIn returns the last change that is known of an incarnation.
-func (p position) afterIn(life uint64) uint64 {
-	if p.life != life {
-		return 0
-	}
-	return p.after
-}
-
 // follower is a VM that is pushed to.
 type follower struct {
 	id    ReplicaID
@@ -239,8 +192,8 @@
 	// askedAt is when it last asked, hall the one that it said it is in.
 	askedAt time.Time
 	hall    string
-	// beats says that it is a control VM, which is told what this one has heard itself.
-	beats        bool
+	// control says that it is a control VM, which is told what this one has heard itself.
+	control      bool
 	heartbeatsAt time.Time
 }
 
@@ -402,130 +355,3 @@
 	}
 	return false
 }
-
-func (n *Node) followInterval() time.Duration {
-	switch {
-	case n.settings.Control:
-		return heartbeatsEvery
-	case !n.registry.whole:
-		return followFirst
-	}
-	return followEvery
-}
-
-// follow asks for what is new: an entry VM the control VM that it renews with.
-func (n *Node) follow() {
-	if n.settings.Control {
-		n.followControls()
-		return
-	}
-	source := n.entry.tenure.source
-	if source == "" || source == n.settings.Self.VM {
-		return
-	}
-	at, known := n.registry.followed[source]
-	ask := Follow{Life: at.life, After: at.after, Hall: n.settings.Address.Hall, Away: !n.entry.tenure.homeAt.IsZero()}
-	if !known && n.registry.whole {
-		ask.Digest = n.registry.targets.Digest()
-	}
-	n.send(source, Message{Follow: &ask})
-}
-
-// followControls asks all other control VMs for what is new. Until one of them has told
-// all that it knows, one after the other is asked for that.
-func (n *Node) followControls() {
-	r := &n.registry
-	others := slices.DeleteFunc(n.controlVMs(), func(vm VMName) bool { return vm == n.settings.Self.VM })
-	if len(others) == 0 {
-		return
-	}
-	if r.wholeFrom == 0 {
-		r.wholeFrom = 1 + n.rand.IntN(len(others))
-	}
-	for i, vm := range others {
-		at := r.followed[vm]
-		ask := Follow{Life: at.life, After: at.after, Heartbeats: true, OwnOnly: r.whole || i != r.wholeFrom%len(others), Hall: n.settings.Address.Hall}
-		if !ask.OwnOnly {
-			ask.Life, ask.After = 0, 0
-		}
-		n.send(vm, Message{Follow: &ask})
-	}
-	r.wholeFrom++
-}
-
-func (n *Node) receiveRegistry(e Envelope) {
-	switch b := e.Body; {
-	case b.Follow != nil:
-		n.followAsked(e.From, *b.Follow)
-	case b.TargetNews != nil:
-		n.newsTaken(e.From.VM, *b.TargetNews)
-	}
-}
-
-// acknowledgeNews acknowledges a control VM's news, so that it sends what is next.
-func (n *Node) acknowledgeNews(from VMName, news TargetNews) {
-	if len(news.Targets) == 0 && len(news.Updates) == 0 {
-		return
-	}
-	at := n.registry.followed[from]
-	ask := Follow{Life: at.life, After: at.after, Heartbeats: n.settings.Control, OwnOnly: true, Came: true, Hall: n.settings.Address.Hall}
-	if !n.settings.Control {
-		ask.OwnOnly = false
-		ask.Away = !n.entry.tenure.homeAt.IsZero()
-	}
-	n.send(from, Message{Follow: &ask})
-}
-
-// newsTaken takes what a control VM has heard.
-func (n *Node) newsTaken(from VMName, news TargetNews) {
-	at := n.registry.followed[from]
-	if news.After == 0 || news.Life == at.life && news.After <= at.after {
-		// Otherwise news before these were lost, and are asked for again.
-		n.registry.followed[from] = position{life: news.Life, after: max(news.Upto, at.afterIn(news.Life))}
-	}
-	n.registry.whole = n.registry.whole || news.Whole
-	for _, m := range news.Missed {
-		n.registry.targets.Miss(m, n.now)
-	}
-	var learned []relay.Target
-	for _, u := range news.Updates {
-		t, known := n.registry.targets.Get(u.ID)
-		if !known {
-			// It was forgotten here: all is asked for again.
-			n.registry.followed[from] = position{}
-			continue
-		}
-		news.Targets = append(news.Targets, t.With(u))
-	}
-	for _, t := range news.Targets {
-		if n.registry.targets.Learn(t, n.now) {
-			// The teller may not know of a departure that this VM was told of before.
-			known, _ := n.registry.targets.Get(t.ID)
-			learned = append(learned, known)
-		}
-	}
-	for _, b := range news.Heartbeats {
-		n.registry.targets.Alive(b.ID, b.Call, n.now)
-	}
-	n.acknowledgeNews(from, news)
-	ended, again := n.registry.targets.TakeTransitions()
-	n.endIncarnations(ended, from)
-	learned = slices.DeleteFunc(append(learned, again...), func(t relay.Target) bool { return !n.registry.targets.Counts(t.ID) })
-	n.noteLeaving(learned)
-	n.registry.news = n.registry.news || len(learned) > 0
-	if len(learned) > 0 && n.settings.Entry {
-		n.emit(TargetsLearned{Targets: learned})
-	}
-}
-
-// endIncarnations gives up lives of targets that have ended, with what was ordered of them.
-func (n *Node) endIncarnations(ended []relay.Succession, teller VMName) {
-	if len(ended) == 0 {
-		return
-	}
-	n.registry.news = true
-	for _, s := range ended {
-		delete(n.leading.placing.orders, s.Old)
-	}
-	n.emit(TargetsEnded{Ended: ended, Teller: teller})
-}
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -42,7 +42,7 @@
 	n.Step(now, from("c3", core.Message{Follow: &core.Follow{OwnOnly: true, Heartbeats: true}}))
 	n.Step(now, from("e1", core.Message{Follow: &core.Follow{}}))
 	second := relay.Target{ID: "i-2", Address: "b", Call: 3}
-	n.Step(now, from("c2", core.Message{TargetNews: &core.TargetNews{Life: 9, Upto: 1, Targets: []relay.Target{second}}}))
+	n.Step(now, from("c2", core.Message{TargetNews: &core.TargetNews{Incarnation: 9, Upto: 1, Targets: []relay.Target{second}}}))
 	own := relay.Target{ID: "i-1", Address: "a", Call: 1}
 	n.Step(now, core.TargetSpoke{Conn: 1, Target: own})
 	pushed := nextPush(n, now)
@@ -58,7 +58,7 @@
 	now := lead(n, time.Unix(100, 0))
 	n.Step(now, from("e1", core.Message{Follow: &core.Follow{OwnOnly: true}}))
 	leaving := relay.Target{ID: "i-2", Address: "b", Call: 3, Leaving: true}
-	n.Step(now, from("c2", core.Message{TargetNews: &core.TargetNews{Life: 9, Upto: 1, Targets: []relay.Target{leaving}}}))
+	n.Step(now, from("c2", core.Message{TargetNews: &core.TargetNews{Incarnation: 9, Upto: 1, Targets: []relay.Target{leaving}}}))
 	again := leaving
 	again.Call = 4
 	n.Step(now, core.TargetSpoke{Conn: 1, Target: again})
@@ -71,9 +71,9 @@
 	n := controlNode(nil, time.Unix(100, 0))
 	now := lead(n, time.Unix(100, 0))
 	follow := func() []relay.Target {
-		return news(n.Step(now, from("e1", core.Message{Follow: &core.Follow{Life: 3, OwnOnly: true}})), "e1")
+		return news(n.Step(now, from("e1", core.Message{Follow: &core.Follow{Incarnation: 3, OwnOnly: true}})), "e1")
 	}
-	n.Step(now, from("c2", core.Message{TargetNews: &core.TargetNews{Life: 9, Upto: 1, Targets: []relay.Target{{ID: "i-2", Address: "b", Call: 3}}}}))
+	n.Step(now, from("c2", core.Message{TargetNews: &core.TargetNews{Incarnation: 9, Upto: 1, Targets: []relay.Target{{ID: "i-2", Address: "b", Call: 3}}}}))
 	require.Empty(t, follow())
 	nextPush(n, now)
 	n.Step(now, core.TargetSpoke{Conn: 1, Target: relay.Target{ID: "i-2", Address: "b", Call: 4}})
@@ -86,7 +86,7 @@
 	now := lead(n, time.Unix(100, 0))
 	n.Step(now, from("e1", core.Message{Follow: &core.Follow{OwnOnly: true}}))
 	newer := relay.Target{ID: "i-2", Address: "b", Call: 5}
-	n.Step(now, from("c2", core.Message{TargetNews: &core.TargetNews{Life: 9, Upto: 1, Targets: []relay.Target{newer}}}))
+	n.Step(now, from("c2", core.Message{TargetNews: &core.TargetNews{Incarnation: 9, Upto: 1, Targets: []relay.Target{newer}}}))
 	n.Step(now, core.TargetSpoke{Conn: 1, Target: relay.Target{ID: "i-2", Address: "b", Call: 4, Leaving: true}})
 	told := news(nextPush(n, now), "e1")
 	require.Len(t, told, 1)
@@ -328,7 +328,7 @@
 	now = now.Add(100 * time.Millisecond)
 	require.Empty(t, newsTo(n.Step(now, from("e1", core.Message{Follow: &core.Follow{}})), "e1"), "so are they where it asks again")
 
-	came := core.Follow{Life: first[0].Life, After: first[0].Upto, Came: true}
+	came := core.Follow{Incarnation: first[0].Incarnation, After: first[0].Upto, Came: true}
 	n.Step(now, from("e1", core.Message{Follow: &came}))
 	next := newsTo(nextPush(n, now), "e1")
 	require.Len(t, next, 1)
@@ -365,7 +365,7 @@
 	require.Equal(t, []relay.Target{leaves}, beside[0].Targets)
 	require.Empty(t, newsTo(nextPush(n, now.Add(time.Second/10)), "e1"), "once")
 
-	came := core.Follow{Life: first[0].Life, After: first[0].Upto, Came: true}
+	came := core.Follow{Incarnation: first[0].Incarnation, After: first[0].Upto, Came: true}
 	n.Step(now.Add(300*time.Millisecond), from("e1", core.Message{Follow: &came}))
 	again := newsTo(nextPush(n, now.Add(300*time.Millisecond)), "e1")
 	require.Len(t, again, 1, "its place has not moved")
@@ -401,8 +401,8 @@
 	ask := core.Message{Follow: &core.Follow{OwnOnly: true, Heartbeats: true}}
 	first := newsTo(n.Step(now, from("c3", ask)), "c3")[0]
 	require.Len(t, first.Targets, 1)
-	n.Step(now, from("c3", core.Message{Follow: &core.Follow{Life: first.Life, After: first.Upto, Came: true, OwnOnly: true, Heartbeats: true}}))
-	ask.Follow.Life, ask.Follow.After = first.Life, first.Upto
+	n.Step(now, from("c3", core.Message{Follow: &core.Follow{Incarnation: first.Incarnation, After: first.Upto, Came: true, OwnOnly: true, Heartbeats: true}}))
+	ask.Follow.Incarnation, ask.Follow.After = first.Incarnation, first.Upto
 	n.Step(now, core.TargetSpoke{Conn: 1, Target: relay.Target{ID: "i-2", Address: "b", Call: 1}})
 	require.Len(t, newsTo(nextPush(n, now), "c3"), 1)
 	for range 5 {
