--- a/internal/relay/departures.go
+++ b/internal/relay/departures.go
@@ -14,7 +14,7 @@
 // Algorithm: what an answer says is final for the incarnation, as it is for heartbeats, and kept
 // by it: the VM gives it nothing new from that moment on. It reports the departure to the control
 // VM that it renews with, with each renewal until that one's news say the same; that one takes
-// it as it takes a heartbeat (core/registry.go). A later word that the target is ready has it
+// it as it takes a heartbeat (core/registry.go). A later message that it is ready has it
 // reported again.
 //
 // Limits: it takes the other VMs up to a renewal and two ways between VMs to learn of it.
