--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -216,8 +216,10 @@
 	return known.fingerprints(), known.midway
 }
 
-// Heed has a gateway do as a target asks.
-func Heed(g *Gateway, id relay.TargetID, notice relay.Notice) { g.heed(id, notice, clock.Now()) }
+// ApplyNotice has a gateway do as a target asks.
+func ApplyNotice(g *Gateway, id relay.TargetID, notice relay.Notice) {
+	g.applyNotice(id, notice, clock.Now())
+}
 
 // EnginesOf returns the engines as a gateway speaks to them.
 func EnginesOf(g *Gateway) Engines { return g.platform.Engines }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -62,7 +62,7 @@
 	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, policy: p.Router.Policy, router: relay.NewRouter(p.Router), informed: make(chan struct{}), started: clock.Now()}
 	g.exchanger = target.NewExchanger(meter.dialled)
 	g.crashes.init()
-	g.platform.Engines = politeEngines{Engines: p.Engines, g: g}
+	g.platform.Engines = gatedEngines{Engines: p.Engines, g: g}
 	g.exchanges.underWay = make(map[relay.TargetID]map[*exchange]bool)
 	if d.settings.Limits.MemoryMB > 0 {
 		g.exchanger.BoundKernel()
--- a/internal/daemon/notices.go
+++ b/internal/daemon/notices.go
@@ -16,7 +16,7 @@
 // don't want. relay/rests.go and relay/departures.go decide.
 //
 // Two ways lead to a target, and both pass here: requests, which the Exchanger asks about once
-// it has a connection (mayReach), and what an engine is asked beside them (politeEngines). So
+// it has a connection (mayReach), and what an engine is asked beside them (gatedEngines). So
 // nothing that was picked before a target spoke, that waited for a connection or is sent a second
 // time, reaches one that rests. What was taken by a target that leaves ends there, and may be
 // given another path; a request is sent there no more.
@@ -35,9 +35,9 @@
 	return g.whileResting(id)
 }
 
-// mayDisturb returns why an engine may not be asked anything, or nil. Its error is an
+// mayAsk returns why an engine may not be asked anything, or nil. Its error is an
 // ErrHeldBack.
-func (g *Gateway) mayDisturb(id relay.TargetID) error {
+func (g *Gateway) mayAsk(id relay.TargetID) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.whileResting(id)
@@ -58,15 +58,15 @@
 	first := path.First()
 	notice, err := f.g.platform.Codec.Notice(first.Target, answer.Status, answer.Header, now)
 	f.g.unusableNotice(first.Target, err)
-	if f.g.heed(first.Target, notice, now) {
+	if f.g.applyNotice(first.Target, notice, now) {
 		f.g.log.Info("target says something of itself", "request", f.call.ID, "target", first.Target, "address", first.Address, "status", answer.Status,
 			"leaving", notice.Leaving, "rest_ms", restMillis(notice, now), "picked_ms", now.Sub(f.pickedAt).Milliseconds(), "sent_ms", now.Sub(f.sentAt).Milliseconds())
 	}
 	return notice
 }
 
-// heed does as a target asks, and reports whether it said anything that is new here.
-func (g *Gateway) heed(id relay.TargetID, notice relay.Notice, now time.Time) bool {
+// applyNotice does as a target asks, and reports whether it said anything that is new here.
+func (g *Gateway) applyNotice(id relay.TargetID, notice relay.Notice, now time.Time) bool {
 	if notice == (relay.Notice{}) {
 		return false
 	}
@@ -81,10 +81,10 @@
 	return news
 }
 
-// heedEngine does as an engine asks with an answer to something other than a request.
-func (g *Gateway) heedEngine(engine relay.Stage, asked string, notice relay.Notice) {
+// applyEngineNotice does as an engine asks with an answer to something other than a request.
+func (g *Gateway) applyEngineNotice(engine relay.Stage, asked string, notice relay.Notice) {
 	now := clock.Now()
-	if g.heed(engine.Target, notice, now) {
+	if g.applyNotice(engine.Target, notice, now) {
 		g.log.Info("engine says something of itself", "asked", asked, "target", engine.Target, "address", engine.Address,
 			"leaving", notice.Leaving, "rest_ms", restMillis(notice, now))
 	}
@@ -121,40 +121,40 @@
 	return n.RestUntil.Sub(now).Milliseconds()
 }
 
-// politeEngines ask nothing of engines that rest.
-type politeEngines struct {
+// gatedEngines ask nothing of engines that rest.
+type gatedEngines struct {
 	Engines
 	g *Gateway
 }
 
 // Order implements Engines. An order that is held back counts as refused: it is given again.
-func (e politeEngines) Order(ctx context.Context, o core.OrderLayers) (core.OrderOutcome, relay.Notice) {
-	if err := e.g.mayDisturb(o.Target); err != nil {
+func (e gatedEngines) Order(ctx context.Context, o core.OrderLayers) (core.OrderOutcome, relay.Notice) {
+	if err := e.g.mayAsk(o.Target); err != nil {
 		e.g.log.Info("order not sent", "target", o.Target, "reason", err.Error())
 		return core.OrderRefused, relay.Notice{}
 	}
 	outcome, notice := e.Engines.Order(ctx, o)
-	e.g.heedEngine(relay.Stage{Target: o.Target, Address: o.Address}, "order", notice)
+	e.g.applyEngineNotice(relay.Stage{Target: o.Target, Address: o.Address}, "order", notice)
 	return outcome, notice
 }
 
 // Report implements Engines.
-func (e politeEngines) Report(ctx context.Context, engine relay.Stage) (EngineReport, error) {
-	if err := e.g.mayDisturb(engine.Target); err != nil {
+func (e gatedEngines) Report(ctx context.Context, engine relay.Stage) (EngineReport, error) {
+	if err := e.g.mayAsk(engine.Target); err != nil {
 		return EngineReport{}, err
 	}
 	report, err := e.Engines.Report(ctx, engine)
-	e.g.heedEngine(engine, "report", report.Notice)
+	e.g.applyEngineNotice(engine, "report", report.Notice)
 	return report, err
 }
 
 // Repath implements Engines. An answer whose new path is held back waits, or goes on elsewhere
 // as a repeat.
-func (e politeEngines) Repath(ctx context.Context, request string, p relay.Path) (relay.Notice, error) {
-	if err := e.g.mayDisturb(p.First().Target); err != nil {
+func (e gatedEngines) Repath(ctx context.Context, request string, p relay.Path) (relay.Notice, error) {
+	if err := e.g.mayAsk(p.First().Target); err != nil {
 		return relay.Notice{}, err
 	}
 	notice, err := e.Engines.Repath(ctx, request, p)
-	e.g.heedEngine(p.First(), "path", notice)
+	e.g.applyEngineNotice(p.First(), "path", notice)
 	return notice, err
 }
--- a/internal/daemon/rests_test.go
+++ b/internal/daemon/rests_test.go
@@ -106,7 +106,7 @@
 		t.Run(name, func(t *testing.T) {
 			var g *daemon.Gateway
 			var w *worker
-			dropped := step{meanwhile: func() { daemon.Heed(g, relay.TargetID(w.address), notice) }}
+			dropped := step{meanwhile: func() { daemon.ApplyNotice(g, relay.TargetID(w.address), notice) }}
 			w = newWorker(t, served, dropped, served)
 			g = newEntry(t, relay.RepeatAlways, 2, w)
 			require.Equal(t, http.StatusOK, ask(t, g))
@@ -149,7 +149,7 @@
 func TestNobodyIsHeldUntilALongRestEnds(t *testing.T) {
 	p := newPausing(t)
 	g := pausingEntry(t, relay.Target{ID: "i-1", Service: "s", Address: p.address, Slots: 10, Call: 1})
-	daemon.Heed(g, "i-1", relay.Notice{RestUntil: time.Now().Add(3 * time.Hour)})
+	daemon.ApplyNotice(g, "i-1", relay.Notice{RestUntil: time.Now().Add(3 * time.Hour)})
 	later := time.Now().Add(time.Hour)
 	status := askCall(t, g, &daemon.Call{ID: "a", Arrived: later, Deadline: later, Method: http.MethodPost, URI: "/", Path: "/", Host: "h", After: "7"})
 	require.Equal(t, http.StatusServiceUnavailable, status)
