core, daemon: a departure that a control VM is told with an answer counts too

Cause: control VMs order engines and read their reports, and have no housekeeping of a gateway: what an engine said there stayed in that process, and rests that it asked for were kept without a bound. Change: the Node is told at once; rests are bounded by number (4,096, the oldest go), departures of targets that are not known for a minute are forgotten as others come.

--- a/internal/core/departures_test.go
+++ b/internal/core/departures_test.go
@@ -107,6 +107,16 @@
 	}
 }
 
+// A control VM that an engine answers to an order counts it as an entry VM's report.
+func TestADepartureThatAControlVMIsToldIsKnownToAll(t *testing.T) {
+	f := newDepartureFleet(t)
+	f.step("c1-1", core.TargetDeparts{Target: departing})
+	require.Less(t, f.until("all know", knownWithin, f.known), 2*time.Second)
+	f.step("e0-0", core.TargetDeparts{Target: "i-9"}) // an entry VM reports with its renewals
+	f.run(time.Second)
+	require.True(t, f.known())
+}
+
 // Without any disturbance it takes a renewal and two ways: as long as a heartbeat may take.
 func TestADepartureIsKnownSoon(t *testing.T) {
 	f := newDepartureFleet(t)
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -141,8 +141,9 @@
 	case WorkCounted:
 		n.entry.work, n.entry.usage = ev.Work, ev.Usage
 		n.entry.findings = ev.Findings
+	case TargetDeparts:
 		if n.settings.Control {
-			n.departuresHeard(ev.Findings.Leaving, n.settings.Self.VM)
+			n.departuresHeard([]relay.TargetID{ev.Target}, n.settings.Self.VM)
 		}
 	case RunsCrashed:
 		n.runsCrashed(ev)
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -44,6 +44,10 @@
 	Target relay.Target
 }
 
+// TargetDeparts is what a target has said to this VM with an answer to something other than a
+// request: that it leaves. An entry VM reports it with its renewals too.
+type TargetDeparts struct{ Target relay.TargetID }
+
 // TargetHeard answers TargetSpoke. Taken is false where the target should tell
 // another control VM.
 type TargetHeard struct {
@@ -96,9 +100,10 @@
 	MarksWhole bool
 }
 
-func (TargetSpoke) isEvent() {}
-func (WorkCounted) isEvent() {}
-func (SeedsRead) isEvent()   {}
+func (TargetSpoke) isEvent()   {}
+func (WorkCounted) isEvent()   {}
+func (SeedsRead) isEvent()     {}
+func (TargetDeparts) isEvent() {}
 
 func (TargetHeard) isEffect()    {}
 func (TargetsLearned) isEffect() {}
--- a/internal/daemon/notices.go
+++ b/internal/daemon/notices.go
@@ -85,6 +85,9 @@
 func (g *Gateway) applyEngineNotice(engine relay.Stage, asked string, notice relay.Notice) {
 	now := clock.Now()
 	if g.applyNotice(engine.Target, notice, now) {
+		if notice.Leaving {
+			g.daemon.post(core.TargetDeparts{Target: engine.Target})
+		}
 		g.log.Info("engine says something of itself", "asked", asked, "target", engine.Target, "address", engine.Address,
 			"leaving", notice.Leaving, "rest_ms", restMillis(notice, now))
 	}
--- a/internal/daemon/rests_test.go
+++ b/internal/daemon/rests_test.go
@@ -213,6 +213,7 @@
 			require.False(t, tell(daemon.EnginesOf(g)))
 			require.False(t, tell(daemon.EnginesOf(g)))
 			require.Equal(t, []relay.TargetID{id}, daemon.FindingsOf(g).Leaving)
+			require.Equal(t, core.TargetDeparts{Target: id}, daemon.Posted(t.Context(), g))
 		})
 	}
 }
--- a/internal/relay/departures.go
+++ b/internal/relay/departures.go
@@ -20,8 +20,7 @@
 // Limits: it takes the other VMs up to a renewal and two ways between VMs to learn of it.
 
 // saidKept is how long after the last answer that says so a departure is reported, and how long
-// what a target has said is kept once it is not known any more: as long as control VMs know
-// silent targets.
+// it is kept once its target is not known any more: as long as control VMs know silent targets.
 const saidKept = time.Minute
 
 // departure is that a target has said with an answer that it leaves.
@@ -36,6 +35,9 @@
 // is new here.
 func (r *Router) Leave(id TargetID, now time.Time) bool {
 	present, known := r.departures[id]
+	if !known {
+		r.ForgetDepartures(now) // a VM that serves no callers does so nowhere else
+	}
 	present.saidAt = now
 	if t, here := r.targets[id]; here && !t.Takes() {
 		present.confirmed = true
--- a/internal/relay/rests.go
+++ b/internal/relay/rests.go
@@ -29,7 +29,7 @@
 // after its rest until it answers, nothing would change.
 //
 // Invariants: a rest is not shortened by its target; what is known of one goes only after its
-// end, or where an operator ends it.
+// end, where an operator ends it, or where more than restsMost are kept.
 //
 // Limits: a rest is of the VM that was asked. A VM that starts again knows of none, and may ask
 // once; so may another process of the VM that was asked, which orders layers. What is on its way
@@ -46,6 +46,10 @@
 	// up to 0.5 s old, in the place of the own part 14,664 (two per slot). Four per slot serve
 	// as many.
 	placesPerSlot = 3
+	// restsMost bounds the rests that are kept, some 0.5 MB: seven times as many as the targets
+	// of the largest deployment. Each incarnation of a target that starts again and again may ask
+	// for a year.
+	restsMost = 4096
 	// returnLeast is the least time over which callers that rests have turned away are
 	// told to come back: a target serves some ten requests a slot in it.
 	returnLeast = 500 * time.Millisecond
@@ -69,6 +73,26 @@
 	present.until = until
 	r.rests[id] = present
 	r.noteSaid(id)
+	r.boundRests(now)
+}
+
+// boundRests keeps the number of rests within restsMost: those that have ended go first, then
+// the oldest.
+func (r *Router) boundRests(now time.Time) {
+	if len(r.rests) <= restsMost {
+		return
+	}
+	r.ForgetRests(now)
+	for len(r.rests) > restsMost {
+		var oldest TargetID
+		for id, known := range r.rests {
+			if oldest == "" || known.began.Before(r.rests[oldest].began) {
+				oldest = id
+			}
+		}
+		delete(r.rests, oldest)
+		r.noteSaid(oldest)
+	}
 }
 
 // Resting returns until when a target wants nothing from this VM, and whether it does.
@@ -77,13 +101,9 @@
 	return known.until, known.holds(now)
 }
 
-// ForgetRests drops the rests that have ended, and those of targets that have not been known for
-// a while: each incarnation of one that starts again and again may ask for a year.
+// ForgetRests drops the rests that have ended.
 func (r *Router) ForgetRests(now time.Time) {
-	maps.DeleteFunc(r.rests, func(id TargetID, known rest) bool {
-		_, here := r.targets[id]
-		return !known.holds(now) || !here && !now.Before(known.began.Add(saidKept))
-	})
+	maps.DeleteFunc(r.rests, func(_ TargetID, known rest) bool { return !known.holds(now) })
 }
 
 // RestingTarget is a target that wants nothing from this VM until a time.
