--- a/internal/daemon/choosing.go
+++ b/internal/daemon/choosing.go
@@ -16,12 +16,20 @@
 	until := f.waitUntil()
 	for {
 		path, refusal := f.g.choose(f)
-		if refusal == nil || refusal.Kind == relay.RefusedCrashes || !refusal.NotBefore.Before(until) || !f.mayWait() || !f.pause(ctx, until) {
+		if refusal == nil || !f.worthWaiting(refusal, until) || !f.pause(ctx, until) {
 			return path, refusal
 		}
 	}
 }
 
+// worthWaiting reports whether another look before a time may find what this one did not.
+func (f *forwarding) worthWaiting(r *relay.Refusal, until time.Time) bool {
+	if r.Kind == relay.RefusedCrashes || !r.NotBefore.Before(until) {
+		return false
+	}
+	return f.mayWait()
+}
+
 // waitUntil is how long a request waits for room, or for a repeat: a caller gives an answer
 // up that has brought nothing for callerPatience.
 func (f *forwarding) waitUntil() time.Time {
--- a/internal/daemon/rests_test.go
+++ b/internal/daemon/rests_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
-	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -86,10 +85,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	done := serve(ctx, g, httptest.NewRecorder())
 	closed(t, "the stream begins", p.begun)
-	for daemon.FindingsOf(g).Leaving == nil {
-		require.NoError(t, t.Context().Err())
-		runtime.Gosched()
-	}
+	require.Eventually(t, func() bool { return daemon.FindingsOf(g).Leaving != nil }, patience, time.Millisecond)
 	require.Equal(t, http.StatusServiceUnavailable, ask(t, g))
 	require.Equal(t, 1, daemon.UnderWay(g), "what runs there goes on")
 	cancel()
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -30,12 +30,10 @@
 	members  map[string][]*target
 	// marks are those of all targets that have any, also of ones not known here yet.
 	marks map[TargetKey]Mark
-	// rests and departures are what targets have said to this VM with their answers.
-	rests      map[TargetID]rest
-	departures map[TargetID]departure
-	budgets    map[string]*budget
-	sums       sums
-	vms        int
+	said
+	budgets map[string]*budget
+	sums    sums
+	vms     int
 	// othersKnown says that this VM has been told what others have under way.
 	othersKnown bool
 	// changing counts the changes of halls on the paths under way.
@@ -53,16 +51,15 @@
 // NewRouter returns a Router without a document.
 func NewRouter(s Settings) *Router {
 	return &Router{
-		settings:   s,
-		rand:       rand.New(rand.NewPCG(s.Seed, 1)),
-		targets:    make(map[TargetID]*target),
-		members:    make(map[string][]*target),
-		marks:      make(map[TargetKey]Mark),
-		rests:      make(map[TargetID]rest),
-		departures: make(map[TargetID]departure),
-		budgets:    make(map[string]*budget),
-		waits:      make(map[string]average),
-		vms:        1,
+		settings: s,
+		rand:     rand.New(rand.NewPCG(s.Seed, 1)),
+		targets:  make(map[TargetID]*target),
+		members:  make(map[string][]*target),
+		marks:    make(map[TargetKey]Mark),
+		said:     newSaid(),
+		budgets:  make(map[string]*budget),
+		waits:    make(map[string]average),
+		vms:      1,
 	}
 }
 
