--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -104,18 +104,6 @@
 	return Refusal{}, true
 }
 
-// poolRests returns the refusal of work that can't begin in time because all that could run it
-// rest. It is to come back after the first of the rests, spread over as long again.
-func (n *Node) poolRests(p *pool, w *waiting) (Refusal, bool) {
-	first, all := n.restEnds(p)
-	if !all || first.Before(p.latest(w)) {
-		return Refusal{}, false
-	}
-	spread := max(first.Sub(n.now), time.Second)
-	return refusal(RefusedOverload, RanNo, "all that could run it have asked for rest", "come back at the given time").
-		WithRetryAt(first.Add(time.Duration(n.rand.Int64N(int64(spread))))), true
-}
-
 // readmit puts work that had its turn and was refused by a target back in line.
 // It is not charged again, so that it goes to the front of its flow's share.
 func (p *pool) readmit(w *waiting, avoid string) *waiting {
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -92,54 +92,6 @@
 	n.note("target suspected", name)
 }
 
-// restTarget notes that a target wants no calls from this VM until a time. Nothing else
-// ends that, and it is never shortened.
-func (n *Node) restTarget(name string, until time.Time) {
-	if !n.now.Before(until) {
-		return
-	}
-	t := n.target(name)
-	if until.After(t.restUntil) {
-		t.restUntil = until
-		n.note("target has asked for rest until "+wall(until).Format(time.RFC3339), name)
-	}
-}
-
-// rests reports whether a target wants no calls from this VM.
-func (n *Node) rests(name string) bool {
-	t, ok := n.entry.targets[name]
-	return ok && n.now.Before(t.restUntil)
-}
-
-func (n *Node) routeRests(r *route) bool {
-	return slices.ContainsFunc(r.stages, func(s Stage) bool { return n.rests(s.Target) })
-}
-
-// restEnds returns when the first route of a pool is over its rest, and whether all of them
-// rest.
-func (n *Node) restEnds(p *pool) (first time.Time, all bool) {
-	for _, r := range p.routes {
-		if !n.routeRests(r) {
-			return time.Time{}, false
-		}
-		end := n.now
-		for _, s := range r.stages {
-			end = later(end, n.target(s.Target).restUntil)
-		}
-		if first.IsZero() || end.Before(first) {
-			first = end
-		}
-	}
-	return first, len(p.routes) > 0
-}
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
-
 func (n *Node) trust(name string) {
 	if t, ok := n.entry.targets[name]; ok {
 		t.failures = 0
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 	Slots int
 	// Delay is how long a call takes.
 	Delay time.Duration
+	// Rest is what a runner without room asks for; zero for none.
+	Rest time.Duration
 }
 
 // Service is a fake runner: it counts how often each identity was run.
@@ -95,6 +98,9 @@
 	run, ok := s.begin(r)
 	if !ok {
 		w.Header().Set(target.HeaderNotRun, "no room")
+		if rest := s.options.Rest; rest > 0 {
+			w.Header().Set(target.HeaderRetryAfter, strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/fake"
 	"github.com/spoolbank/spoolbank/internal/target"
 )
 
@@ -126,11 +127,7 @@
 			require.Equal(t, test.want, ended.Result)
 		})
 	}
-	resting := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set(target.HeaderNotRun, "no room")
-		w.Header().Set(target.HeaderRetryAfter, "60")
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}))
+	resting := httptest.NewServer(fake.NewService(fake.ServiceOptions{Name: "s1", Rest: time.Minute}).Handler())
 	defer resting.Close()
 	asked := time.Now()
 	until := asked.Add(time.Minute)
