platform, daemon, core: what targets say and nothing reads is counted; limits are read and logged

It is the third time that a name was new on the wire and passed over. Ruled out: logging values, which may be private, and a line for each answer. Change: names in answers, reports and heartbeats that nothing reads are counted by name (64 at the most), logged once a name, and shown (show unread, spoolbank.target.unread). A limit of requests a second is read, and logged where it is new or over. Nothing acts on it yet.

--- a/internal/core/rests.go
+++ b/internal/core/rests.go
@@ -32,6 +32,15 @@
 	return t
 }
 
+// unreadTable lists the names that targets have used and that nothing on this VM reads.
+func (n *Node) unreadTable() Table {
+	t := Table{Columns: []string{"vm", "name", "count"}}
+	for _, u := range n.entry.findings.Unread {
+		t.add(n.settings.Self.VM, u.Name, u.Count)
+	}
+	return t
+}
+
 // restTarget notes that a target wants no calls from this VM until a time. Nothing else
 // ends that, and it is never shortened.
 func (n *Node) restTarget(name string, until time.Time) {
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -236,3 +236,6 @@
 	g.daemon.gateway = g
 	g.daemon.carryOut(effect)
 }
+
+// UnreadOf returns the names that targets have used and a gateway does not read.
+func UnreadOf(g *Gateway) []relay.UnreadName { return g.unread.list() }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -31,6 +31,7 @@
 	meter     *gatewayMetrics
 	policy    relay.Policy
 	unusable  lineLimit
+	unread    *unreadNames
 	entrance  entrance
 	answers   answerTimes
 
@@ -61,6 +62,7 @@
 	}
 	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, policy: p.Router.Policy, router: relay.NewRouter(p.Router), informed: make(chan struct{}), started: clock.Now()}
 	g.exchanger = target.NewExchanger(meter.dialled)
+	g.unread = newUnreadNames(d.log, meter.unread)
 	g.crashes.init()
 	g.platform.Engines = gatedEngines{Engines: p.Engines, g: g}
 	g.exchanges.underWay = make(map[relay.TargetID]map[*exchange]bool)
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -36,6 +36,8 @@
 	quarantine  metric.Int64Gauge
 	// unused counts what other writers sent and is not used.
 	unused metric.Int64Counter
+	// unread counts the names in what targets say that nothing reads.
+	unread metric.Int64Counter
 	// notices counts the answers with which targets say that they leave or want to rest.
 	notices metric.Int64Counter
 	// held counts the requests that were held back as they were sent, and resting is the
@@ -78,6 +80,7 @@
 	g.unanswered = counter("spoolbank.target.overdue.unanswered")
 	g.connections = counter("spoolbank.callers.connections")
 	g.unused = counter("spoolbank.target.words.unusable")
+	g.unread = counter("spoolbank.target.unread")
 	g.held = counter("spoolbank.requests.held_back")
 	g.notices = counter("spoolbank.target.notices")
 	g.runsCrashed = counter("spoolbank.requests.crashed")
@@ -138,6 +141,9 @@
 	if !n.RestUntil.IsZero() {
 		g.notices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "rest")))
 	}
+	if n.Limited {
+		g.notices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "limit")))
+	}
 }
 
 func (g *gatewayMetrics) heldBack() { g.held.Add(context.Background(), 1) }
--- a/internal/daemon/notices.go
+++ b/internal/daemon/notices.go
@@ -60,20 +60,21 @@
 	f.g.unusableNotice(first.Target, err)
 	if f.g.applyNotice(first.Target, notice, now) {
 		f.g.log.Info("target says something of itself", "request", f.call.ID, "target", first.Target, "address", first.Address, "status", answer.Status,
-			"leaving", notice.Leaving, "rest_ms", restMillis(notice, now), "picked_ms", now.Sub(f.pickedAt).Milliseconds(), "sent_ms", now.Sub(f.sentAt).Milliseconds())
+			"leaving", notice.Leaving, "rest_ms", restMillis(notice, now), "limited", notice.Limited, "limit_per_s", notice.Limit, "picked_ms", now.Sub(f.pickedAt).Milliseconds(), "sent_ms", now.Sub(f.sentAt).Milliseconds())
 	}
 	return notice
 }
 
 // applyNotice does as a target asks, and reports whether it said anything that is new here.
 func (g *Gateway) applyNotice(id relay.TargetID, notice relay.Notice, now time.Time) bool {
-	if notice == (relay.Notice{}) {
-		return false
-	}
+	g.unread.note(string(id), notice.Unread)
 	g.meter.noticed(notice)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	news := notice.Leaving && g.router.Leave(id, now)
+	news := g.router.NoteLimit(id, notice)
+	if notice.Leaving && g.router.Leave(id, now) {
+		news = true
+	}
 	if !notice.RestUntil.IsZero() {
 		g.router.Rest(id, notice.RestUntil, now)
 		news = true
@@ -89,7 +90,7 @@
 			g.daemon.post(core.TargetDeparts{Target: engine.Target})
 		}
 		g.log.Info("engine says something of itself", "asked", asked, "target", engine.Target, "address", engine.Address,
-			"leaving", notice.Leaving, "rest_ms", restMillis(notice, now))
+			"leaving", notice.Leaving, "rest_ms", restMillis(notice, now), "limited", notice.Limited, "limit_per_s", notice.Limit)
 	}
 }
 
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -61,6 +61,7 @@
 			g.router.ForgetDepartures(now)
 			counted := core.WorkCounted{Work: g.router.Own(), Usage: g.router.Usage(now), Findings: g.router.Findings(now)}
 			g.mu.Unlock()
+			counted.Findings.Unread = g.unread.list()
 			if lost {
 				g.log.Info("lease lost: no leader is heard, callers are refused", "own_targets", len(counted.Work))
 			}
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -145,6 +145,9 @@
 	Leaving []TargetID
 	// Resting are those that have asked this VM for rest: for its operators.
 	Resting []RestingTarget
+	// Unread are the names that targets have used and that nothing here reads: for its
+	// operators.
+	Unread []UnreadName
 }
 
 // Findings returns what this VM has lately found.
--- a/query/query.go
+++ b/query/query.go
@@ -44,12 +44,13 @@
 	Rests         What = "rests"
 	Services      What = "services"
 	Targets       What = "targets"
+	Unread        What = "unread"
 	VMs           What = "vms"
 )
 
 // Lists returns all lists that can be shown, sorted.
 func Lists() []What {
-	return []What{Config, Events, Leases, Models, Organisations, Pipelines, Quarantine, Replicas, Requests, Rests, Services, Targets, VMs}
+	return []What{Config, Events, Leases, Models, Organisations, Pipelines, Quarantine, Replicas, Requests, Rests, Services, Targets, Unread, VMs}
 }
 
 // Statement is a parsed statement: exactly one field is set.
@@ -73,7 +74,7 @@
 
 // Local reports whether each VM knows the list of itself only, so that the
 // client has to ask them all.
-func (s Show) Local() bool { return s.What == Requests || s.What == Rests }
+func (s Show) Local() bool { return s.What == Requests || s.What == Rests || s.What == Unread }
 
 // Condition is a test on a field of a row.
 type Condition struct {
