--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -239,3 +239,10 @@
 
 // UnreadOf returns the names that targets have used and a gateway does not read.
 func UnreadOf(g *Gateway) []relay.UnreadName { return g.unread.list() }
+
+// LimitOf returns the limit that a target has named to a gateway, 0 where it has named none.
+func LimitOf(g *Gateway, id relay.TargetID) float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.router.Limit(id)
+}
--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -34,12 +34,14 @@
 	return daemon.Verdict{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Promise: slices.Contains(promises, status)}
 }
 
-// Notice reads the seconds of a rest, and whether the target leaves.
+// Notice reads the seconds of a rest, a limit, and whether the target leaves.
 func (plainCodec) Notice(_ relay.TargetID, _ int, h http.Header, now time.Time) (relay.Notice, error) {
 	n := relay.Notice{Leaving: h.Get("Leaving") != ""}
 	if seconds, err := strconv.Atoi(h.Get("Rest")); err == nil {
 		n.RestUntil = now.Add(time.Duration(seconds) * time.Second)
 	}
+	n.Limit, _ = strconv.ParseFloat(h.Get("Limit"), 64) // without one, or without a number, there is none
+	n.Limited, n.Unlimited = n.Limit > 0, h.Get("Limit") == ""
 	return n, nil
 }
 
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -52,6 +52,10 @@
 	return false
 }
 
+// Limit returns the requests a second that a target has said to take from all VMs together, 0
+// where it has named none.
+func (r *Router) Limit(id TargetID) float64 { return r.limits[id] }
+
 // UnreadName is a name that targets have used and that nothing reads, with how often they did.
 type UnreadName struct {
 	Name  string
