--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -98,6 +98,10 @@
 	if refusal, rests := n.poolRests(p, w); rests {
 		return refusal, false
 	}
+	n.wantPermits(p)
+	if refusal, limited := n.poolLimited(p, w, float64(p.queue.length)); limited {
+		return refusal, false
+	}
 	p.queue.push(w.rank(), w.organisation, w.weight, w.cost, w)
 	n.entry.inProgress[w.organisation]++
 	n.pump(p)
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -34,7 +34,9 @@
 	route        string
 	stages       []Stage
 	holding      bool
-	beganAt      time.Time
+	// permitted says that a permit of the runner was taken for it, where that has a limit.
+	permitted bool
+	beganAt   time.Time
 	// attempt numbers the claim; claimAt is when it is asked for again.
 	attempt uint64
 	claimAt time.Time
@@ -139,6 +141,8 @@
 	c.route = route
 	c.stages = stages
 	c.holding = true
+	// It is used here: a claim that takes longer than a permit lasts would have it void.
+	c.permitted = n.routePermit(stages)
 	if c.repeatable || c.claimed {
 		n.dispatchCall(c)
 		return
@@ -213,9 +217,10 @@
 }
 
 // dispatchCall sends a call to its runner. One that has asked for rest since it was picked is
-// left alone.
+// left alone, and so is one that has named a limit since, where this VM has no permit for it.
 func (n *Node) dispatchCall(c *call) {
-	if runner := c.stages[0].Target; n.rests(runner) {
+	runner := c.stages[0].Target
+	if n.rests(runner) || !c.permitted && !n.entry.limits.Take(runnerID(runner), n.now) {
 		n.retryCall(c, runner)
 		return
 	}
@@ -238,6 +243,7 @@
 		return
 	}
 	n.restTarget(e.Target, e.RestUntil)
+	n.hearLimit(e.Target, e.Limit)
 	p := n.entry.pools[c.pool]
 	switch e.Result {
 	case ResultDone:
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
 	"github.com/spoolbank/spoolbank/query"
 )
 
@@ -115,6 +116,8 @@
 	// RestUntil is until when the target wants no calls from this VM; zero where it asks for
 	// no rest.
 	RestUntil time.Time
+	// Limit is what it says of its limit; its HeardAt is zero where it says nothing.
+	Limit relay.LimitAnswer
 }
 
 // Watched is what a look at a target brought.
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -270,12 +270,10 @@
 		n.entry.controls = g.Control
 		n.renewAtFirstOfHall()
 	}
+	n.permitsTaken(g)
 	if !n.followsTargets() {
 		return
 	}
 	n.entry.workSeen, n.entry.marksSeen = g.WorkUpto, g.MarksUpto
-	if sent, ok := n.entry.tenure.sent[g.Number]; ok && len(g.Permits) > 0 && g.PermitsTo == n.settings.Self.Incarnation {
-		n.emit(PermitsLent{Number: g.Number, Permits: g.Permits, Until: sent.Add(n.settings.Timing.Shortened(relay.PermitLife))})
-	}
 	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, OthersWhole: g.OthersWhole, OthersTold: g.WorkTold, Usage: g.Usage, UsageBy: g.UsageBy, Marks: g.Marks, MarksWhole: g.MarksWhole})
 }
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/relay"
@@ -70,6 +71,11 @@
 // permitsWanted renews the lease now, for the permits that come with it.
 func (n *Node) permitsWanted(p PermitsWanted) {
 	n.entry.permitAsks = p.Asks
+	n.renewForPermits()
+}
+
+// renewForPermits renews the lease, where that has not been done of late.
+func (n *Node) renewForPermits() {
 	t := &n.entry.tenure
 	if !n.settings.Entry || !n.hasLease() || n.now.Before(t.permitsAt) {
 		return
@@ -89,8 +95,9 @@
 
 // limitAsks returns what this VM tells the leader of limits.
 func (n *Node) limitAsks() []LimitAsk {
-	asks := make([]LimitAsk, len(n.entry.permitAsks))
-	for i, a := range n.entry.permitAsks {
+	known := slices.Concat(n.entry.permitAsks, n.entry.limits.Asks(n.now))
+	asks := make([]LimitAsk, len(known))
+	for i, a := range known {
 		asks[i] = LimitAsk{
 			Target: a.Target, Heard: !a.Answer.HeardAt.IsZero(), Limited: a.Answer.Limited, PerSecond: a.Answer.PerSecond,
 			Wanted: a.Wanted, Left: a.Left, Taken: a.Taken, Unpaid: a.Unpaid, Returned: a.Returned,
@@ -151,10 +158,21 @@
 	h.permits = nil
 }
 
+// permitsTaken takes the permits that came with a lease, and hands on those of registered targets.
+func (n *Node) permitsTaken(g Grant) {
+	sent, ok := n.entry.tenure.sent[g.Number]
+	if !ok || len(g.Permits) == 0 || g.PermitsTo != n.settings.Self.Incarnation {
+		return
+	}
+	lent := PermitsLent{Number: g.Number, Permits: g.Permits, Until: sent.Add(n.settings.Timing.Shortened(relay.PermitLife))}
+	n.entry.limits.Grant(lent.Number, lent.Permits, lent.Until, n.now)
+	n.emit(lent)
+}
+
 // limitsTable lists the targets with limits that this VM knows of.
 func (n *Node) limitsTable() Table {
 	t := Table{Columns: []string{"vm", "target", "per_second", "permits", "used", "held_back"}}
-	for _, l := range n.entry.findings.Limited {
+	for _, l := range slices.Concat(n.entry.findings.Limited, n.entry.limits.Limited(n.now)) {
 		t.add(n.settings.Self.VM, l.Target, l.PerSecond, l.Left, l.Used, l.HeldBack)
 	}
 	return t
--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -205,3 +206,53 @@
 		})
 	}
 }
+
+// A runner behind the product's own interface that names a limit gets no more than that from all
+// entry VMs; another one serves what it does not take, and where both are limited, who can't be
+// served before its deadline is refused at once and told when to come back.
+func TestARunnerThatNamesALimitGetsNoMoreCalls(t *testing.T) {
+	w := newWorld(t, 43, 3, 3)
+	w.setUp()
+	w.settled()
+	w.limits["s1"] = 2
+	lookUps := func(times int) (answered int) {
+		var asks []*ask
+		for i := range times {
+			for _, vm := range []core.VMName{"vm4", "vm5", "vm6"} {
+				asks = append(asks, w.lookUp(vm, fmt.Sprintf("%v-%s-%d", w.now, vm, i)))
+			}
+			w.advance(100 * time.Millisecond)
+		}
+		w.advance(time.Second)
+		for _, a := range asks {
+			if a.answer != nil {
+				answered++
+			}
+		}
+		return answered
+	}
+	lookUps(20)
+	before := len(w.arrivals["s1"])
+	require.Equal(t, 120, lookUps(40), "the other runner serves the rest")
+	require.LessOrEqual(t, len(w.arrivals["s1"])-before, 4+2+5*2)
+	require.Greater(t, len(w.arrivals["s1"]), before)
+
+	w.limits["s2"] = 2
+	w.advance(time.Second)
+	lookUps(20)
+	began := w.clock(w.vms["vm4"])
+	var asks []*ask
+	for i := range 200 {
+		asks = append(asks, w.lookUp("vm4", fmt.Sprintf("many%d", i)))
+	}
+	w.advance(200 * time.Millisecond)
+	refused := 0
+	for _, a := range asks {
+		if a.refusal != nil {
+			refused++
+			require.Equal(t, core.RanNo, a.refusal.Ran)
+			require.True(t, a.refusal.RetryAt.After(began), "when there may be a permit")
+		}
+	}
+	require.Greater(t, refused, 150, "four a second leave 32 of them before their deadline")
+}
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -266,7 +266,7 @@
 // usable reports whether work may go on a route. Submissions leave the last
 // place of each runner to lookups.
 func (n *Node) usable(p *pool, r *route, w *waiting) bool {
-	if n.routeSuspect(r) || n.routeRests(r) {
+	if n.routeSuspect(r) || n.routeRests(r) || n.routeShort(r) {
 		return false
 	}
 	return !w.isSubmission() || r.window < 2 || float64(p.used[r.name])+1 < r.window
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -60,7 +60,9 @@
 	marksSeen uint64
 	// findings is what this VM has lately found of targets.
 	findings relay.Findings
-	// permitAsks is what this VM says of targets with limits.
+	// limits are those of declared targets.
+	limits *relay.RateLimits
+	// permitAsks is what this VM says of registered targets with limits.
 	permitAsks []relay.PermitAsk
 	// crashes are the crashed runs that this VM tells of.
 	crashes crashes
@@ -110,6 +112,7 @@
 		links:      make(map[VMName]*keeperLink),
 		finds:      make(map[RequestID]*find),
 		records:    make(map[RequestID]*pendingRecord),
+		limits:     relay.NewRateLimits(n.rand.Uint64()),
 		budget:     newRetryBudget(),
 	}
 }
--- a/internal/core/world_targets_test.go
+++ b/internal/core/world_targets_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/spoolbank/spoolbank/internal/core"
 	"github.com/spoolbank/spoolbank/internal/fake"
+	"github.com/spoolbank/spoolbank/internal/relay"
 	"github.com/spoolbank/spoolbank/internal/target"
 )
 
@@ -74,6 +75,8 @@
 		ended := core.DispatchEnded{Conn: d.Conn, ID: d.ID, Target: d.Target, Result: core.ResultRefused}
 		r := w.runners[d.Target]
 		w.reached[d.Target][v.name]++
+		w.arrivals[d.Target] = append(w.arrivals[d.Target], w.now)
+		sent := w.clock(v)
 		if until := w.rests[d.Target]; w.now.Before(until) {
 			ended.RestUntil = w.clock(v).Add(until.Sub(w.now))
 			w.push(delivery{at: w.now.Add(w.latency()), to: v.name, life: life, event: ended})
@@ -91,6 +94,9 @@
 		if strings.Contains(string(d.ID), "sub") {
 			took += w.slow
 		}
+		if limit := w.limits[d.Target]; ended.Result == core.ResultDone {
+			ended.Limit = relay.LimitAnswer{Limited: limit > 0, PerSecond: limit, SentAt: sent, HeardAt: sent.Add(took)}
+		}
 		w.push(delivery{at: w.now.Add(took), to: v.name, life: life, event: ended})
 	}})
 }
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -58,6 +58,9 @@
 	// that come to each, by the VM that they come from.
 	rests   map[string]time.Time
 	reached map[string]map[core.VMName]int
+	// limits are the calls a second that runners name, and arrivals when calls reached each.
+	limits   map[string]float64
+	arrivals map[string][]time.Time
 }
 
 // vm is one VM: its process, its disk and its clock.
@@ -119,7 +122,7 @@
 func newWorld(t require.TestingT, seed uint64, controls, entries int) *world {
 	w := &world{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: epochStart,
-		vms: make(map[core.VMName]*vm), engines: make(map[string]*engine), rests: make(map[string]time.Time), reached: make(map[string]map[core.VMName]int), runners: make(map[string]*runner),
+		vms: make(map[core.VMName]*vm), engines: make(map[string]*engine), limits: make(map[string]float64), arrivals: make(map[string][]time.Time), rests: make(map[string]time.Time), reached: make(map[string]map[core.VMName]int), runners: make(map[string]*runner),
 		cut: make(map[[2]core.VMName]bool), asks: make(map[core.ConnID]*ask), results: make(map[core.ConnID]core.Result),
 		prints: make(map[core.Index]string), floors: make(map[core.ConnID]config.Revision), sent: make(map[string]bool),
 		dead: make(map[string]bool), leaves: make(map[string]bool),
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 	Delay time.Duration
 	// Rest is what a runner without room asks for; zero for none.
 	Rest time.Duration
+	// Limit is the calls a second that it names with each answer; 0 for none.
+	Limit float64
 }
 
 // Service is a fake runner: it counts how often each identity was run.
@@ -48,6 +51,8 @@
 	busy    int
 	runs    map[string]int
 	leaving bool
+	// arrivals are when calls have reached the runner.
+	arrivals []time.Time
 }
 
 // NewService returns a runner.
@@ -95,6 +100,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	s.nameLimit(w)
 	run, ok := s.begin(r)
 	if !ok {
 		w.Header().Set(target.HeaderNotRun, "no room")
@@ -109,6 +115,30 @@
 	writeJSON(w, serviceAnswer{Runner: s.options.Name, Method: r.Method, Path: r.URL.RequestURI(), Run: run, Echo: string(body)})
 }
 
+// SetLimit changes the calls a second that the runner names; 0 has it name none.
+func (s *Service) SetLimit(perSecond float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.options.Limit = perSecond
+}
+
+// Arrivals returns when calls have reached the runner.
+func (s *Service) Arrivals() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.arrivals)
+}
+
+// nameLimit notes a call, and names the limit that there is.
+func (s *Service) nameLimit(w http.ResponseWriter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arrivals = append(s.arrivals, time.Now())
+	if s.options.Limit > 0 {
+		w.Header().Set(target.HeaderLimit, strconv.FormatFloat(s.options.Limit, 'f', -1, 64))
+	}
+}
+
 func (s *Service) begin(r *http.Request) (int, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -221,6 +221,25 @@
 	}
 }
 
+// Room reports whether a target may be sent a request more.
+func (l *RateLimits) Room(id TargetID, now time.Time) bool {
+	m := l.of(id.Key())
+	return !m.limited(now) || m.room(now)
+}
+
+// Rate returns the permits of a target that come to this VM in a second: those of the last one, and
+// at least an equal part of the limit among so many VMs.
+func (l *RateLimits) Rate(id TargetID, vms int, now time.Time) float64 {
+	if m := l.of(id.Key()); m.limited(now) {
+		return m.rate(vms, now)
+	}
+	return 0
+}
+
+func (m *limit) rate(vms int, now time.Time) float64 {
+	return max(float64(m.lent.total(now)), max(m.perSecond, limitLeast)/float64(vms))
+}
+
 // Take takes a permit for one request to a target, and reports whether there is one or none is
 // needed.
 func (l *RateLimits) Take(id TargetID, now time.Time) bool {
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -185,12 +185,9 @@
 // permitRate is the permits of a service that come to this VM in a second: those of the last one, and
 // at least an equal part of the limits.
 func (r *Router) permitRate(service string, a Ask, now time.Time) float64 {
-	lent, equal := 0.0, 0.0
-	r.limitedMembers(service, a, now, func(m *limit) {
-		lent += float64(m.lent.total(now))
-		equal += max(m.perSecond, limitLeast) / float64(r.vms)
-	})
-	return max(lent, equal)
+	rate := 0.0
+	r.limitedMembers(service, a, now, func(m *limit) { rate += m.rate(r.vms, now) })
+	return rate
 }
 
 // noPermit returns the refusal of a request that finds no target where those with limits could
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -219,6 +219,7 @@
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
+	sentAt := clock.Now()
 	response, err := c.http.Do(request)
 	if NotSent(err) {
 		return ended
@@ -232,6 +233,10 @@
 	if err != nil {
 		return ended
 	}
+	ended.Limit.PerSecond, ended.Limit.Limited, err = RateLimit(response.Header.Values(HeaderLimit))
+	if err == nil || ended.Limit.Limited { // what can't be read says neither that there is a limit nor that there is none
+		ended.Limit.SentAt, ended.Limit.HeardAt = sentAt, clock.Now()
+	}
 	ended.RestUntil, _ = RestUntil(response.StatusCode, response.Header, clock.Now()) // what can't be read asks for no rest
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) != "" {
 		ended.Result = core.ResultRefused
--- a/query/query.go
+++ b/query/query.go
@@ -75,7 +75,9 @@
 
 // Local reports whether each VM knows the list of itself only, so that the
 // client has to ask them all.
-func (s Show) Local() bool { return s.What == Requests || s.What == Rests || s.What == Limits || s.What == Unread }
+func (s Show) Local() bool {
+	return s.What == Requests || s.What == Rests || s.What == Limits || s.What == Unread
+}
 
 // Condition is a test on a field of a row.
 type Condition struct {
