--- a/cmd/spoolbank/cmd/help.go
+++ b/cmd/spoolbank/cmd/help.go
@@ -17,7 +17,7 @@
   show quarantine                               requests that ended their targets
   show limits                                   targets that take so many requests a second, asked of every entry VM
   show unread                                   names that targets use and nothing reads, of every entry VM
-  show rests                                    targets that want nothing for now, asked of every entry VM
+  show backoffs                                    targets that want nothing for now, asked of every entry VM
   show pipelines | models | events | organisations | services | config
 
   declare model fiji layers=32 versions=[v3, v4] adapters=[notices]
@@ -34,7 +34,7 @@
   drain target r07
   remove event open
   remove quarantine FINGERPRINT                 let such a request go
-  remove rest i-7f3a91c2                        ask a target again that wanted to be left alone
+  remove backoff i-7f3a91c2                        ask a target again that wanted to be left alone
 
 Classes run from 0 (first) to 3. A word that reads as a number is one; quote it
 to make it a text. A command carries --operator and --number: sent again under
--- a/internal/core/admission.go
+++ b/internal/core/admission.go
@@ -95,7 +95,7 @@
 		return refusal(RefusedOverload, RanNo, "it could not be served before its deadline", "come back at the given time, or give a later deadline").
 			WithRetryAt(n.comeBack(p)), false
 	}
-	if refusal, rests := n.poolRests(p, w); rests {
+	if refusal, backoffs := n.poolBackoffs(p, w); backoffs {
 		return refusal, false
 	}
 	n.wantPermits(p)
@@ -189,7 +189,7 @@
 func (p *pool) latest(w *waiting) time.Time { return w.deadline.Add(-p.service(w.cost)) }
 
 func (n *Node) expire(p *pool, w *waiting) {
-	if refusal, rests := n.poolRests(p, w); rests && !w.gone {
+	if refusal, backoffs := n.poolBackoffs(p, w); backoffs && !w.gone {
 		n.dropWaiting(w, refusal)
 		return
 	}
--- /dev/null
+++ b/internal/core/backoffs.go
@@ -0,0 +1,102 @@
+package core
+
+import (
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// This file keeps the backoffs that plain services behind the product's own interface ask for, shows
+// operators which targets are backed off from, and has entry VMs end backoffs that an operator ends. A backoff is
+// known to the VM that was asked for it alone; relay/backoffs.go has the problem.
+
+// BackoffsEnded tells the runtime of targets, by name, whose backoffs an operator has ended.
+type BackoffsEnded struct{ Targets []string }
+
+func (BackoffsEnded) isEffect() {}
+
+// endBackoffs tells the runtime what a lease has changed of ended backoffs.
+func (n *Node) endBackoffs(before config.State) {
+	if targets := n.entry.config.BackoffsEndedSince(before.Revision); len(targets) > 0 {
+		n.emit(BackoffsEnded{Targets: targets})
+	}
+}
+
+// backoffsTable lists the targets that have asked this VM to back off.
+func (n *Node) backoffsTable() Table {
+	t := Table{Columns: []string{"vm", "target", "until"}}
+	for _, r := range n.entry.findings.BackedOff {
+		t.add(n.settings.Self.VM, r.Target, wall(r.Until).Format(time.RFC3339))
+	}
+	return t
+}
+
+// unreadTable lists the names that targets have used and that nothing on this VM reads.
+func (n *Node) unreadTable() Table {
+	t := Table{Columns: []string{"vm", "name", "count"}}
+	for _, u := range n.entry.findings.Unread {
+		t.add(n.settings.Self.VM, u.Name, u.Count)
+	}
+	return t
+}
+
+// backOffTarget notes that a target wants no calls from this VM until a time. Nothing else
+// ends that, and it is never shortened.
+func (n *Node) backOffTarget(name string, until time.Time) {
+	if !n.now.Before(until) {
+		return
+	}
+	t := n.target(name)
+	if until.After(t.backoffUntil) {
+		t.backoffUntil = until
+		n.note("target has asked this VM to back off until "+wall(until).Format(time.RFC3339), name)
+	}
+}
+
+// backoffs reports whether a target wants no calls from this VM.
+func (n *Node) backoffs(name string) bool {
+	t, ok := n.entry.targets[name]
+	return ok && n.now.Before(t.backoffUntil)
+}
+
+func (n *Node) routeBackoffs(r *route) bool {
+	return slices.ContainsFunc(r.stages, func(s Stage) bool { return n.backoffs(s.Target) })
+}
+
+// backoffEnds returns when the first route of a pool is over its backoff, and whether all of them
+// have one.
+func (n *Node) backoffEnds(p *pool) (first time.Time, all bool) {
+	for _, r := range p.routes {
+		if !n.routeBackoffs(r) {
+			return time.Time{}, false
+		}
+		end := n.now
+		for _, s := range r.stages {
+			end = later(end, n.target(s.Target).backoffUntil)
+		}
+		if first.IsZero() || end.Before(first) {
+			first = end
+		}
+	}
+	return first, len(p.routes) > 0
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// poolBackoffs returns the refusal of work that can't begin in time because all that could run it
+// have asked to back off. It is to come back after the first of the backoffs, spread over as long again.
+func (n *Node) poolBackoffs(p *pool, w *waiting) (Refusal, bool) {
+	first, all := n.backoffEnds(p)
+	if !all || first.Before(p.latest(w)) {
+		return Refusal{}, false
+	}
+	spread := max(first.Sub(n.now), time.Second)
+	return refusal(RefusedOverload, RanNo, "all that could run it have asked to back off", "come back at the given time").
+		WithRetryAt(first.Add(time.Duration(n.rand.Int64N(int64(spread))))), true
+}
--- a/internal/core/rests_test.go
+++ b/internal/core/backoffs_test.go
@@ -13,34 +13,34 @@
 	"github.com/spoolbank/spoolbank/query"
 )
 
-// An operator ends the rests of a target on every entry VM once, also on one that a change
+// An operator ends the backoffs of a target on every entry VM once, also on one that a change
 // reached late; VMs that start again later have none to end.
-func TestAnOperatorEndsTheRestsOfATargetEverywhere(t *testing.T) {
+func TestAnOperatorEndsTheBackoffsOfATargetEverywhere(t *testing.T) {
 	f := started(t, smallFleet)
 	late := core.VMName("e1-1")
 	f.loses = func(e core.Envelope) bool { return e.To == late }
-	f.step(f.leader(), core.Operated{Conn: 1, Number: 1, Operator: "o", Digest: "d", Statement: query.Statement{Remove: &config.Ref{Kind: config.KindRest, Name: "i-1"}}})
+	f.step(f.leader(), core.Operated{Conn: 1, Number: 1, Operator: "o", Digest: "d", Statement: query.Statement{Remove: &config.Ref{Kind: config.KindBackoff, Name: "i-1"}}})
 	f.run(time.Second)
 	f.loses = nil
 	f.run(5 * time.Second)
 	for _, vm := range f.entries() {
-		require.Equal(t, []string{"i-1"}, f.restsEnded[vm], vm)
+		require.Equal(t, []string{"i-1"}, f.backoffsEnded[vm], vm)
 	}
 	f.restart("e0-0")
 	f.run(5 * time.Second)
 	f.put(7)
 	f.run(2 * time.Second)
 	for _, vm := range f.entries() {
-		require.LessOrEqual(t, len(f.restsEnded[vm]), 2, "a VM that started again is told once more: %s", vm)
+		require.LessOrEqual(t, len(f.backoffsEnded[vm]), 2, "a VM that started again is told once more: %s", vm)
 	}
 }
 
-// Each entry VM shows the targets that rest for it.
-func TestRestsAreShown(t *testing.T) {
+// Each entry VM shows the targets that it backs off from.
+func TestBackoffsAreShown(t *testing.T) {
 	f := started(t, smallFleet)
-	f.found["e0-0"] = relay.Findings{Resting: []relay.RestingTarget{{Target: "i-1", Until: f.now.Add(time.Hour)}}}
+	f.found["e0-0"] = relay.Findings{BackedOff: []relay.TargetBackedOff{{Target: "i-1", Until: f.now.Add(time.Hour)}}}
 	f.run(time.Second)
-	statement, err := query.Parse("show rests")
+	statement, err := query.Parse("show backoffs")
 	require.NoError(t, err)
 	require.True(t, statement.Show.Local())
 	for vm, rows := range map[core.VMName]int{"e0-0": 1, "e0-1": 0} {
@@ -50,14 +50,14 @@
 	}
 }
 
-// A runner of a plain service that asks for rest gets no call of that VM meanwhile: others take
-// them, and where all rest for longer than a caller waits it is refused at once, and told to come
-// back after the first rest.
-func TestARunnerThatAsksForRestGetsNoCalls(t *testing.T) {
+// A runner of a plain service that asks to back off gets no call of that VM meanwhile: others take
+// them, and where all ask to back off for longer than a caller waits it is refused at once, and told to come
+// back after the first backoff.
+func TestARunnerThatAsksToBackOffGetsNoCalls(t *testing.T) {
 	w := newWorld(t, 41, 3, 1)
 	w.setUp()
 	w.settled()
-	w.rests["s1"] = w.now.Add(30 * time.Second)
+	w.backoffs["s1"] = w.now.Add(30 * time.Second)
 	for i := range 40 {
 		a := w.lookUp("vm4", fmt.Sprintf("first%d", i))
 		w.advance(200 * time.Millisecond)
@@ -65,7 +65,7 @@
 	}
 	require.LessOrEqual(t, w.reached["s1"]["vm4"], 1)
 	ends := w.now.Add(15 * time.Second)
-	w.rests["s2"] = ends
+	w.backoffs["s2"] = ends
 	byClock := w.clock(w.vms["vm4"]).Add(15 * time.Second)
 	w.call("vm4", "told")
 	w.advance(time.Second)
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -216,11 +216,11 @@
 	return refusal(RefusedUnknown, RanUnknown, "it may have run, and its answer is not known", "look it up at the service before sending it under a new identity")
 }
 
-// dispatchCall sends a call to its runner. One that has asked for rest since it was picked is
+// dispatchCall sends a call to its runner. One that has asked to back off since it was picked is
 // left alone, and so is one that has named a limit since, where this VM has no permit for it.
 func (n *Node) dispatchCall(c *call) {
 	runner := c.stages[0].Target
-	if n.rests(runner) || !c.permitted && !n.entry.limits.Take(runnerID(runner), n.now) {
+	if n.backoffs(runner) || !c.permitted && !n.entry.limits.Take(runnerID(runner), n.now) {
 		n.retryCall(c, runner)
 		return
 	}
@@ -242,7 +242,7 @@
 	if c == nil || c.phase != phaseDispatched {
 		return
 	}
-	n.restTarget(e.Target, e.RestUntil)
+	n.backOffTarget(e.Target, e.BackoffUntil)
 	n.hearLimit(e.Target, e.Limit)
 	p := n.entry.pools[c.pool]
 	switch e.Result {
@@ -322,7 +322,7 @@
 //
 // An identity that the caller gave may have been sent to another entry VM
 // before. To be told ran: no under it means that no attempt has run, so the
-// control VMs are asked how its claim stands first; without their word the
+// control VMs are asked how its claim stands first; without their answer the
 // caller is told that it is not known.
 func (n *Node) refuseCall(c *call, r Refusal) {
 	unsettled := !c.repeatable && c.asked.Returnable && !c.claimed && !c.left
--- a/internal/core/config/change.go
+++ b/internal/core/config/change.go
@@ -19,9 +19,9 @@
 	KindService      Kind = "service"
 	// KindQuarantine is a request in quarantine, which can be removed but not declared.
 	KindQuarantine Kind = "quarantine"
-	// KindRest is the rest that a target has asked VMs for, which can be removed but not
+	// KindBackoff is the backoff that a target has asked VMs for, which can be removed but not
 	// declared.
-	KindRest Kind = "rest"
+	KindBackoff Kind = "backoff"
 )
 
 // Kinds returns the kinds that can be declared, sorted.
@@ -31,7 +31,7 @@
 
 // Removable returns the kinds that can be removed, sorted.
 func Removable() []Kind {
-	kinds := append(Kinds(), KindQuarantine, KindRest)
+	kinds := append(Kinds(), KindQuarantine, KindBackoff)
 	slices.Sort(kinds)
 	return kinds
 }
@@ -295,7 +295,7 @@
 		return s.Services.Has(r.Name)
 	case KindQuarantine:
 		return s.Quarantine.Has(r.Name)
-	case KindRest:
+	case KindBackoff:
 		return true // each VM knows its own: one that knows of none has nothing to end
 	}
 	return false
@@ -305,8 +305,8 @@
 	if !s.Has(r) {
 		return s, &InvalidError{r, "is not declared", fmt.Sprintf("`show %ss` lists what is", r.Kind)}
 	}
-	if r.Kind == KindRest {
-		return s.withEndedRest(r.Name), nil
+	if r.Kind == KindBackoff {
+		return s.withEndedBackoff(r.Name), nil
 	}
 	if users := s.users(r); len(users) > 0 {
 		return s, &InvalidError{r, fmt.Sprintf("is used by %s", users[0]), fmt.Sprintf("remove %s first", users[0])}
--- a/internal/core/config/config.go
+++ b/internal/core/config/config.go
@@ -172,7 +172,7 @@
 // Len returns the number of layers.
 func (r Range) Len() int { return r.Last - r.First }
 
-// Placement is the planner's word on what one engine holds.
+// Placement is the planner's decision on what one engine holds.
 type Placement struct {
 	Target  string `json:"target" cbor:"target"`
 	Chain   string `json:"chain" cbor:"chain"`
@@ -214,8 +214,8 @@
 	Document      Document          `cbor:"document"`
 	// Quarantine are the requests that are sent to no target.
 	Quarantine Set[QuarantinedRequest] `cbor:"quarantine"`
-	// EndedRests are the targets whose rests operators have ended of late.
-	EndedRests Set[EndedRest] `cbor:"ended_rests,omitempty"`
+	// EndedBackoffs are the targets whose backoffs operators have ended of late.
+	EndedBackoffs Set[EndedBackoff] `cbor:"ended_backoffs,omitempty"`
 }
 
 // Document is a whole configuration in the form in which its operator wrote it.
--- a/internal/core/control_test.go
+++ b/internal/core/control_test.go
@@ -61,7 +61,7 @@
 	old := w.settled()
 	w.freeze(old)
 	// It is the first thing that the leader finds when it wakes, before any
-	// word of its successor.
+	// message of its successor.
 	conn := w.command(old, "show config", "", 0, 0)
 	w.until("another leader", 10*time.Second, func() bool { return w.leader() != "" })
 	r := w.must("set organisation o weight=2", 100)
@@ -327,7 +327,7 @@
 	}
 }
 
-// A late word on an earlier attempt does not give back the claim of a later
+// A late message on an earlier attempt does not give back the claim of a later
 // one, under which the call may be running.
 func TestLateRecordLeavesALaterAttempt(t *testing.T) {
 	r, renewals := newLeaderRig(t, 8, 2)
--- a/internal/core/departures_test.go
+++ b/internal/core/draining_test.go
@@ -11,12 +11,12 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-// departing is the target that says with its answers that it leaves, while its heartbeats say
+// drainingTarget is the target that says with its answers that it leaves, while its heartbeats say
 // that it is ready.
-const departing = relay.TargetID("i-1")
+const drainingTarget = relay.TargetID("i-1")
 
-// departureFleet is a fleet in which entry VMs report what that target has answered.
-type departureFleet struct {
+// drainingFleet is a fleet in which entry VMs report what that target has answered.
+type drainingFleet struct {
 	*hallFleet
 	// told are the entry VMs that it has answered.
 	told []core.VMName
@@ -27,27 +27,27 @@
 	beatAt time.Time
 }
 
-func newDepartureFleet(t require.TestingT) *departureFleet {
-	f := &departureFleet{
+func newDrainingFleet(t require.TestingT) *drainingFleet {
+	f := &drainingFleet{
 		hallFleet: started(t, smallFleet), speaks: "c2-0",
-		target: relay.Target{ID: departing, Service: "s", Address: "10.1.0.1:80", Hall: "hall2", Slots: 6},
+		target: relay.Target{ID: drainingTarget, Service: "s", Address: "10.1.0.1:80", Hall: "hall2", Slots: 6},
 	}
 	f.pass = f.run
 	f.run(2 * time.Second)
 	for _, vm := range f.entries() {
-		require.Contains(t, f.learned[vm], departing)
+		require.Contains(t, f.learned[vm], drainingTarget)
 	}
 	return f
 }
 
 // run lets time pass, in which the target sends heartbeats, and VMs report as a router does:
 // until what they have learned says the same.
-func (f *departureFleet) run(d time.Duration) {
+func (f *drainingFleet) run(d time.Duration) {
 	for until := f.now.Add(d); f.now.Before(until); {
 		f.hallFleet.run(tickEvery)
 		for _, vm := range f.told {
-			found := relay.Findings{Leaving: []relay.TargetID{departing}}
-			if f.learned[vm][departing].Leaving {
+			found := relay.Findings{Leaving: []relay.TargetID{drainingTarget}}
+			if f.learned[vm][drainingTarget].Leaving {
 				found = relay.Findings{}
 			}
 			f.found[vm] = found
@@ -62,9 +62,9 @@
 }
 
 // known reports whether all entry VMs that may take work know that the target leaves.
-func (f *departureFleet) known() bool {
+func (f *drainingFleet) known() bool {
 	for _, vm := range f.entries() {
-		if !f.learned[vm][departing].Leaving && f.nodes[vm].Status().HasLease {
+		if !f.learned[vm][drainingTarget].Leaving && f.nodes[vm].Status().HasLease {
 			return false
 		}
 	}
@@ -73,27 +73,27 @@
 
 // What an entry VM was answered counts for all as a heartbeat that says so does: whatever the
 // target's heartbeats say, which VM they come to, and what is lost between.
-func TestADepartureIsKnownToAll(t *testing.T) {
-	for name, disturb := range map[string]func(f *departureFleet){
-		"nothing happens":                 func(*departureFleet) {},
-		"its heartbeats come to no VM":    func(f *departureFleet) { f.silent = true },
-		"they turn to another control VM": func(f *departureFleet) { f.speaks = "c0-1" },
-		"a fifth of all messages are lost": func(f *departureFleet) {
+func TestADrainingTargetIsKnownToAll(t *testing.T) {
+	for name, disturb := range map[string]func(f *drainingFleet){
+		"nothing happens":                 func(*drainingFleet) {},
+		"its heartbeats come to no VM":    func(f *drainingFleet) { f.silent = true },
+		"they turn to another control VM": func(f *drainingFleet) { f.speaks = "c0-1" },
+		"a fifth of all messages are lost": func(f *drainingFleet) {
 			chance := rand.New(rand.NewPCG(1, 1))
 			f.loses = func(core.Envelope) bool { return chance.IntN(100) < 20 }
 		},
-		"the control VM that it was reported to ends": func(f *departureFleet) {
+		"the control VM that it was reported to ends": func(f *drainingFleet) {
 			f.run(300 * time.Millisecond)
 			f.dead["c0-0"] = true
 		},
-		"the leader ends": func(f *departureFleet) { f.dead[f.leader()] = true },
-		"the control VM of its heartbeats starts again": func(f *departureFleet) {
+		"the leader ends": func(f *drainingFleet) { f.dead[f.leader()] = true },
+		"the control VM of its heartbeats starts again": func(f *drainingFleet) {
 			f.run(time.Second)
 			f.restart(f.speaks)
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			f := newDepartureFleet(t)
+			f := newDrainingFleet(t)
 			f.told = []core.VMName{"e0-0"}
 			disturb(f)
 			f.until("all know", 10*time.Second, f.known)
@@ -108,18 +108,18 @@
 }
 
 // A control VM that an engine answers to an order counts it as an entry VM's report.
-func TestADepartureThatAControlVMIsToldIsKnownToAll(t *testing.T) {
-	f := newDepartureFleet(t)
-	f.step("c1-1", core.TargetDeparts{Target: departing})
+func TestADrainingTargetThatAControlVMIsToldIsKnownToAll(t *testing.T) {
+	f := newDrainingFleet(t)
+	f.step("c1-1", core.TargetDrains{Target: drainingTarget})
 	require.Less(t, f.until("all know", knownWithin, f.known), 2*time.Second)
-	f.step("e0-0", core.TargetDeparts{Target: "i-9"}) // an entry VM reports with its renewals
+	f.step("e0-0", core.TargetDrains{Target: "i-9"}) // an entry VM reports with its renewals
 	f.run(time.Second)
 	require.True(t, f.known())
 }
 
 // Without any disturbance it takes a renewal and two ways: as long as a heartbeat may take.
-func TestADepartureIsKnownSoon(t *testing.T) {
-	f := newDepartureFleet(t)
+func TestADrainingTargetIsKnownSoon(t *testing.T) {
+	f := newDrainingFleet(t)
 	f.told = []core.VMName{"e0-0"}
 	took := f.until("all know", knownWithin, f.known)
 	require.Less(t, took, 2*time.Second, "the shortest drain bound of the deployments")
@@ -127,8 +127,8 @@
 
 // The VM that was answered may end once a control VM has heard it, and one that starts again
 // learns of it with its first lease.
-func TestADepartureOutlivesWhoReportedIt(t *testing.T) {
-	f := newDepartureFleet(t)
+func TestADrainingTargetOutlivesWhoReportedIt(t *testing.T) {
+	f := newDrainingFleet(t)
 	f.told = []core.VMName{"e0-0"}
 	f.until("all know", 10*time.Second, f.known)
 	f.told = nil
@@ -136,7 +136,7 @@
 	f.restart("e0-0")
 	f.run(5 * time.Second)
 	require.True(t, f.nodes["e0-0"].Status().HasLease)
-	require.True(t, f.learned["e0-0"][departing].Leaving)
+	require.True(t, f.learned["e0-0"][drainingTarget].Leaving)
 	f.restart("c0-0")
 	f.restart("e0-1")
 	f.run(5 * time.Second)
@@ -145,8 +145,8 @@
 
 // A new incarnation is not bound by what the one before it said, though the report of that comes
 // late.
-func TestADepartureIsOfOneIncarnation(t *testing.T) {
-	f := newDepartureFleet(t)
+func TestADrainingTargetIsOfOneIncarnation(t *testing.T) {
+	f := newDrainingFleet(t)
 	f.silent = true
 	old, next := relay.NewTargetID("i-2", 100), relay.NewTargetID("i-2", 200)
 	target := relay.Target{ID: old, Service: "s", Address: "10.1.0.2:80", Hall: "hall2", Slots: 6, Call: 1}
@@ -162,9 +162,9 @@
 	}
 }
 
-// A control VM that does not know of the departure may tell of something else that has changed.
-func TestNewsOfWhoDoesNotKnowTakeNoDepartureBack(t *testing.T) {
-	f := newDepartureFleet(t)
+// A control VM that does not know of the draining notice may tell of something else that has changed.
+func TestNewsOfWhoDoesNotKnowTakeNoDrainingBack(t *testing.T) {
+	f := newDrainingFleet(t)
 	f.told = []core.VMName{"e0-0"}
 	f.until("all know", 10*time.Second, f.known)
 	ready := f.target
@@ -172,6 +172,6 @@
 	ready.Slots = 12
 	news := core.TargetNews{Incarnation: 99, Upto: 1, Targets: []relay.Target{ready}}
 	f.step("e0-0", core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: "c1-1", Incarnation: 99}, To: "e0-0", Body: core.Message{TargetNews: &news}}})
-	require.Equal(t, ready.Slots, f.learned["e0-0"][departing].Slots)
-	require.True(t, f.learned["e0-0"][departing].Leaving)
+	require.Equal(t, ready.Slots, f.learned["e0-0"][drainingTarget].Slots)
+	require.True(t, f.learned["e0-0"][drainingTarget].Leaving)
 }
--- a/internal/core/engine_fleet_test.go
+++ b/internal/core/engine_fleet_test.go
@@ -162,7 +162,7 @@
 var hundredsFleet = fleetSize{halls: 3, controls: 6, disks: 2, entries: 94}
 
 // All engines of a fleet are new at a start, and load within seconds. Each VM was told all
-// of each engine at each of its words, again while that was on its way, and of all that
+// of each engine at each of its messages, again while that was on its way, and of all that
 // loads with each lease: 298 MB in 2.6 s, 9.5 MB a second at the busiest control VM, whose
 // link carries 12.5; 97 MB and 3.3 MB a second since.
 func TestAFleetThatLoadsLeavesLinksRoom(t *testing.T) {
@@ -177,7 +177,7 @@
 	require.Equal(t, len(f.ids), f.loads, "each engine loads once")
 	require.Less(t, float64(f.bytes[f.busiest('c')])/seconds, 4e6, "bytes a second of the busiest control VM")
 	require.Less(t, float64(f.bytes[f.busiest('e')])/seconds, 3e3, "bytes a second of the busiest entry VM")
-	require.Less(t, f.kinds["TargetNews"], 120_000_000, "bytes of words on targets")
+	require.Less(t, f.kinds["TargetNews"], 120_000_000, "bytes of messages on targets")
 	for _, vm := range f.entries() {
 		require.Len(t, f.learned[vm], len(f.ids), vm)
 		for _, id := range f.ids {
@@ -281,8 +281,8 @@
 	leaving.target.Leaving = true
 	leaving.beatAt = f.now
 	f.run(time.Second)
-	t.Log("bytes of words on targets in 4 s", f.kinds["TargetNews"])
-	require.Less(t, f.kinds["TargetNews"], 6_000_000, "bytes of words on targets in 4 s")
+	t.Log("bytes of messages on targets in 4 s", f.kinds["TargetNews"])
+	require.Less(t, f.kinds["TargetNews"], 6_000_000, "bytes of messages on targets in 4 s")
 	for _, vm := range f.entries() {
 		require.Len(t, f.learned[vm], len(f.ids), vm)
 		require.True(t, f.learned[vm][f.ids[7]].Leaving, vm)
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -113,9 +113,9 @@
 	Target string
 	Result RunResult
 	Answer CallAnswer
-	// RestUntil is until when the target wants no calls from this VM; zero where it asks for
-	// no rest.
-	RestUntil time.Time
+	// BackoffUntil is until when the target wants no calls from this VM; zero where it asks for
+	// no backoff.
+	BackoffUntil time.Time
 	// Limit is what it says of its limit; its HeardAt is zero where it says nothing.
 	Limit relay.LimitAnswer
 }
--- a/internal/core/following.go
+++ b/internal/core/following.go
@@ -153,7 +153,7 @@
 	}
 	for _, t := range news.Targets {
 		if n.registry.targets.Learn(t, n.now) {
-			// The teller may not know of a departure that this VM was told of before.
+			// The teller may not know of a draining notice that this VM was told of before.
 			known, _ := n.registry.targets.Get(t.ID)
 			learned = append(learned, known)
 		}
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -37,8 +37,7 @@
 	// of its time however many control VMs there are.
 	batchShare = 5 * time.Millisecond
 	// partShare is the wait between two sums of what holders have under way, for each
-	// control VM: 18 of them sent some 12 KB each eleven times a second, of which the
-	// leader, that makes its own sum ten times a second, read 240,000 counts a second (computed).
+	// control VM: the leader makes its own sum no more often, and reads all of each.
 	partShare = 15 * time.Millisecond
 	// keptBatches bounds the batches whose answer may still come.
 	keptBatches = 16
@@ -159,7 +158,7 @@
 		return
 	}
 	n.crashesHeard(r.Crashed, r.Survived)
-	n.departuresHeard(r.Departures, from.VM)
+	n.drainingHeard(r.Draining, from.VM)
 	h := n.holderOf(from, r)
 	if n.leads() {
 		n.renewLease(n.settings.Self.VM, r.renewal(from))
@@ -418,10 +417,9 @@
 	n.deliver(h.id.VM, Message{Grant: &g})
 }
 
-// resendAfter is how long changes that were sent to a holder count as on their way. On the
-// users' grown fleet a change of 1,700 routes takes 0.5 s to 76 holders, who ask three
-// times a second: each ask was answered with the change again, until the leader's link
-// carried nothing else.
+// resendAfter is how long changes that were sent to a holder count as on their way. A large
+// change takes longer to all holders than the time between two asks: sent again with each, it
+// would fill the leader's link.
 const resendAfter = time.Second
 
 // baseOf returns the revision from which a holder is brought to the newest: its own, or
--- a/internal/core/halls_test.go
+++ b/internal/core/halls_test.go
@@ -45,10 +45,10 @@
 	limits map[core.VMName]*relay.RateLimits
 	// quarantine is what each entry VM was told of requests that end their targets.
 	quarantine map[core.VMName]map[relay.Fingerprint]time.Time
-	// restsEnded is what each entry VM was told of rests that operators ended, shown the rows
+	// backoffsEnded is what each entry VM was told of backoffs that operators ended, shown the rows
 	// of the table that an operator was answered last.
-	restsEnded map[core.VMName][]string
-	shown      [][]string
+	backoffsEnded map[core.VMName][]string
+	shown         [][]string
 	// loses says which messages are lost, nil where none are.
 	loses func(core.Envelope) bool
 	// renewed counts, by VM, the renewals that came to it; bytes what it sent.
@@ -86,10 +86,10 @@
 		fleets: make(map[core.VMName]core.FleetLearned), others: make(map[core.VMName]map[relay.TargetKey]relay.Work),
 		disks: make(map[core.VMName]*core.Recovered), settings: make(map[core.VMName]core.Settings),
 		renewed: make(map[core.VMName]int), sent: make(map[core.VMName]int), bytes: make(map[core.VMName]int),
-		found:      make(map[core.VMName]relay.Findings),
-		restsEnded: make(map[core.VMName][]string),
-		quarantine: make(map[core.VMName]map[relay.Fingerprint]time.Time),
-		marks:      make(map[core.VMName]map[relay.TargetKey]relay.Mark), kinds: make(map[string]int), decode: decodeEmpty,
+		found:         make(map[core.VMName]relay.Findings),
+		backoffsEnded: make(map[core.VMName][]string),
+		quarantine:    make(map[core.VMName]map[relay.Fingerprint]time.Time),
+		marks:         make(map[core.VMName]map[relay.TargetKey]relay.Mark), kinds: make(map[string]int), decode: decodeEmpty,
 	}
 	f.pass = f.run
 	for i := range size.controls {
@@ -193,8 +193,8 @@
 			if limits, ok := f.limits[vm]; ok {
 				limits.Grant(e.Number, e.Permits, e.Until, f.now)
 			}
-		case core.RestsEnded:
-			f.restsEnded[vm] = append(f.restsEnded[vm], e.Targets...)
+		case core.BackoffsEnded:
+			f.backoffsEnded[vm] = append(f.backoffsEnded[vm], e.Targets...)
 		case core.Answer:
 			if e.Result.Table != nil {
 				f.shown = e.Result.Table.Rows
@@ -392,7 +392,7 @@
 }
 
 // What a target tells any control VM reaches all entry VMs in well under the drain bound.
-func TestAWordReachesAllHallsSoon(t *testing.T) {
+func TestAMessageReachesAllHallsSoon(t *testing.T) {
 	f := started(t, usersFleet)
 	f.speak("c3-2", relay.Target{ID: "i-1", Address: "a", Call: 1})
 	f.run(time.Second)
--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -192,8 +192,8 @@
 	require.Equal(t, 1, saved(relay.Target{ID: "i-2", Address: "b", Call: 2, Leaving: true}))
 }
 
-// At 300 VMs and 3,000 targets a push for each word filled the memory of control VMs.
-func TestWordsOfOneTickArePushedTogether(t *testing.T) {
+// At 300 VMs and 3,000 targets a push for each message filled the memory of control VMs.
+func TestMessagesOfOneTickArePushedTogether(t *testing.T) {
 	n := controlNode(nil, time.Unix(100, 0))
 	now := lead(n, time.Unix(100, 0))
 	follow(n, now)
--- a/internal/core/incarnation_test.go
+++ b/internal/core/incarnation_test.go
@@ -14,7 +14,7 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-// restart has all engines start again under their names, and returns the last words of their
+// restart has all engines start again under their names, and returns the last messages of their
 // lives before, which have not come yet.
 func (f *engineFleet) restart(born uint64) []relay.Target {
 	var late []relay.Target
@@ -55,7 +55,7 @@
 }
 
 // Engines that start again under their names get orders again, though the leader changes and
-// the last words of their lives before come late, by other control VMs.
+// the last messages of their lives before come late, by other control VMs.
 func TestEnginesThatStartAgainAreOrderedAgain(t *testing.T) {
 	f := newEngineFleet(t, smallFleet, 30)
 	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
@@ -74,15 +74,15 @@
 			e.speaks = f.otherControl(old)
 		}
 	}
-	for i, word := range late {
-		f.speak(f.controlsBut(old)[i%5], word)
-		f.step(f.controlsBut(old)[0], core.LayersOrdered{Target: word.ID, Outcome: core.OrderBegun})
+	for i, message := range late {
+		f.speak(f.controlsBut(old)[i%5], message)
+		f.step(f.controlsBut(old)[0], core.LayersOrdered{Target: message.ID, Outcome: core.OrderBegun})
 	}
 	f.until("another leads", 10*time.Second, func() bool { return f.leaderBut(old) != "" })
 	f.until("engines hold all layers again", time.Minute, f.covered)
-	for i, word := range late {
-		word.Call++
-		f.speak(f.controlsBut(old)[(i+1)%5], word)
+	for i, message := range late {
+		message.Call++
+		f.speak(f.controlsBut(old)[(i+1)%5], message)
 	}
 	f.run(2 * time.Second)
 	f.requireLives(t)
@@ -99,26 +99,26 @@
 }
 
 // Hints are of the life that counted when they were saved: it may have ended since, or be the
-// one that late words are void against.
+// one that late messages are void against.
 func TestHintsOfALifeYieldToALaterOne(t *testing.T) {
-	for name, words := range map[string]struct {
-		hint, word relay.Target
-		want       relay.TargetID
+	for name, messages := range map[string]struct {
+		hint, message relay.Target
+		want          relay.TargetID
 	}{
-		"the hint is of the life before": {hint: lifeOf(100, 50), word: lifeOf(200, 1), want: lifeOf(200, 0).ID},
-		"the word is of the life before": {hint: lifeOf(200, 1), word: lifeOf(100, 50), want: lifeOf(200, 0).ID},
-		"no start is told":               {hint: lifeOf(0, 7), word: lifeOf(0, 8), want: "i-1"},
+		"the hint is of the life before":    {hint: lifeOf(100, 50), message: lifeOf(200, 1), want: lifeOf(200, 0).ID},
+		"the message is of the life before": {hint: lifeOf(200, 1), message: lifeOf(100, 50), want: lifeOf(200, 0).ID},
+		"no start is told":                  {hint: lifeOf(0, 7), message: lifeOf(0, 8), want: "i-1"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			n := controlNode([]relay.Target{words.hint}, time.Unix(100, 0))
+			n := controlNode([]relay.Target{messages.hint}, time.Unix(100, 0))
 			now := lead(n, time.Unix(100, 0).Add(-2*time.Second))
-			effects := n.Step(now, core.TargetSpoke{Conn: 1, Target: words.word})
+			effects := n.Step(now, core.TargetSpoke{Conn: 1, Target: messages.message})
 			told := follow(n, now)
 			require.Len(t, told, 1)
-			require.Equal(t, words.want, told[0].ID)
+			require.Equal(t, messages.want, told[0].ID)
 			for _, effect := range effects {
 				if saved, ok := effect.(core.SaveTargets); ok {
-					require.NotContains(t, saved.Targets, words.hint)
+					require.NotContains(t, saved.Targets, messages.hint)
 				}
 			}
 		})
@@ -183,7 +183,7 @@
 type livesRun struct {
 	*spread
 	born map[string]uint64
-	// late are words that may still come.
+	// late are messages that may still come.
 	late []relay.Target
 }
 
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -191,15 +191,15 @@
 	// Work is what the entry VM has under way at registered targets.
 	Work map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
 	// Usage is what the entry VM has asked and repeated in the last window, by service.
-	Usage map[string]relay.Usage `cbor:"spent,omitempty"`
+	Usage map[string]relay.Usage `cbor:"usage,omitempty"`
 	// Dead are the targets that have lately failed it and done nothing since, Well
 	// those that have done their part.
 	Dead []relay.TargetKey `cbor:"dead,omitempty"`
 	Well []relay.TargetKey `cbor:"well,omitempty"`
 	// Slow are those that say that they are slow.
 	Slow []relay.TargetKey `cbor:"slow,omitempty"`
-	// Departures are targets that have said to it with an answer that they leave.
-	Departures []relay.TargetID `cbor:"departures,omitempty"`
+	// Draining are targets that have said to it with an answer that they leave.
+	Draining []relay.TargetID `cbor:"draining,omitempty"`
 	// Limits are the targets that take so many requests a second.
 	Limits []LimitAsk `cbor:"limits,omitempty"`
 	// Crashed are runs that ended with their target, Survived requests that have run well
@@ -233,7 +233,7 @@
 type FleetPart struct {
 	Work map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
 	// Usage is the sum of what they have asked and repeated, VMs their number.
-	Usage map[string]relay.Usage `cbor:"spent,omitempty"`
+	Usage map[string]relay.Usage `cbor:"usage,omitempty"`
 	VMs   int                    `cbor:"vms"`
 	// Dead and Well count the entry VMs that found a target so.
 	Dead map[relay.TargetKey]int `cbor:"dead,omitempty"`
@@ -266,7 +266,7 @@
 }
 
 // GrantBatch grants all renewals of the batch of that number, to holders that are at
-// Revision or above, and brings the control VM to the newest word on the fleet. The fields
+// Revision or above, and brings the control VM to the newest state of the fleet. The fields
 // are those of Grant.
 type GrantBatch struct {
 	Term        Term            `cbor:"term"`
@@ -289,8 +289,8 @@
 	MarksWhole bool                           `cbor:"marks_whole,omitempty"`
 	MarksUpto  uint64                         `cbor:"marks_upto,omitempty"`
 	VMs        int                            `cbor:"vms,omitempty"`
-	Usage      map[string]relay.Usage         `cbor:"spent,omitempty"`
-	UsageBy    int                            `cbor:"spent_by,omitempty"`
+	Usage      map[string]relay.Usage         `cbor:"usage,omitempty"`
+	UsageBy    int                            `cbor:"usage_by,omitempty"`
 	// Permits are those that answer the batch's Limits.
 	Permits []HolderPermits `cbor:"permits,omitempty"`
 }
@@ -348,8 +348,8 @@
 	VMs        int                            `cbor:"vms,omitempty"`
 	// Usage is what UsageBy entry VMs have asked and repeated together in the last window,
 	// by service; it comes with WorkTold.
-	Usage   map[string]relay.Usage `cbor:"spent,omitempty"`
-	UsageBy int                    `cbor:"spent_by,omitempty"`
+	Usage   map[string]relay.Usage `cbor:"usage,omitempty"`
+	UsageBy int                    `cbor:"usage_by,omitempty"`
 	// Permits are lent for targets with limits; they come with the lease that answers the
 	// renewal which asked for them.
 	// PermitsTo is the incarnation that has asked for them: another one may ask under like
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -143,9 +143,9 @@
 		n.entry.findings, n.entry.permitAsks = ev.Findings, ev.Limits
 	case PermitsWanted:
 		n.permitsWanted(ev)
-	case TargetDeparts:
+	case TargetDrains:
 		if n.settings.Control {
-			n.departuresHeard([]relay.TargetID{ev.Target}, n.settings.Self.VM)
+			n.drainingHeard([]relay.TargetID{ev.Target}, n.settings.Self.VM)
 		}
 	case RunsCrashed:
 		n.runsCrashed(ev)
@@ -187,7 +187,7 @@
 }
 
 // sameCluster drops messages of another cluster, and lets a VM that has none
-// yet learn the identity from a leader's words.
+// yet learn the identity from a leader's messages.
 func (n *Node) sameCluster(e Envelope) bool {
 	if n.cluster == "" && e.Cluster != "" && (e.Body.Append != nil || e.Body.Install != nil || e.Body.Grant != nil) {
 		n.cluster = e.Cluster
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -175,11 +175,11 @@
 }
 
 // loadsAhead is how many times more engines load at a time than load at full speed: that
-// one is done is known up to a heartbeat later, in which the store is not to rest.
+// one is done is known up to a heartbeat later, in which the store is not to be idle.
 const loadsAhead = 8
 
-// orderSome orders no more engines than can load at a time: all that load share a store. Of
-// 3,000 that were all ordered at once none would hold anything for 45 s (computed).
+// orderSome orders no more engines than can load at a time: all that load share a store, and of
+// thousands that load at once none would hold anything for long.
 func (n *Node) orderSome(s *relay.Service, assignments []relay.Assignment) {
 	for _, a := range assignments {
 		if most := s.Engine.LoadsAtOnce; most > 0 && len(n.leading.placing.orders) >= loadsAhead*most {
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// add takes a run in the place of an earlier word on it.
+// add takes a run in the place of an earlier report of it.
 func (c *crashes) add(run relay.CrashedRun) {
 	c.runs = slices.DeleteFunc(c.runs, func(o relay.CrashedRun) bool { return o.Request == run.Request && o.Target == run.Target })
 	c.runs = append(c.runs, run)
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -44,9 +44,9 @@
 	Target relay.Target
 }
 
-// TargetDeparts is what a target has said to this VM with an answer to something other than a
+// TargetDrains is what a target has said to this VM with an answer to something other than a
 // request: that it leaves. An entry VM reports it with its renewals too.
-type TargetDeparts struct{ Target relay.TargetID }
+type TargetDrains struct{ Target relay.TargetID }
 
 // TargetHeard answers TargetSpoke. Taken is false where the target should tell
 // another control VM.
@@ -102,10 +102,10 @@
 	MarksWhole bool
 }
 
-func (TargetSpoke) isEvent()   {}
-func (WorkCounted) isEvent()   {}
-func (SeedsRead) isEvent()     {}
-func (TargetDeparts) isEvent() {}
+func (TargetSpoke) isEvent()  {}
+func (WorkCounted) isEvent()  {}
+func (SeedsRead) isEvent()    {}
+func (TargetDrains) isEvent() {}
 
 func (TargetHeard) isEffect()    {}
 func (TargetsLearned) isEffect() {}
@@ -139,12 +139,12 @@
 	// targets find all of them dead, and are fewer than the others.
 	deadAtLeast = 2
 	deadRatio   = 2
-	// pushCost is the wait between two pushes for each follower. Encoding and sending one
-	// takes some 100 us of half a core (estimated, not measured), so that pushes take a fifth of it at the most: 76
-	// followers are pushed to every 76 ms, 300 every 0.3 s, of the 2 s that a message may take.
+	// pushCost is the wait between two pushes for each follower, so that pushes take a part of
+	// the processor that does not grow with the followers, well within the 2 s that a message may
+	// take.
 	pushCost = time.Millisecond
 	// deafAfter is the silence of the leader after which a control VM takes no
-	// word: an election ends within it.
+	// message: an election ends within it.
 	deafAfter = 1500 * time.Millisecond
 )
 
@@ -228,7 +228,7 @@
 const saveEvery = 3 * time.Second
 
 // saveTargets saves hints when something has changed: of the targets that live. What is
-// known of a dead one would count as much as the word of its successor at its address.
+// known of a dead one would count as much as the message of its successor at its address.
 func (n *Node) saveTargets(atOnce bool) {
 	r := &n.registry
 	changed := r.saved != r.targets.Change()
@@ -287,11 +287,11 @@
 	n.saveTargets(t.Leaving)
 }
 
-// departuresHeard takes that targets have said to a VM with their answers that they leave: the
+// drainingHeard takes that targets have said to a VM with their answers that they leave: the
 // same as a heartbeat that says so.
-func (n *Node) departuresHeard(ids []relay.TargetID, teller VMName) {
+func (n *Node) drainingHeard(ids []relay.TargetID, teller VMName) {
 	for _, id := range ids {
-		if !n.registry.targets.Depart(id) {
+		if !n.registry.targets.Drain(id) {
 			continue
 		}
 		n.note("target leaves, as it said with an answer to "+string(teller), string(id))
--- a/internal/core/routing.go
+++ b/internal/core/routing.go
@@ -56,8 +56,8 @@
 	// suspectUntil is how long no new work goes there.
 	suspectUntil time.Time
 	failures     int
-	// restUntil is until when it has asked this VM for rest.
-	restUntil time.Time
+	// backoffUntil is until when it has asked this VM to back off.
+	backoffUntil time.Time
 	// report is what the last watch brought.
 	report TargetReport
 }
@@ -266,7 +266,7 @@
 // usable reports whether work may go on a route. Submissions leave the last
 // place of each runner to lookups.
 func (n *Node) usable(p *pool, r *route, w *waiting) bool {
-	if n.routeSuspect(r) || n.routeRests(r) || n.routeShort(r) {
+	if n.routeSuspect(r) || n.routeBackoffs(r) || n.routeShort(r) {
 		return false
 	}
 	return !w.isSubmission() || r.window < 2 || float64(p.used[r.name])+1 < r.window
--- a/internal/core/show.go
+++ b/internal/core/show.go
@@ -44,8 +44,8 @@
 		return n.requestsTable()
 	case query.Quarantine:
 		return n.quarantineTable()
-	case query.Rests:
-		return n.restsTable()
+	case query.Backoffs:
+		return n.backoffsTable()
 	case query.Limits:
 		return n.limitsTable()
 	case query.Unread:
--- a/internal/core/spread_property_test.go
+++ b/internal/core/spread_property_test.go
@@ -14,7 +14,7 @@
 )
 
 // spread is some control VMs that targets speak to, and entry VMs that follow them.
-// Each control VM leads a cluster of its own, so that it always takes words.
+// Each control VM leads a cluster of its own, so that it always takes messages.
 type spread struct {
 	t        *rapid.T
 	now      time.Time
@@ -115,7 +115,7 @@
 
 // Whatever is lost and whoever restarts, what targets say reaches every entry VM once
 // they have said it again.
-func TestWordsReachEveryEntryVM(t *testing.T) {
+func TestMessagesReachEveryEntryVM(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSpread(t)
 		control := rapid.SampledFrom(spreadControls)
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -35,8 +35,8 @@
 	return n.Step(now.Add(100*time.Millisecond), core.Tick{})
 }
 
-// At 300 VMs each of 18 control VMs told each word to all others: 1.9 GB at the start.
-func TestWordsAreToldByTheOneWhoHeardThem(t *testing.T) {
+// At 300 VMs each of 18 control VMs told each message to all others: 1.9 GB at the start.
+func TestMessagesAreToldByTheOneWhoHeardThem(t *testing.T) {
 	n := controlNode(nil, time.Unix(100, 0))
 	now := lead(n, time.Unix(100, 0))
 	n.Step(now, from("c3", core.Message{Follow: &core.Follow{OwnOnly: true, Heartbeats: true}}))
@@ -62,7 +62,7 @@
 	again := leaving
 	again.Call = 4
 	n.Step(now, core.TargetSpoke{Conn: 1, Target: again})
-	require.Equal(t, []relay.Target{again}, news(nextPush(n, now), "e1"), "c2 may have died with its word")
+	require.Equal(t, []relay.Target{again}, news(nextPush(n, now), "e1"), "c2 may have died with its message")
 }
 
 // After a loss of all VMs every target turns to one that it has not spoken to: 105 pushes
@@ -81,7 +81,7 @@
 	require.Len(t, follow(), 1)
 }
 
-func TestALateWordThatATargetLeavesIsToldOf(t *testing.T) {
+func TestALateMessageThatATargetLeavesIsToldOf(t *testing.T) {
 	n := controlNode(nil, time.Unix(100, 0))
 	now := lead(n, time.Unix(100, 0))
 	n.Step(now, from("e1", core.Message{Follow: &core.Follow{OwnOnly: true}}))
@@ -310,9 +310,9 @@
 	return sent
 }
 
-// At 300 VMs a leader sent 71 MB of words in 5 s while 3,000 targets loaded, six times what
+// At 300 VMs a leader sent 71 MB of messages in 5 s while 3,000 targets loaded, six times what
 // was new: what was on its way over full links was sent again for each ask that crossed it.
-func TestWordsOnTheirWayAreNotSentAgain(t *testing.T) {
+func TestMessagesOnTheirWayAreNotSentAgain(t *testing.T) {
 	n := controlNode(nil, time.Unix(100, 0))
 	now := lead(n, time.Unix(100, 0))
 	speak := func(id string) {
@@ -338,8 +338,8 @@
 	require.Empty(t, newsTo(nextPush(n, now.Add(time.Second)), "e1"), "nothing is new")
 }
 
-// News that a broken link has lost are sent again within the 2 s that a word may take.
-func TestWordsThatWereLostAreSentAgain(t *testing.T) {
+// News that a broken link has lost are sent again within the 2 s that a message may take.
+func TestMessagesThatWereLostAreSentAgain(t *testing.T) {
 	n := controlNode(nil, time.Unix(100, 0))
 	now := lead(n, time.Unix(100, 0))
 	n.Step(now, core.TargetSpoke{Conn: 1, Target: relay.Target{ID: "i-1", Address: "a", Call: 1}})
@@ -349,8 +349,8 @@
 	require.Len(t, again[0].Targets, 1)
 }
 
-// A target that leaves gets no new work after 2 s, however long other words take to a VM.
-func TestThatATargetLeavesIsToldBesideWordsOnTheirWay(t *testing.T) {
+// A target that leaves gets no new work after 2 s, however long other messages take to a VM.
+func TestThatATargetLeavesIsToldBesideMessagesOnTheirWay(t *testing.T) {
 	n := controlNode(nil, time.Unix(100, 0))
 	now := lead(n, time.Unix(100, 0))
 	stays := relay.Target{ID: "i-1", Address: "a", Call: 1}
@@ -393,7 +393,7 @@
 }
 
 // Signs of life go on while other news are on their way to a control VM.
-func TestSignsOfLifeDoNotWaitForWords(t *testing.T) {
+func TestSignsOfLifeDoNotWaitForMessages(t *testing.T) {
 	n := controlNode(nil, time.Unix(100, 0))
 	now := lead(n, time.Unix(100, 0))
 	spoke := relay.Target{ID: "i-1", Address: "a", Call: 1}
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -35,7 +35,7 @@
 	answerBy time.Time
 	// turn is where in the lists of control VMs this VM begins.
 	turn int
-	// redirectedAt is when it last obeyed a word to ask elsewhere.
+	// redirectedAt is when it last obeyed an answer to ask elsewhere.
 	redirectedAt time.Time
 	// permitsAt is when a renewal may next be sent for permits only.
 	permitsAt time.Time
@@ -252,17 +252,15 @@
 		Dead:        n.entry.findings.Dead,
 		Well:        n.entry.findings.Well,
 		Slow:        n.entry.findings.Slow,
-		Departures:  n.entry.findings.Leaving,
+		Draining:    n.entry.findings.Leaving,
 		Limits:      n.limitAsks(),
 		Crashed:     n.entry.crashes.reports(n.now),
 		Survived:    n.entry.crashes.cleared(n.now),
 	}})
 }
 
-// askAgainAfter is the pause after a control VM has said that it can grant nothing. After a
-// loss of all VMs those that had asked a moment too soon asked again after a whole interval
-// between renewals: half of them had a lease 0.17 s and more after it (one day). At
-// 300 VMs it is 170 asks a second at each of 18 control VMs while nobody leads (computed).
+// askAgainAfter is the pause after a control VM has said that it can grant nothing: after a
+// loss of all VMs most ask a moment too soon, and an interval between renewals is long then.
 const askAgainAfter = 100 * time.Millisecond
 
 // askAgainSoon has this VM ask again soon. In each interval between renewals one such answer
@@ -288,7 +286,7 @@
 // keptAsks bounds the renewals whose answer may still come.
 const keptAsks = 16
 
-// redirected takes the word of a control VM that can't do what it was asked for. An order
+// redirected takes the answer of a control VM that can't do what it was asked for. An order
 // to ask others is obeyed once in a renewal, so that two VMs that name each other cost no
 // more.
 func (n *Node) redirected(from ReplicaID, r Redirect) {
@@ -358,7 +356,7 @@
 	n.fleetTaken(g)
 	if n.entry.config.Revision != before.Revision {
 		n.quarantineTaken(before)
-		n.endRests(before)
+		n.endBackoffs(before)
 		n.configTaken()
 		n.renew()
 	}
--- a/internal/core/unnamed.go
+++ b/internal/core/unnamed.go
@@ -6,25 +6,25 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-// This file holds back the words of targets whose service no document names.
+// This file holds back the messages of targets whose service no document names.
 //
-// Problem: anybody may register as a target. A word of a service that nobody has
+// Problem: anybody may register as a target. A message of a service that nobody has
 // declared must not reach other VMs or the disk; but targets register before the change
 // that adds their service, and before the first document.
 //
-// Algorithm: the control VM that hears such a word acknowledges it and keeps it apart.
+// Algorithm: the control VM that hears such a message acknowledges it and keeps it apart.
 // Once its document names the service, what is kept is taken as if it came then. While a
-// VM has no document, words are spread as they come: it can't tell one service from
+// VM has no document, messages are spread as they come: it can't tell one service from
 // another, and a target that leaves must be known of. Targets that were taken then, or of
-// a service that was dropped since, are looked up by nobody; their words are held back
+// a service that was dropped since, are looked up by nobody; their messages are held back
 // from then on, so that they count as silent, and are forgotten.
 //
-// Invariants: a word that is held back is neither spread nor saved, and replaces nothing;
+// Invariants: a message that is held back is neither spread nor saved, and replaces nothing;
 // a target that lives is taken soon after its service is named.
 //
-// Limits: the words of unnamedMost targets are kept, each until the target has been
+// Limits: the messages of unnamedMost targets are kept, each until the target has been
 // silent as long as any may be; what comes beyond is acknowledged and comes again with
-// the next word. They are lost with the VM, and targets then tell another one.
+// the next message. They are lost with the VM, and targets then tell another one.
 
 const (
 	// unnamedMost bounds the targets that are held back: as many as the largest deployment
@@ -36,7 +36,7 @@
 	readDocumentEvery = 200 * time.Millisecond
 )
 
-// unnamed are the words that are held back.
+// unnamed are the messages that are held back.
 type unnamed struct {
 	targets *relay.Registry
 	decoded decoded
@@ -45,8 +45,8 @@
 	forgetAt time.Time
 }
 
-// heldBack keeps a target's word apart and returns true, where no document names the
-// target's service. A word that names no service signs off.
+// heldBack keeps a target's message apart and returns true, where no document names the
+// target's service. A message that names no service signs off.
 func (n *Node) heldBack(t relay.Target) bool {
 	u := &n.registry.unnamed
 	known, spread := n.registry.targets.Get(t.ID)
--- a/internal/core/unnamed_test.go
+++ b/internal/core/unnamed_test.go
@@ -61,7 +61,7 @@
 	}
 }
 
-// speak hands the node a target's word, and returns what the target is answered.
+// speak hands the node a target's message, and returns what the target is answered.
 func (n *namingNode) speak(t relay.Target) core.TargetHeard {
 	for _, effect := range n.step(core.TargetSpoke{Conn: 1, Target: t}) {
 		if heard, ok := effect.(core.TargetHeard); ok {
@@ -87,7 +87,7 @@
 	require.Equal(t, []relay.Target{good}, n.saved)
 }
 
-func TestAWordOfNoNamedServiceReplacesNothing(t *testing.T) {
+func TestAMessageOfNoNamedServiceReplacesNothing(t *testing.T) {
 	n := newNamingNode("s")
 	good := relay.Target{ID: "i-1", Service: "s", Address: "10.0.0.1:80", Call: 1}
 	n.speak(good)
@@ -116,7 +116,7 @@
 	require.Len(t, follow(n.Node, n.now), 1)
 }
 
-// Anybody may send any number of such words.
+// Anybody may send any number of such messages.
 func TestWhatIsHeldBackIsBounded(t *testing.T) {
 	n := newNamingNode("s")
 	const many = 3100
--- a/internal/core/world_targets_test.go
+++ b/internal/core/world_targets_test.go
@@ -77,8 +77,8 @@
 		w.reached[d.Target][v.name]++
 		w.arrivals[d.Target] = append(w.arrivals[d.Target], w.now)
 		sent := w.clock(v)
-		if until := w.rests[d.Target]; w.now.Before(until) {
-			ended.RestUntil = w.clock(v).Add(until.Sub(w.now))
+		if until := w.backoffs[d.Target]; w.now.Before(until) {
+			ended.BackoffUntil = w.clock(v).Add(until.Sub(w.now))
 			w.push(delivery{at: w.now.Add(w.latency()), to: v.name, life: life, event: ended})
 			return
 		}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -54,10 +54,10 @@
 	// targets that say so themselves.
 	platform []string
 	leaves   map[string]bool
-	// rests is until when a runner turns calls away and asks for rest; reached counts the calls
+	// backoffs is until when a runner turns calls away and asks to back off; reached counts the calls
 	// that come to each, by the VM that they come from.
-	rests   map[string]time.Time
-	reached map[string]map[core.VMName]int
+	backoffs map[string]time.Time
+	reached  map[string]map[core.VMName]int
 	// limits are the calls a second that runners name, and arrivals when calls reached each.
 	limits   map[string]float64
 	arrivals map[string][]time.Time
@@ -122,7 +122,7 @@
 func newWorld(t require.TestingT, seed uint64, controls, entries int) *world {
 	w := &world{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), now: epochStart,
-		vms: make(map[core.VMName]*vm), engines: make(map[string]*engine), limits: make(map[string]float64), arrivals: make(map[string][]time.Time), rests: make(map[string]time.Time), reached: make(map[string]map[core.VMName]int), runners: make(map[string]*runner),
+		vms: make(map[core.VMName]*vm), engines: make(map[string]*engine), limits: make(map[string]float64), arrivals: make(map[string][]time.Time), backoffs: make(map[string]time.Time), reached: make(map[string]map[core.VMName]int), runners: make(map[string]*runner),
 		cut: make(map[[2]core.VMName]bool), asks: make(map[core.ConnID]*ask), results: make(map[core.ConnID]core.Result),
 		prints: make(map[core.Index]string), floors: make(map[core.ConnID]config.Revision), sent: make(map[string]bool),
 		dead: make(map[string]bool), leaves: make(map[string]bool),
--- a/internal/daemon/rests_test.go
+++ b/internal/daemon/backoffs_test.go
@@ -17,21 +17,21 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-// What targets that rest and leave answer. A rest is of 3 s.
+// What targets that ask to back off, and that leave, answer. A backoff is of 3 s.
 var (
-	resting = step{text: "HTTP/1.1 503 No\r\nId: a\r\nNot-Run: 1\r\nRest: 3\r\nContent-Length: 0\r\n\r\n"}
-	leaving = step{runs: true, text: "HTTP/1.1 200 OK\r\nId: a\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok"}
+	backedOff = step{text: "HTTP/1.1 503 No\r\nId: a\r\nNot-Run: 1\r\nBackoff: 3\r\nContent-Length: 0\r\n\r\n"}
+	leaving   = step{runs: true, text: "HTTP/1.1 200 OK\r\nId: a\r\nLeaving: 1\r\nContent-Length: 2\r\n\r\nok"}
 )
 
-// A target that turned a VM away had asked it for 3 s of rest, and got three requests more from
+// A target that turned a VM away had asked it for 3 s of backoff, and got three requests more from
 // it in that time, each of which it turned away too. Nothing read what targets say of themselves
 // with their answers: what kept the VM away was a pause of its own making, of 0.1 s that doubled
 // up to 0.8 s. Nine of nineteen such callers were refused while two other targets had room.
 // That the requests came 0.3 s and more after the refusal before, when the pause was over,
 // proved it; here no other target is known, and time goes on by itself.
-func TestATargetThatAsksForRestIsSentNothingMeanwhile(t *testing.T) {
+func TestATargetThatAsksToBackOffIsSentNothingMeanwhile(t *testing.T) {
 	s := newSuspendable(t)
-	w := newWorker(t, resting, served)
+	w := newWorker(t, backedOff, served)
 	g := newEntry(t, relay.RepeatAlways, 1, w)
 	require.Equal(t, http.StatusServiceUnavailable, ask(t, g))
 	for range 4 {
@@ -40,7 +40,7 @@
 	}
 	require.EqualValues(t, 1, w.next.Load(), "requests that reach it")
 	s.ahead += time.Second
-	require.Equal(t, http.StatusOK, ask(t, g), "its rest is over")
+	require.Equal(t, http.StatusOK, ask(t, g), "its backoff is over")
 }
 
 // A target that says with an answer that it leaves got requests until its heartbeats said so
@@ -55,17 +55,17 @@
 	require.EqualValues(t, 1, w.next.Load(), "requests that reach it")
 }
 
-// Whatever a target that rests or leaves answers, what it says of itself counts: also with an
+// Whatever a target that asks to back off or leaves answers, what it says of itself counts: also with an
 // answer that can't be handed on, or that goes on for long.
 func TestAnyAnswerTellsOfATarget(t *testing.T) {
 	const body = "Content-Length: 2\r\n\r\nok"
 	for name, s := range map[string]step{
-		"whole":                 {text: "HTTP/1.1 200 OK\r\nId: a\r\nLeaving: 1\r\n" + body},
-		"failed":                {text: "HTTP/1.1 500 No\r\nId: a\r\nLeaving: 1\r\n" + body},
-		"refused":               {text: "HTTP/1.1 503 No\r\nId: a\r\nNot-Run: 1\r\nLeaving: 1\r\n" + body},
-		"rest, not run":         {text: "HTTP/1.1 503 No\r\nId: a\r\nNot-Run: 1\r\nRest: 9\r\n" + body},
-		"rest, it may have run": {text: "HTTP/1.1 503 No\r\nId: a\r\nRest: 9\r\n" + body},
-		"cut off in the middle": {text: "HTTP/1.1 200 OK\r\nId: a\r\nLeaving: 1\r\nContent-Length: 9\r\n\r\nok", ends: true},
+		"whole":                    {text: "HTTP/1.1 200 OK\r\nId: a\r\nLeaving: 1\r\n" + body},
+		"failed":                   {text: "HTTP/1.1 500 No\r\nId: a\r\nLeaving: 1\r\n" + body},
+		"refused":                  {text: "HTTP/1.1 503 No\r\nId: a\r\nNot-Run: 1\r\nLeaving: 1\r\n" + body},
+		"backoff, not run":         {text: "HTTP/1.1 503 No\r\nId: a\r\nNot-Run: 1\r\nBackoff: 9\r\n" + body},
+		"backoff, it may have run": {text: "HTTP/1.1 503 No\r\nId: a\r\nBackoff: 9\r\n" + body},
+		"cut off in the middle":    {text: "HTTP/1.1 200 OK\r\nId: a\r\nLeaving: 1\r\nContent-Length: 9\r\n\r\nok", ends: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			w := newWorker(t, s, served)
@@ -93,10 +93,10 @@
 }
 
 // A request that was sent on a kept connection, which is gone, is not sent again on a new one
-// when its target has asked for rest, or said that it leaves, between the two.
+// when its target has asked to back off, or said that it leaves, between the two.
 func TestASecondSendingIsHeldBack(t *testing.T) {
 	for name, notice := range map[string]relay.Notice{
-		"rest":    {RestUntil: time.Now().Add(time.Hour)},
+		"backoff": {BackoffUntil: time.Now().Add(time.Hour)},
 		"leaving": {Leaving: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -115,20 +115,20 @@
 }
 
 // A request that was turned away goes to another target, and only there.
-func TestARequestGoesOnBesideATargetThatRests(t *testing.T) {
-	rests, serves := newWorker(t, resting), newWorker(t, served)
-	g := newEntry(t, relay.RepeatAlways, 2, rests, serves)
+func TestARequestGoesOnBesideATargetThatAsksToBackOff(t *testing.T) {
+	backoffs, serves := newWorker(t, backedOff), newWorker(t, served)
+	g := newEntry(t, relay.RepeatAlways, 2, backoffs, serves)
 	for range 20 {
 		require.Equal(t, http.StatusOK, ask(t, g))
 	}
-	require.LessOrEqual(t, rests.next.Load(), int32(1))
+	require.LessOrEqual(t, backoffs.next.Load(), int32(1))
 }
 
-// A target that asks for rest again and again lives: it is not found dead, and what runs there
+// A target that asks to back off again and again lives: it is not found dead, and what runs there
 // is not given up.
-func TestATargetThatRestsIsNotFoundDead(t *testing.T) {
+func TestATargetThatBackoffsIsNotFoundDead(t *testing.T) {
 	s := newSuspendable(t)
-	w := newWorker(t, resting)
+	w := newWorker(t, backedOff)
 	g := newEntry(t, relay.RepeatAlways, 1, w)
 	for range 10 {
 		now := clock.Sampled()
@@ -140,12 +140,12 @@
 	require.Empty(t, daemon.FindingsOf(g).Dead)
 }
 
-// A stream in the middle waits for a room; where its targets rest for longer than its caller
+// A stream in the middle waits for a room; where its targets ask to back off for longer than its caller
 // waits, it is told at once.
-func TestNobodyIsHeldUntilALongRestEnds(t *testing.T) {
+func TestNobodyIsHeldUntilALongBackoffEnds(t *testing.T) {
 	p := newPausing(t)
 	g := pausingEntry(t, relay.Target{ID: "i-1", Service: "s", Address: p.address, Slots: 10, Call: 1})
-	daemon.ApplyNotice(g, "i-1", relay.Notice{RestUntil: time.Now().Add(3 * time.Hour)})
+	daemon.ApplyNotice(g, "i-1", relay.Notice{BackoffUntil: time.Now().Add(3 * time.Hour)})
 	later := time.Now().Add(time.Hour)
 	status := askCall(t, g, &daemon.Call{ID: "a", Arrived: later, Deadline: later, Method: http.MethodPost, URI: "/", Path: "/", Host: "h", After: "7"})
 	require.Equal(t, http.StatusServiceUnavailable, status)
@@ -174,7 +174,7 @@
 
 // Reports, orders and new paths are held back too, do not count as answered or as lost, and
 // their answers tell of the engine as well. One that leaves is still asked for what it runs.
-func TestNothingElseIsAskedOfAnEngineThatRests(t *testing.T) {
+func TestNothingElseIsAskedOfAnEngineThatAsksToBackOff(t *testing.T) {
 	const id = relay.TargetID("i-1")
 	asks := map[string]func(e daemon.Engines) (held bool){
 		"report": func(e daemon.Engines) bool {
@@ -194,7 +194,7 @@
 	for told, tell := range asks {
 		for asked, ask := range asks {
 			t.Run(asked+" after "+told, func(t *testing.T) {
-				engines := countingEngines{asked: new(atomic.Int32), notice: &relay.Notice{RestUntil: time.Now().Add(time.Hour)}}
+				engines := countingEngines{asked: new(atomic.Int32), notice: &relay.Notice{BackoffUntil: time.Now().Add(time.Hour)}}
 				g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: engines}, &relay.Document{Version: 1}, nil)
 				require.NoError(t, err)
 				require.False(t, tell(daemon.EnginesOf(g)))
@@ -209,16 +209,16 @@
 			require.False(t, tell(daemon.EnginesOf(g)))
 			require.False(t, tell(daemon.EnginesOf(g)))
 			require.Equal(t, []relay.TargetID{id}, daemon.FindingsOf(g).Leaving)
-			require.Equal(t, core.TargetDeparts{Target: id}, daemon.Posted(t.Context(), g))
+			require.Equal(t, core.TargetDrains{Target: id}, daemon.Posted(t.Context(), g))
 		})
 	}
 }
 
 func TestAnOperatorHasARestingTargetAskedAgain(t *testing.T) {
-	w := newWorker(t, resting, served)
+	w := newWorker(t, backedOff, served)
 	g := newEntry(t, relay.RepeatAlways, 1, w)
 	require.Equal(t, http.StatusServiceUnavailable, ask(t, g))
-	require.Len(t, daemon.FindingsOf(g).Resting, 1)
-	daemon.CarryOut(g, core.RestsEnded{Targets: []string{w.address}})
+	require.Len(t, daemon.FindingsOf(g).BackedOff, 1)
+	daemon.CarryOut(g, core.BackoffsEnded{Targets: []string{w.address}})
 	require.Equal(t, http.StatusOK, ask(t, g))
 }
--- a/internal/daemon/disk.go
+++ b/internal/daemon/disk.go
@@ -34,7 +34,7 @@
 //
 // A crash can leave the last record torn: it was never acknowledged and is cut
 // off. A record that is damaged while others follow it was acknowledged, and
-// the log is refused, for without it the replica could break its word.
+// the log is refused, for without it the replica could break its promise.
 
 // ErrDamaged is the kind of errors for folders that must not be used.
 var ErrDamaged = errors.New("damaged data folder")
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -44,7 +44,7 @@
 		reply(d, e.Conn, e)
 	case core.TargetHeard:
 		reply(d, e.Conn, e)
-	case core.DocumentInForce, core.TargetsLearned, core.TargetsEnded, core.FleetLearned, core.PermitsLent, core.QuarantineInForce, core.RestsEnded, core.OrderLayers:
+	case core.DocumentInForce, core.TargetsLearned, core.TargetsEnded, core.FleetLearned, core.PermitsLent, core.QuarantineInForce, core.BackoffsEnded, core.OrderLayers:
 		d.gateway.carryOut(e)
 	case core.Note:
 		d.log.Info(e.Text, "subject", e.Subject)
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -14,7 +14,7 @@
 // This file takes one request from a caller to targets and their answer back.
 //
 // Problem: a target may refuse, die in the middle, fall silent or garble its
-// answer. The caller is to get one whole answer of one run, or a true word on
+// answer. The caller is to get one whole answer of one run, or the truth about
 // what became of its request.
 //
 // Algorithm: pick a path, send, read the answer; go on with another path while
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -92,7 +92,7 @@
 	return wait(ctx, results, core.DocumentAnswer{Result: core.Result{Kind: core.ResultInterrupted}})
 }
 
-// Hearing is what became of a target's word.
+// Hearing is what became of a target's message.
 type Hearing int
 
 const (
@@ -104,7 +104,7 @@
 	HearingTaken
 )
 
-// HearTarget takes a target's word.
+// HearTarget takes a target's message.
 func (g *Gateway) HearTarget(ctx context.Context, t relay.Target) Hearing {
 	conn, results := ask[core.TargetHeard](g.daemon)
 	defer g.daemon.answers.Delete(conn)
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -38,12 +38,12 @@
 	unused metric.Int64Counter
 	// unread counts the names in what targets say that nothing reads.
 	unread metric.Int64Counter
-	// notices counts the answers with which targets say that they leave or want to rest.
+	// notices counts the answers with which targets say that they leave or want VMs to back off.
 	notices metric.Int64Counter
-	// held counts the requests that were held back as they were sent, and resting is the
-	// number of targets that rest.
-	held    metric.Int64Counter
-	resting metric.Int64Gauge
+	// held counts the requests that were held back as they were sent, and backedOff is the
+	// number of targets that VMs back off from.
+	held      metric.Int64Counter
+	backedOff metric.Int64Gauge
 	// limit, permits, limitUsed and limitHeld are of each target with a limit.
 	limit, permits, limitUsed, limitHeld metric.Float64Gauge
 	// limited are the targets that these were last recorded of.
@@ -83,7 +83,7 @@
 	g.asked = counter("spoolbank.target.overdue.asked")
 	g.unanswered = counter("spoolbank.target.overdue.unanswered")
 	g.connections = counter("spoolbank.callers.connections")
-	g.unused = counter("spoolbank.target.words.unusable")
+	g.unused = counter("spoolbank.target.messages.unusable")
 	g.unread = counter("spoolbank.target.unread")
 	g.held = counter("spoolbank.requests.held_back")
 	g.notices = counter("spoolbank.target.notices")
@@ -96,7 +96,7 @@
 		return level
 	}
 	g.quarantine = gauge("spoolbank.requests.quarantined")
-	g.resting = gauge("spoolbank.target.resting")
+	g.backedOff = gauge("spoolbank.target.backed_off")
 	level := func(name string) metric.Float64Gauge {
 		l, failed := m.meter.Float64Gauge(name)
 		if failed != nil {
@@ -153,8 +153,8 @@
 	if n.Leaving {
 		g.notices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "leaving")))
 	}
-	if !n.RestUntil.IsZero() {
-		g.notices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "rest")))
+	if !n.BackoffUntil.IsZero() {
+		g.notices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "backoff")))
 	}
 	if n.Limited {
 		g.notices.Add(context.Background(), 1, metric.WithAttributes(attribute.String("kind", "limit")))
@@ -163,7 +163,7 @@
 
 func (g *gatewayMetrics) heldBack() { g.held.Add(context.Background(), 1) }
 
-func (g *gatewayMetrics) targetsResting(n int) { g.resting.Record(context.Background(), int64(n)) }
+func (g *gatewayMetrics) targetsBackedOff(n int) { g.backedOff.Record(context.Background(), int64(n)) }
 
 func (g *gatewayMetrics) targetsEnded(lives int) { g.ended.Add(context.Background(), int64(lives)) }
 
--- a/internal/daemon/learning.go
+++ b/internal/daemon/learning.go
@@ -23,8 +23,8 @@
 		g.takePermits(e)
 	case core.QuarantineInForce:
 		g.takeQuarantine(e)
-	case core.RestsEnded:
-		g.endRests(e.Targets)
+	case core.BackoffsEnded:
+		g.endBackoffs(e.Targets)
 	case core.OrderLayers:
 		go g.order(e)
 	}
--- a/internal/daemon/notices.go
+++ b/internal/daemon/notices.go
@@ -13,12 +13,12 @@
 )
 
 // This file takes what targets say of themselves with their answers, and holds back what they
-// don't want. relay/rests.go and relay/departures.go decide.
+// don't want. relay/backoffs.go and relay/draining.go decide.
 //
 // Two ways lead to a target, and both pass here: requests, which the Exchanger asks about once
 // it has a connection (mayReach), and what an engine is asked beside them (gatedEngines). So
 // nothing that was picked before a target spoke, that waited for a connection or is sent a second
-// time, reaches one that rests. What was taken by a target that leaves ends there, and may be
+// time, reaches one that this VM backs off from. What was taken by a target that leaves ends there, and may be
 // given another path; a request is sent there no more.
 
 // ErrHeldBack says that a target wants nothing from this VM at present.
@@ -34,7 +34,7 @@
 	if g.router.Leaves(id) {
 		return fmt.Errorf("%w: target %s leaves; another one serves the request", ErrHeldBack, id)
 	}
-	if err := g.whileResting(id); err != nil {
+	if err := g.whileBackedOff(id); err != nil {
 		return err
 	}
 	now := clock.Now()
@@ -57,18 +57,18 @@
 func (g *Gateway) mayAsk(id relay.TargetID) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if err := g.whileResting(id); err != nil {
+	if err := g.whileBackedOff(id); err != nil {
 		return err
 	}
 	g.router.ChargePermit(id, clock.Now())
 	return nil
 }
 
-// whileResting returns an error while a target rests. The caller holds the lock.
-func (g *Gateway) whileResting(id relay.TargetID) error {
+// whileBackedOff returns an error while a target is backed off from. The caller holds the lock.
+func (g *Gateway) whileBackedOff(id relay.TargetID) error {
 	now := clock.Now()
-	if until, resting := g.router.Resting(id, now); resting {
-		return fmt.Errorf("%w: target %s has asked for rest, for %v more", ErrHeldBack, id, until.Sub(now).Round(time.Millisecond))
+	if until, backedOff := g.router.BackedOff(id, now); backedOff {
+		return fmt.Errorf("%w: target %s has asked to back off, for %v more", ErrHeldBack, id, until.Sub(now).Round(time.Millisecond))
 	}
 	return nil
 }
@@ -81,7 +81,7 @@
 	f.g.unusableNotice(first.Target, err)
 	if f.g.applyNotice(first.Target, notice, f.sentAt, now) {
 		f.g.log.Info("target says something of itself", "request", f.call.ID, "target", first.Target, "address", first.Address, "status", answer.Status,
-			"leaving", notice.Leaving, "rest_ms", restMillis(notice, now), "limited", notice.Limited, "limit_per_s", notice.Limit, "picked_ms", now.Sub(f.pickedAt).Milliseconds(), "sent_ms", now.Sub(f.sentAt).Milliseconds())
+			"leaving", notice.Leaving, "backoff_ms", backoffMillis(notice, now), "limited", notice.Limited, "limit_per_s", notice.Limit, "picked_ms", now.Sub(f.pickedAt).Milliseconds(), "sent_ms", now.Sub(f.sentAt).Milliseconds())
 	}
 	return notice
 }
@@ -99,8 +99,8 @@
 	if notice.Leaving && g.router.Leave(id, now) {
 		news = true
 	}
-	if !notice.RestUntil.IsZero() {
-		g.router.Rest(id, notice.RestUntil, now)
+	if !notice.BackoffUntil.IsZero() {
+		g.router.Backoff(id, notice.BackoffUntil, now)
 		news = true
 	}
 	return news
@@ -112,19 +112,19 @@
 	notice.Unlimited = false // answers to requests alone are known to name each limit
 	if g.applyNotice(engine.Target, notice, sentAt, now) {
 		if notice.Leaving {
-			g.daemon.post(core.TargetDeparts{Target: engine.Target})
+			g.daemon.post(core.TargetDrains{Target: engine.Target})
 		}
 		g.log.Info("engine says something of itself", "asked", asked, "target", engine.Target, "address", engine.Address,
-			"leaving", notice.Leaving, "rest_ms", restMillis(notice, now), "limited", notice.Limited, "limit_per_s", notice.Limit)
+			"leaving", notice.Leaving, "backoff_ms", backoffMillis(notice, now), "limited", notice.Limited, "limit_per_s", notice.Limit)
 	}
 }
 
-// endRests asks targets again whose rests an operator has ended.
-func (g *Gateway) endRests(targets []string) {
+// endBackoffs asks targets again whose backoffs an operator has ended.
+func (g *Gateway) endBackoffs(targets []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, name := range targets {
-		g.log.Info("rests are ended by an operator", "target", name, "rests", g.router.EndRests(name))
+		g.log.Info("backoffs are ended by an operator", "target", name, "backoffs", g.router.EndBackoffs(name))
 	}
 }
 
@@ -142,15 +142,15 @@
 	}
 }
 
-// restMillis returns the length of the rest that a target asks for, in milliseconds.
-func restMillis(n relay.Notice, now time.Time) int64 {
-	if n.RestUntil.IsZero() {
+// backoffMillis returns the length of the backoff that a target asks for, in milliseconds.
+func backoffMillis(n relay.Notice, now time.Time) int64 {
+	if n.BackoffUntil.IsZero() {
 		return 0
 	}
-	return n.RestUntil.Sub(now).Milliseconds()
+	return n.BackoffUntil.Sub(now).Milliseconds()
 }
 
-// gatedEngines ask nothing of engines that rest.
+// gatedEngines ask nothing of engines that VMs back off from.
 type gatedEngines struct {
 	Engines
 	g *Gateway
--- a/internal/daemon/outcome.go
+++ b/internal/daemon/outcome.go
@@ -102,7 +102,7 @@
 }
 
 // notRun takes an answer that says that the request has not run.
-// Where it asks for rest, that is kept instead of the pause for a target that is full: it is not
+// Where it asks to back off, that is kept instead of the pause for a target that is full: it is not
 // found dead however often it refuses.
 func (f *forwarding) notRun(path relay.Path, v Verdict, notice relay.Notice, answer *target.Answer) result {
 	drain(answer)
@@ -111,7 +111,7 @@
 		culprit = s
 	}
 	f.last = "target " + culprit.Address + " answered " + strconv.Itoa(answer.Status) + ", not run"
-	if culprit.Target != path.First().Target || notice.RestUntil.IsZero() {
+	if culprit.Target != path.First().Target || notice.BackoffUntil.IsZero() {
 		f.g.refusedBy(culprit.Target)
 	}
 	f.noteStageLost(culprit)
--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -34,11 +34,11 @@
 	return daemon.Verdict{ID: h.Get("Id"), NotRun: h.Get("Not-Run") != "", Promise: slices.Contains(promises, status)}
 }
 
-// Notice reads the seconds of a rest, a limit, and whether the target leaves.
+// Notice reads the seconds of a backoff, a limit, and whether the target leaves.
 func (plainCodec) Notice(_ relay.TargetID, _ int, h http.Header, now time.Time) (relay.Notice, error) {
 	n := relay.Notice{Leaving: h.Get("Leaving") != ""}
-	if seconds, err := strconv.Atoi(h.Get("Rest")); err == nil {
-		n.RestUntil = now.Add(time.Duration(seconds) * time.Second)
+	if seconds, err := strconv.Atoi(h.Get("Backoff")); err == nil {
+		n.BackoffUntil = now.Add(time.Duration(seconds) * time.Second)
 	}
 	n.Limit, _ = strconv.ParseFloat(h.Get("Limit"), 64) // without one, or without a number, there is none
 	n.Limited, n.Unlimited = n.Limit > 0, h.Get("Limit") == ""
@@ -181,7 +181,7 @@
 }
 
 // The answer of the first target was lost, and the second took nothing.
-func TestAnotherTargetsWordDoesNotSpeakForTheFirst(t *testing.T) {
+func TestAnotherTargetsMessageDoesNotSpeakForTheFirst(t *testing.T) {
 	first, second := newWorker(t, lost, rejected), newWorker(t, lost, rejected)
 	// Either may be asked first; each loses its first answer and rejects what follows.
 	require.Equal(t, http.StatusBadGateway, ask(t, newEntry(t, relay.RepeatAlways, 3, first, second)))
--- a/internal/daemon/unusable.go
+++ b/internal/daemon/unusable.go
@@ -58,13 +58,13 @@
 	}
 	g.meter.unusable(reason)
 	if pass, withheld := g.unusable.pass(writer, clock.Now()); pass {
-		g.log.Info("a word is not used", "writer", writer[:min(len(writer), writerBytes)], "reason", string(reason), "error", err.Error(), "withheld", withheld)
+		g.log.Info("a message is not used", "writer", writer[:min(len(writer), writerBytes)], "reason", string(reason), "error", err.Error(), "withheld", withheld)
 	}
 }
 
 const (
 	// lineEvery is the least time between two lines on one writer. A target speaks every
-	// 1.2 s, and what is wrong with its words seldom changes.
+	// 1.2 s, and what is wrong with its messages seldom changes.
 	lineEvery = 10 * time.Second
 	// lineWriters bounds the writers that are told apart, and with it the lines: 6 a second
 	// at the most, whoever sends whatever.
--- a/internal/daemon/upkeep.go
+++ b/internal/daemon/upkeep.go
@@ -57,15 +57,15 @@
 			lost := g.leaseHeld && now.After(g.leaseUntil)
 			g.leaseHeld = g.leaseHeld && !lost
 			due := g.router.SlowDue(now)
-			g.router.ForgetRests(now)
-			g.router.ForgetDepartures(now)
+			g.router.ForgetBackoffs(now)
+			g.router.ForgetDraining(now)
 			counted := core.WorkCounted{Work: g.router.Own(), Usage: g.router.Usage(now), Findings: g.router.Findings(now), Limits: g.router.PermitAsks(now)}
 			g.mu.Unlock()
 			counted.Findings.Unread = g.unread.list()
 			if lost {
 				g.log.Info("lease lost: no leader is heard, callers are refused", "own_targets", len(counted.Work))
 			}
-			g.meter.targetsResting(len(counted.Findings.Resting))
+			g.meter.targetsBackedOff(len(counted.Findings.BackedOff))
 			g.noteLimits(counted.Findings.Limited)
 			g.daemon.post(counted)
 			g.askSlow(due)
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -32,9 +32,9 @@
 	silent bool
 }
 
-// hurryShare is the part of a route's bound on pauses before which nothing is asked. It is
-// chosen, not measured: on the fastest paths a moment in which a VM is too busy to hear is
-// longer than twice the mean pause, and looks like a loss.
+// hurryShare is the part of a route's bound on pauses before which nothing is asked: on the
+// fastest paths a moment in which a VM is too busy to hear is longer than twice the mean pause,
+// and looks like a loss.
 const hurryShare = 0.4
 
 // lateWake is how much later than asked for this process may wake up and still say what was
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -38,8 +38,8 @@
 	Slots int
 	// Delay is how long a call takes.
 	Delay time.Duration
-	// Rest is what a runner without room asks for; zero for none.
-	Rest time.Duration
+	// Backoff is what a runner without room asks for; zero for none.
+	Backoff time.Duration
 	// Limit is the calls a second that it names with each answer; 0 for none.
 	Limit float64
 }
@@ -104,8 +104,8 @@
 	run, ok := s.begin(r)
 	if !ok {
 		w.Header().Set(target.HeaderNotRun, "no room")
-		if rest := s.options.Rest; rest > 0 {
-			w.Header().Set(target.HeaderRetryAfter, strconv.FormatFloat(rest.Seconds(), 'f', -1, 64))
+		if backoff := s.options.Backoff; backoff > 0 {
+			w.Header().Set(target.HeaderRetryAfter, strconv.FormatFloat(backoff.Seconds(), 'f', -1, 64))
 		}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- /dev/null
+++ b/internal/relay/backoffs.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sort"
+	"time"
+)
+
+// This file keeps what targets have asked this VM for: to be left alone for a while.
+//
+// Problem: a target that turns a request away may say for how long it wants nothing from this
+// VM. Whatever is sent to it in that time is turned away again and adds to what it has to do. Its
+// load goes to the others of its service, which may then ask for it too, until none is left.
+//
+// Algorithm: a backoff lasts until the latest time that its target has named. It is kept by
+// incarnation and apart from what is believed of targets, so that no answer, heartbeat,
+// configuration or retry among suspects ends it. Nothing picks a target that VMs back off from, and whatever
+// was picked before is looked at once more as it is sent. While VMs back off from a target of a
+// plain service, each VM gives the others no more than its part of their places: a request that is
+// refused here costs its caller a return, one that a full target turns away costs all callers
+// of the VM the target's backoff. Nothing is held here until a backoff ends.
+//
+// Invariants: a backoff is not shortened by its target; what is known of one goes only after its
+// end, where an operator ends it, or where more than backoffsMost are kept.
+//
+// Limits: a backoff is of the VM that was asked. A VM that starts again knows of none, and may ask
+// once; so may another process of the VM that was asked, which orders layers. What is on its way
+// when a backoff is told arrives within it. Engines have places by their memory and slots
+// (path.go), and none fewer while VMs back off from one of them.
+
+const (
+	// placesPerSlot is the requests at a time that a target of a plain service gets from all
+	// VMs together for each of its slots while VMs back off from another one of the service: one
+	// that runs and two that wait, of the few more that targets queue. Each VM counts its own part
+	// of them, which it knows exactly; counts of all VMs are too old by then.
+	placesPerSlot = 3
+	// backoffsMost bounds the backoffs that are kept, some 0.5 MB: seven times as many as the targets
+	// of the largest deployment. Each incarnation of a target that starts again and again may ask
+	// for a year.
+	backoffsMost = 4096
+	// returnLeast is the least time over which callers that backoffs have turned away are
+	// told to come back: a target serves some ten requests a slot in it.
+	returnLeast = 500 * time.Millisecond
+)
+
+// backoff is a time in which a target wants nothing from this VM.
+type backoff struct{ began, until time.Time }
+
+// holds reports whether the rest is not over. The zero value is.
+func (r backoff) holds(now time.Time) bool { return now.Before(r.until) }
+
+// Backoff notes that a target wants nothing from this VM until a time.
+func (r *Router) Backoff(id TargetID, until, now time.Time) {
+	present := r.backoffs[id]
+	if !until.After(present.until) {
+		return
+	}
+	if !present.holds(now) {
+		present = backoff{began: now}
+	}
+	present.until = until
+	r.backoffs[id] = present
+	r.noteSaid(id)
+	r.boundBackoffs(now)
+}
+
+// boundBackoffs keeps the number of backoffs within backoffsMost: those that have ended go first, then
+// the oldest.
+func (r *Router) boundBackoffs(now time.Time) {
+	if len(r.backoffs) <= backoffsMost {
+		return
+	}
+	r.ForgetBackoffs(now)
+	for len(r.backoffs) > backoffsMost {
+		var oldest TargetID
+		for id, known := range r.backoffs {
+			if oldest == "" || known.began.Before(r.backoffs[oldest].began) {
+				oldest = id
+			}
+		}
+		delete(r.backoffs, oldest)
+		r.noteSaid(oldest)
+	}
+}
+
+// BackedOff returns until when a target wants nothing from this VM, and whether it does.
+func (r *Router) BackedOff(id TargetID, now time.Time) (until time.Time, backedOff bool) {
+	known := r.backoffs[id]
+	return known.until, known.holds(now)
+}
+
+// ForgetBackoffs drops the backoffs that have ended.
+func (r *Router) ForgetBackoffs(now time.Time) {
+	maps.DeleteFunc(r.backoffs, func(_ TargetID, known backoff) bool { return !known.holds(now) })
+}
+
+// TargetBackedOff is a target that wants nothing from this VM until a time.
+type TargetBackedOff struct {
+	Target TargetID
+	Until  time.Time
+}
+
+// TargetsBackedOff returns the targets that VMs back off from, sorted.
+func (r *Router) TargetsBackedOff(now time.Time) []TargetBackedOff {
+	var backedOff []TargetBackedOff
+	for id, known := range r.backoffs {
+		if known.holds(now) {
+			backedOff = append(backedOff, TargetBackedOff{Target: id, Until: known.until})
+		}
+	}
+	slices.SortFunc(backedOff, func(a, b TargetBackedOff) int { return cmp.Compare(a.Target, b.Target) })
+	return backedOff
+}
+
+// EndBackoffs ends the backoffs of all incarnations of a target, as its operator asks, and returns
+// how many there were.
+func (r *Router) EndBackoffs(name string) int {
+	ended := 0
+	for id := range r.backoffs {
+		if id.Name() == name {
+			delete(r.backoffs, id)
+			r.noteSaid(id)
+			ended++
+		}
+	}
+	return ended
+}
+
+// scarce reports whether VMs back off from a target of a service: the others have to bear its load.
+func (r *Router) scarce(service string, now time.Time) bool {
+	if len(r.backoffs) == 0 {
+		return false
+	}
+	return slices.ContainsFunc(r.members[service], func(t *target) bool { return t.backoff.holds(now) && t.takes() })
+}
+
+// hasPlace reports whether a target of a plain service has a place for one request more.
+func (r *Router) hasPlace(t *target, scarce bool) bool {
+	return !scarce || t.own.Requests < (placesPerSlot*max(t.Slots, 1)+r.vms-1)/r.vms
+}
+
+// backoffsUntil returns when a request may find a target again that can take it, where it finds
+// none now for the reason alone that VMs back off from targets, and how long that lasts in all.
+func (r *Router) backoffsUntil(service string, a Ask, now time.Time) (until time.Time, length time.Duration) {
+	if !r.scarce(service, now) {
+		return time.Time{}, 0
+	}
+	if r.servedBy(service, a, now) {
+		return time.Time{}, 0
+	}
+	var backoffs []backoff
+	for _, t := range r.members[service] {
+		if t.backoff.holds(now) && t.takes() {
+			backoffs = append(backoffs, t.backoff)
+		}
+	}
+	slices.SortFunc(backoffs, func(x, y backoff) int { return x.until.Compare(y.until) })
+	// Whoever is over its backoff stays so: the more of them are, the more is served.
+	first := sort.Search(len(backoffs), func(i int) bool { return r.servedBy(service, a, backoffs[i].until) })
+	if first == len(backoffs) {
+		return time.Time{}, 0
+	}
+	return backoffs[first].until, backoffs[first].until.Sub(backoffs[first].began)
+}
+
+// servedBy reports whether the targets of a service that VMs do not back off from at a time, by what is
+// known now, can serve a request.
+func (r *Router) servedBy(service string, a Ask, at time.Time) bool {
+	awake := func(t *target) bool { return !t.backoff.holds(at) && t.takes() }
+	begins := func(t *target) bool { return awake(t) && t.Layers.First == 0 && a.mayBegin(t.ID) }
+	return slices.ContainsFunc(r.members[service], begins) && r.coveredBy(r.services[service], awake)
+}
+
+// ComeBack returns when the caller of a request that no target took is to come back: at once,
+// or once a backoff is over where that is what keeps it from others.
+func (r *Router) ComeBack(service string, atOnce time.Duration, now time.Time) time.Time {
+	a := Ask{}
+	a.permits = r.permitsFor(service, a, now)
+	if refusal := r.noRoom(service, a, now); !refusal.NotBefore.IsZero() {
+		return refusal.RetryAt
+	}
+	return now.Add(atOnce)
+}
--- a/internal/relay/rests_load_test.go
+++ b/internal/relay/backoffs_load_test.go
@@ -13,24 +13,24 @@
 )
 
 // The world of these tests: entry VMs before the three targets of a plain service, without a
-// network. Targets that turn a request away ask its VM for rest.
+// network. Targets that turn a request away ask its VM to back off.
 const (
-	restVMs      = 10
-	restTargets  = 3
-	restSlots    = 6
-	restQueue    = 24
-	restWork     = 30 * time.Millisecond
-	restLength   = 3 * time.Second
-	restWay      = time.Millisecond
-	restFor      = 20 * time.Second
-	restShedFrom = 2 * time.Second
-	restAim      = 150 * time.Millisecond
-	restSlack    = 500 * time.Millisecond
-	restTold     = 500 * time.Millisecond
+	backoffVMs      = 10
+	backoffTargets  = 3
+	backoffSlots    = 6
+	backoffQueue    = 24
+	backoffWork     = 30 * time.Millisecond
+	backoffLength   = 3 * time.Second
+	backoffWay      = time.Millisecond
+	backoffFor      = 20 * time.Second
+	backoffShedFrom = 2 * time.Second
+	backoffAim      = 150 * time.Millisecond
+	backoffSlack    = 500 * time.Millisecond
+	backoffTold     = 500 * time.Millisecond
 )
 
-// restCase is a load on that world.
-type restCase struct {
+// backoffCase is a load on that world.
+type backoffCase struct {
 	// perSecond is what callers ask, sheds the targets that turn everything away for shedFor.
 	perSecond float64
 	sheds     int
@@ -40,16 +40,16 @@
 	seed     uint64
 }
 
-type restTarget struct {
+type backOffTarget struct {
 	id      relay.TargetID
 	running int
-	waiting []*restCall
+	waiting []*backoffCall
 	sheds   func(now time.Time) bool
-	// asked is when each VM was asked for rest, and until when.
+	// asked is when each VM was asked to back off, and until when.
 	asked map[int][2]time.Time
 }
 
-type restCall struct {
+type backoffCall struct {
 	vm       int
 	began    time.Time
 	path     relay.Path
@@ -59,64 +59,64 @@
 	returned bool
 }
 
-type restEvent struct {
+type backoffEvent struct {
 	at time.Time
 	n  int
 	do func()
 }
 
-type restEvents []restEvent
+type backoffEvents []backoffEvent
 
-func (e restEvents) Len() int { return len(e) }
-func (e restEvents) Less(i, j int) bool {
+func (e backoffEvents) Len() int { return len(e) }
+func (e backoffEvents) Less(i, j int) bool {
 	return e[i].at.Before(e[j].at) || e[i].at.Equal(e[j].at) && e[i].n < e[j].n
 }
-func (e restEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *restEvents) Push(x any)   { *e = append(*e, x.(restEvent)) }
-func (e *restEvents) Pop() any {
+func (e backoffEvents) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *backoffEvents) Push(x any)   { *e = append(*e, x.(backoffEvent)) }
+func (e *backoffEvents) Pop() any {
 	last := (*e)[len(*e)-1]
 	*e = (*e)[:len(*e)-1]
 	return last
 }
 
-// restWorld plays a case.
-type restWorld struct {
-	restCase
+// backoffWorld plays a case.
+type backoffWorld struct {
+	backoffCase
 	rand    *rand.Rand
 	now     time.Time
-	events  restEvents
+	events  backoffEvents
 	number  int
 	vms     []*relay.Router
 	route   relay.Route
-	targets map[relay.TargetID]*restTarget
-	restResult
+	targets map[relay.TargetID]*backOffTarget
+	backoffResult
 }
 
-// restResult is what became of the calls.
-type restResult struct {
+// backoffResult is what became of the calls.
+type backoffResult struct {
 	asked, inTime, late, refused int
-	// turnedAway is what targets refused, and broken what reached one in its rest.
+	// turnedAway is what targets refused, and broken what reached one in its backoff.
 	turnedAway, broken int
 }
 
-func newRestWorld(c restCase) *restWorld {
-	w := &restWorld{restCase: c, rand: rand.New(rand.NewPCG(c.seed, 1)), now: start, targets: make(map[relay.TargetID]*restTarget)}
+func newBackoffWorld(c backoffCase) *backoffWorld {
+	w := &backoffWorld{backoffCase: c, rand: rand.New(rand.NewPCG(c.seed, 1)), now: start, targets: make(map[relay.TargetID]*backOffTarget)}
 	w.route = relay.Route{Name: "r", Host: "h", Prefix: "/", Repeat: relay.RepeatAlways, Timeout: time.Minute, MaxTargets: 2, Shares: []relay.Share{{Service: "web", Weight: 1}}}
 	document := &relay.Document{Version: 1, Services: []relay.Service{{Name: "web", MaxConns: 540}}, Routes: []relay.Route{w.route}}
 	var known []relay.Target
-	for i := range restTargets {
+	for i := range backoffTargets {
 		id := relay.TargetID(fmt.Sprintf("t%d", i))
-		known = append(known, relay.Target{ID: id, Service: "web", Address: string(id) + ":80", Hall: "a", Slots: restSlots, Call: 1})
-		target := &restTarget{id: id, asked: make(map[int][2]time.Time), sheds: func(time.Time) bool { return false }}
+		known = append(known, relay.Target{ID: id, Service: "web", Address: string(id) + ":80", Hall: "a", Slots: backoffSlots, Call: 1})
+		target := &backOffTarget{id: id, asked: make(map[int][2]time.Time), sheds: func(time.Time) bool { return false }}
 		if i < c.sheds {
-			from, until := start.Add(restShedFrom), start.Add(restShedFrom+c.shedFor)
+			from, until := start.Add(backoffShedFrom), start.Add(backoffShedFrom+c.shedFor)
 			target.sheds = func(now time.Time) bool { return !now.Before(from) && now.Before(until) }
 		}
 		w.targets[id] = target
 	}
-	for i := range restVMs {
+	for i := range backoffVMs {
 		r := relay.NewRouter(relay.Settings{Hall: "a", Seed: c.seed<<8 + uint64(i), Started: start.Add(-time.Hour), Budget: relay.BudgetTerms{Share: 0.2, Fixed: 200, Window: 10 * time.Second}})
-		r.TakeVMs(restVMs)
+		r.TakeVMs(backoffVMs)
 		r.TakeDocument(document)
 		r.TakeTargets(known)
 		r.TakeOthers(nil, true)
@@ -125,44 +125,44 @@
 	return w
 }
 
-func (w *restWorld) at(t time.Time, do func()) {
+func (w *backoffWorld) at(t time.Time, do func()) {
 	w.number++
-	heap.Push(&w.events, restEvent{at: t, n: w.number, do: do})
+	heap.Push(&w.events, backoffEvent{at: t, n: w.number, do: do})
 }
 
-func (w *restWorld) play() restResult {
+func (w *backoffWorld) play() backoffResult {
 	w.arrive()
 	w.tell()
 	for len(w.events) > 0 {
-		e := heap.Pop(&w.events).(restEvent)
+		e := heap.Pop(&w.events).(backoffEvent)
 		w.now = e.at
 		e.do()
 	}
-	return w.restResult
+	return w.backoffResult
 }
 
-func (w *restWorld) arrive() {
+func (w *backoffWorld) arrive() {
 	gap := time.Duration(w.rand.ExpFloat64() / w.perSecond * float64(time.Second))
-	if next := w.now.Add(gap); next.Before(start.Add(restFor)) {
+	if next := w.now.Add(gap); next.Before(start.Add(backoffFor)) {
 		w.at(next, func() {
 			w.asked++
 			most := 1 + w.rand.IntN(2)
-			w.ask(&restCall{vm: w.rand.IntN(restVMs), began: w.now, most: most})
+			w.ask(&backoffCall{vm: w.rand.IntN(backoffVMs), began: w.now, most: most})
 			w.arrive()
 		})
 	}
 }
 
 // tell has all VMs hear what the others have under way.
-func (w *restWorld) tell() {
-	if !w.now.Before(start.Add(restFor)) {
+func (w *backoffWorld) tell() {
+	if !w.now.Before(start.Add(backoffFor)) {
 		return
 	}
 	var own []map[relay.TargetKey]relay.Work
 	for _, r := range w.vms {
 		own = append(own, r.Own())
 	}
-	w.at(w.now.Add(restTold/2), func() {
+	w.at(w.now.Add(backoffTold/2), func() {
 		for i, r := range w.vms {
 			others := make(map[relay.TargetKey]relay.Work)
 			for j, work := range own {
@@ -174,13 +174,13 @@
 				}
 			}
 			r.TakeOthers(others, true)
-			r.ForgetRests(w.now)
+			r.ForgetBackoffs(w.now)
 		}
 	})
-	w.at(w.now.Add(restTold), w.tell)
+	w.at(w.now.Add(backoffTold), w.tell)
 }
 
-func (w *restWorld) ask(c *restCall) {
+func (w *backoffWorld) ask(c *backoffCall) {
 	path, refusal := w.vms[c.vm].Choose(relay.Ask{Route: &w.route, Avoid: c.avoid}, w.now)
 	if refusal != nil {
 		w.refuse(c, refusal.RetryAt)
@@ -188,11 +188,11 @@
 	}
 	c.path = path
 	c.sent++
-	w.at(w.now.Add(restWay), func() { w.reach(c) })
+	w.at(w.now.Add(backoffWay), func() { w.reach(c) })
 }
 
 // refuse has a caller come back once, within a third of its time.
-func (w *restWorld) refuse(c *restCall, retryAt time.Time) {
+func (w *backoffWorld) refuse(c *backoffCall, retryAt time.Time) {
 	if c.returned {
 		w.refused++
 		return
@@ -200,57 +200,57 @@
 	c.returned = true
 	left := c.began.Add(w.deadline).Sub(w.now)
 	wait := min(retryAt.Sub(w.now), left/3)
-	c.avoid, c.sent, c.vm = nil, 0, w.rand.IntN(restVMs)
+	c.avoid, c.sent, c.vm = nil, 0, w.rand.IntN(backoffVMs)
 	w.at(w.now.Add(wait), func() { w.ask(c) })
 }
 
-func (w *restWorld) reach(c *restCall) {
+func (w *backoffWorld) reach(c *backoffCall) {
 	target := w.targets[c.path.First().Target]
-	if asked := target.asked[c.vm]; w.now.After(asked[0].Add(restSlack)) && w.now.Before(asked[1]) {
+	if asked := target.asked[c.vm]; w.now.After(asked[0].Add(backoffSlack)) && w.now.Before(asked[1]) {
 		w.broken++
 	}
-	if target.sheds(w.now) || len(target.waiting) >= restQueue {
-		target.asked[c.vm] = [2]time.Time{w.now, w.now.Add(restLength)}
+	if target.sheds(w.now) || len(target.waiting) >= backoffQueue {
+		target.asked[c.vm] = [2]time.Time{w.now, w.now.Add(backoffLength)}
 		w.turnedAway++
-		w.at(w.now.Add(restWay), func() { w.turned(c) })
+		w.at(w.now.Add(backoffWay), func() { w.turned(c) })
 		return
 	}
 	target.waiting = append(target.waiting, c)
 	w.work(target)
 }
 
-func (w *restWorld) work(target *restTarget) {
-	for target.running < restSlots && len(target.waiting) > 0 {
+func (w *backoffWorld) work(target *backOffTarget) {
+	for target.running < backoffSlots && len(target.waiting) > 0 {
 		c := target.waiting[0]
 		target.waiting = target.waiting[1:]
 		target.running++
-		took := time.Duration(w.rand.ExpFloat64() * float64(restWork))
+		took := time.Duration(w.rand.ExpFloat64() * float64(backoffWork))
 		w.at(w.now.Add(took), func() {
 			target.running--
 			w.work(target)
-			w.at(w.now.Add(restWay), func() { w.answered(c) })
+			w.at(w.now.Add(backoffWay), func() { w.answered(c) })
 		})
 	}
 }
 
-func (w *restWorld) answered(c *restCall) {
+func (w *backoffWorld) answered(c *backoffCall) {
 	r := w.vms[c.vm]
 	id := c.path.First().Target
 	r.Release(c.path, false)
 	r.Succeeded(id, w.now)
-	if w.now.Sub(c.began) <= restAim {
+	if w.now.Sub(c.began) <= backoffAim {
 		w.inTime++
 		return
 	}
 	w.late++
 }
 
-// turned takes the answer of a target that asks for rest.
-func (w *restWorld) turned(c *restCall) {
+// turned takes the answer of a target that asks to back off.
+func (w *backoffWorld) turned(c *backoffCall) {
 	r := w.vms[c.vm]
 	id := c.path.First().Target
 	r.Release(c.path, false)
-	r.Rest(id, w.now.Add(restLength), w.now)
+	r.Backoff(id, w.now.Add(backoffLength), w.now)
 	c.avoid = append(c.avoid, id)
 	if c.sent < c.most {
 		w.ask(c)
@@ -267,24 +267,24 @@
 )
 
 // could returns how many requests the targets could run, at most all that are asked.
-func (c restCase) could(asked int) float64 {
-	perSecond := restSlots / restWork.Seconds()
-	awake := restTargets*restFor.Seconds() - float64(c.sheds)*c.shedFor.Seconds()
+func (c backoffCase) could(asked int) float64 {
+	perSecond := backoffSlots / backoffWork.Seconds()
+	awake := backoffTargets*backoffFor.Seconds() - float64(c.sheds)*c.shedFor.Seconds()
 	return min(float64(asked), perSecond*awake)
 }
 
-// The load of a target that rests goes to the others, which are full then and ask for rest too:
+// The load of a target that VMs back off from goes to the others, which are full then and ask to back off too:
 // without a bound on what they are given, two of five requests that they could have run were
-// refused, and three of four in a larger overload. Where all want rest and callers came back at
+// refused, and three of four in a larger overload. Where all want backoff and callers came back at
 // its end, they turned nearly all of them away again.
-func TestRestsLeaveServedWhatCanBe(t *testing.T) {
-	for name, c := range map[string]restCase{
-		"one of three rests":                       {perSecond: 300, sheds: 1, shedFor: 8 * time.Second},
-		"one of three rests, too much for two":     {perSecond: 500, sheds: 1, shedFor: 8 * time.Second},
-		"the last of three serves what it can":     {perSecond: 300, sheds: 2, shedFor: 8 * time.Second},
-		"all rest, and all come back":              {perSecond: 500, sheds: 3, shedFor: 4 * time.Second, deadline: 20 * time.Second},
-		"a burst that none of them asked rest for": {perSecond: 700},
-		"more than twice what they bear":           {perSecond: 1500},
+func TestBackoffsLeaveServedWhatCanBe(t *testing.T) {
+	for name, c := range map[string]backoffCase{
+		"one of three backoffs":                       {perSecond: 300, sheds: 1, shedFor: 8 * time.Second},
+		"one of three backoffs, too much for two":     {perSecond: 500, sheds: 1, shedFor: 8 * time.Second},
+		"the last of three serves what it can":        {perSecond: 300, sheds: 2, shedFor: 8 * time.Second},
+		"all backoff, and all come back":              {perSecond: 500, sheds: 3, shedFor: 4 * time.Second, deadline: 20 * time.Second},
+		"a burst that none of them asked backoff for": {perSecond: 700},
+		"more than twice what they bear":              {perSecond: 1500},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := range uint64(3) {
@@ -292,8 +292,8 @@
 				if c.deadline == 0 {
 					c.deadline = 2500 * time.Millisecond
 				}
-				r := newRestWorld(c).play()
-				require.Zero(t, r.broken, "requests that reach a target in its rest")
+				r := newBackoffWorld(c).play()
+				require.Zero(t, r.broken, "requests that reach a target in its backoff")
 				require.GreaterOrEqual(t, float64(r.inTime+r.late), servedLeast*c.could(r.asked))
 				require.LessOrEqual(t, float64(r.turnedAway), turnedAwayMost*float64(r.asked))
 			}
--- a/internal/relay/rests_test.go
+++ b/internal/relay/backoffs_test.go
@@ -33,7 +33,7 @@
 	return path.First().Target
 }
 
-func TestNothingButItsTimeEndsARest(t *testing.T) {
+func TestNothingButItsTimeEndsABackoff(t *testing.T) {
 	const id = relay.TargetID("i-1")
 	until := start.Add(10 * time.Second)
 	within := start.Add(9 * time.Second)
@@ -42,11 +42,11 @@
 		"a heartbeat": func(r *relay.Router) {
 			r.TakeTargets([]relay.Target{{ID: id, Service: "web", Address: "i-1:80", Hall: "a", Slots: 6, Call: 9}})
 		},
-		"a shorter rest":                  func(r *relay.Router) { r.Rest(id, start.Add(time.Second), start.Add(500*time.Millisecond)) },
-		"a refusal that asks for no rest": func(r *relay.Router) { r.Refused(id, start) },
-		"a failure":                       func(r *relay.Router) { r.Failed(id, true, start) },
-		"marks that say that it is well":  func(r *relay.Router) { r.TakeMarks(nil, true) },
-		"rests are looked through":        func(r *relay.Router) { r.ForgetRests(within) },
+		"a shorter backoff":                  func(r *relay.Router) { r.Backoff(id, start.Add(time.Second), start.Add(500*time.Millisecond)) },
+		"a refusal that asks for no backoff": func(r *relay.Router) { r.Refused(id, start) },
+		"a failure":                          func(r *relay.Router) { r.Failed(id, true, start) },
+		"marks that say that it is well":     func(r *relay.Router) { r.TakeMarks(nil, true) },
+		"backoffs are looked through":        func(r *relay.Router) { r.ForgetBackoffs(within) },
 		"a new configuration": func(r *relay.Router) {
 			d := *r.Document()
 			d.Version++
@@ -61,7 +61,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r, a := plainRouter(id)
-			r.Rest(id, until, start)
+			r.Backoff(id, until, start)
 			happens(r)
 			_, refusal := r.Choose(a, within)
 			require.NotNil(t, refusal, "also where it is the only one")
@@ -71,30 +71,30 @@
 	}
 }
 
-func TestANewIncarnationHasNotAskedForRest(t *testing.T) {
+func TestANewIncarnationHasNotAskedToBackOff(t *testing.T) {
 	old, next := relay.NewTargetID("i-1", 100), relay.NewTargetID("i-1", 200)
 	r, a := plainRouter(old)
-	r.Rest(old, start.Add(time.Hour), start)
+	r.Backoff(old, start.Add(time.Hour), start)
 	r.TakeTargets([]relay.Target{plainTarget(next)})
 	r.End([]relay.Succession{{Old: old, New: next}})
 	require.Equal(t, next, picked(t, r, a, start))
-	r.Rest(old, start.Add(2*time.Hour), start) // an answer of the old one comes late
+	r.Backoff(old, start.Add(2*time.Hour), start) // an answer of the old one comes late
 	require.Equal(t, next, picked(t, r, a, start))
 }
 
-func TestAnOperatorEndsARest(t *testing.T) {
+func TestAnOperatorEndsABackoff(t *testing.T) {
 	first, second := relay.NewTargetID("i-1", 100), relay.NewTargetID("i-1", 200)
 	r, a := plainRouter(second)
-	r.Rest(first, start.Add(time.Hour), start)
-	r.Rest(second, start.Add(time.Hour), start)
-	require.Zero(t, r.EndRests("i-2"))
-	require.Equal(t, 2, r.EndRests("i-1"))
+	r.Backoff(first, start.Add(time.Hour), start)
+	r.Backoff(second, start.Add(time.Hour), start)
+	require.Zero(t, r.EndBackoffs("i-2"))
+	require.Equal(t, 2, r.EndBackoffs("i-1"))
 	require.Equal(t, second, picked(t, r, a, start))
 }
 
-func TestOthersAreGivenTheRequestsOfATargetThatRests(t *testing.T) {
+func TestOthersAreGivenTheRequestsOfATargetThatAsksToBackOff(t *testing.T) {
 	r, a := plainRouter("i-1", "i-2", "i-3")
-	r.Rest("i-1", start.Add(time.Second), start)
+	r.Backoff("i-1", start.Add(time.Second), start)
 	for range 50 {
 		require.NotEqual(t, relay.TargetID("i-1"), picked(t, r, a, start))
 	}
@@ -102,13 +102,13 @@
 	require.Equal(t, relay.TargetID("i-3"), picked(t, r, a, start))
 }
 
-// Callers of a service that rests are refused at once, and told to come back when the first
+// Callers of a service that VMs back off from are refused at once, and told to come back when the first
 // target may be asked again: over as long a time as they were turned away for.
-func TestCallersComeBackSpreadAfterTheFirstRest(t *testing.T) {
+func TestCallersComeBackSpreadAfterTheFirstBackoff(t *testing.T) {
 	r, a := plainRouter("i-1", "i-2")
 	first := start.Add(4 * time.Second)
-	r.Rest("i-1", first, start)
-	r.Rest("i-2", start.Add(time.Hour), start)
+	r.Backoff("i-1", first, start)
+	r.Backoff("i-2", start.Add(time.Hour), start)
 	thirds := make(map[int64]int)
 	const callers = 300
 	for range callers {
@@ -125,25 +125,25 @@
 	}
 }
 
-func TestAPinnedRequestIsRefusedWhileItsTargetRests(t *testing.T) {
+func TestAPinnedRequestIsRefusedWhileItsTargetIsBackedOffFrom(t *testing.T) {
 	r, route := newRouter(engines(today))
 	pinned := ask(route)
 	pinned.Only = []relay.TargetID{choose(t, r, pinned, start).First().Target}
-	r.Rest(pinned.Only[0], start.Add(time.Second), start)
+	r.Backoff(pinned.Only[0], start.Add(time.Second), start)
 	_, refusal := r.Choose(pinned, start)
 	require.NotNil(t, refusal)
 	require.Equal(t, start.Add(time.Second), refusal.NotBefore)
 	choose(t, r, ask(route), start)
 }
 
-// An engine that rests is left out of every path of its VM, also as a later stage; where the
-// others do not hold all layers, callers come back after the rest that closes the gap.
-func TestAnEngineThatRestsIsOnNoPath(t *testing.T) {
+// An engine that VMs back off from is left out of every path of its VM, also as a later stage; where the
+// others do not hold all layers, callers come back after the backoff that closes the gap.
+func TestAnEngineThatBackoffsIsOnNoPath(t *testing.T) {
 	r, route := newRouter(engines(today))
 	path := choose(t, r, ask(route), start)
 	defer r.Release(path, false)
 	last := path.Stages[len(path.Stages)-1].Target
-	r.Rest(last, start.Add(time.Second), start)
+	r.Backoff(last, start.Add(time.Second), start)
 	for range 100 {
 		path := choose(t, r, ask(route), start)
 		require.False(t, path.Passes(last))
@@ -151,7 +151,7 @@
 	}
 	for _, e := range holding(engines(today), relay.Plan(engine(), engines(today))) {
 		if e.Layers.Last == engine().Layers && e.ID != last {
-			r.Rest(e.ID, start.Add(3*time.Second), start)
+			r.Backoff(e.ID, start.Add(3*time.Second), start)
 		}
 	}
 	_, refusal := r.Choose(ask(route), start)
@@ -159,30 +159,30 @@
 	require.Equal(t, start.Add(time.Second), refusal.NotBefore, "the first of them closes the gap")
 }
 
-func TestRestsAreForgottenOnceTheyAreOver(t *testing.T) {
+func TestBackoffsAreForgottenOnceTheyAreOver(t *testing.T) {
 	r, _ := plainRouter("i-1", "i-2")
-	r.Rest("i-1", start.Add(time.Second), start)
-	r.Rest("i-2", start.Add(2*time.Second), start)
-	require.Len(t, r.RestingTargets(start), 2)
-	r.ForgetRests(start.Add(time.Second))
-	require.Equal(t, []relay.RestingTarget{{Target: "i-2", Until: start.Add(2 * time.Second)}}, r.RestingTargets(start.Add(time.Second)))
+	r.Backoff("i-1", start.Add(time.Second), start)
+	r.Backoff("i-2", start.Add(2*time.Second), start)
+	require.Len(t, r.TargetsBackedOff(start), 2)
+	r.ForgetBackoffs(start.Add(time.Second))
+	require.Equal(t, []relay.TargetBackedOff{{Target: "i-2", Until: start.Add(2 * time.Second)}}, r.TargetsBackedOff(start.Add(time.Second)))
 }
 
 // Each incarnation of a target that starts again and again may ask for a year.
-func TestTheNumberOfRestsIsBounded(t *testing.T) {
+func TestTheNumberOfBackoffsIsBounded(t *testing.T) {
 	r, _ := plainRouter("i-1")
 	year := start.Add(365 * 24 * time.Hour)
-	r.Rest("i-1", year, start)
+	r.Backoff("i-1", year, start)
 	const most, more = 4096, 100
 	for born := range uint64(most + more) {
-		r.Rest(relay.NewTargetID("i-2", born+1), year, start.Add(time.Duration(born+1)*time.Second))
+		r.Backoff(relay.NewTargetID("i-2", born+1), year, start.Add(time.Duration(born+1)*time.Second))
 	}
 	later := start.Add(2 * time.Hour)
-	require.Len(t, r.RestingTargets(later), most)
-	_, resting := r.Resting(relay.NewTargetID("i-2", most+more), later)
-	require.True(t, resting, "the newest are kept")
-	_, resting = r.Resting(relay.NewTargetID("i-2", 1), later)
-	require.False(t, resting, "the oldest are not")
+	require.Len(t, r.TargetsBackedOff(later), most)
+	_, backedOff := r.BackedOff(relay.NewTargetID("i-2", most+more), later)
+	require.True(t, backedOff, "the newest are kept")
+	_, backedOff = r.BackedOff(relay.NewTargetID("i-2", 1), later)
+	require.False(t, backedOff, "the oldest are not")
 }
 
 func TestATargetThatSaidThatItLeavesIsGivenNothing(t *testing.T) {
@@ -190,8 +190,8 @@
 	ready.Call = 9
 	gone := plainTarget("i-1")
 	gone.Gone, gone.Call = true, 10
-	for name, words := range map[string][]relay.Target{
-		"no word":                           nil,
+	for name, messages := range map[string][]relay.Target{
+		"no message":                        nil,
 		"a heartbeat from before":           {plainTarget("i-1")},
 		"a heartbeat after it":              {ready},
 		"it is forgotten and learned again": {gone, ready},
@@ -200,7 +200,7 @@
 			r, a := plainRouter("i-1", "i-2")
 			require.True(t, r.Leave("i-1", start))
 			require.False(t, r.Leave("i-1", start), "it is no news")
-			r.TakeTargets(words)
+			r.TakeTargets(messages)
 			for range 20 {
 				require.Equal(t, relay.TargetID("i-2"), picked(t, r, a, start))
 			}
@@ -212,8 +212,8 @@
 	}
 }
 
-// A departure is reported until the control VM's news say it, and again if they take it back.
-func TestADepartureIsReportedUntilItIsKnown(t *testing.T) {
+// A draining notice is reported until the control VM's news say it, and again if they take it back.
+func TestADrainingTargetIsReportedUntilItIsKnown(t *testing.T) {
 	r, _ := plainRouter("i-1")
 	r.Leave("i-1", start)
 	require.Equal(t, []relay.TargetID{"i-1"}, r.Findings(start).Leaving)
@@ -224,7 +224,7 @@
 	r.TakeTargets([]relay.Target{plainTarget("i-1")})
 	require.Equal(t, []relay.TargetID{"i-1"}, r.Findings(start).Leaving)
 	require.Empty(t, r.Findings(start.Add(time.Hour)).Leaving, "long after its last answer")
-	r.ForgetDepartures(start.Add(time.Hour))
+	r.ForgetDraining(start.Add(time.Hour))
 	require.True(t, r.Leaves("i-1"), "while the target is known")
 }
 
@@ -235,6 +235,6 @@
 	r.End([]relay.Succession{{Old: old, New: next}})
 	r.Leave(old, start) // an answer of the old one comes late
 	require.Equal(t, next, picked(t, r, a, start))
-	r.ForgetDepartures(start.Add(time.Hour))
+	r.ForgetDraining(start.Add(time.Hour))
 	require.False(t, r.Leaves(old), "it is forgotten")
 }
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -34,9 +34,9 @@
 	// half of the VMs find it dead; moving that it was ordered to hold other layers.
 	silent bool
 	moving bool
-	// rest and departed are what it has said with its answers: see Router.noteSaid.
-	rest     rest
-	departed bool
+	// backoff and draining are what it has said with its answers: see Router.noteSaid.
+	backoff  backoff
+	draining bool
 	// void says that another incarnation runs in the place of this one. A void target is no member
 	// of its service.
 	void bool
@@ -47,7 +47,7 @@
 // TakeTargets takes what targets have newly said.
 func (r *Router) TakeTargets(targets []Target) {
 	for _, t := range targets {
-		r.confirmDeparture(t)
+		r.confirmDraining(t)
 		known, ok := r.targets[t.ID]
 		if !ok {
 			known = &target{Target: t, key: t.ID.Key()}
@@ -83,7 +83,7 @@
 func (r *Router) usable(service string, a Ask, now time.Time, suspects bool) []*target {
 	var usable []*target
 	for _, t := range r.members[service] {
-		if !t.takes() || t.rest.holds(now) || t.silent && !slices.Contains(a.Only, t.ID) || t.moving || now.Before(t.fullUntil) || a.avoids(t.ID) {
+		if !t.takes() || t.backoff.holds(now) || t.silent && !slices.Contains(a.Only, t.ID) || t.moving || now.Before(t.fullUntil) || a.avoids(t.ID) {
 			continue
 		}
 		if !suspects && now.Before(t.suspectUntil) {
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -85,15 +85,13 @@
 	// as slow: at twice, it serves half as much as it is planned for.
 	slowLeast = 2.0
 	// slowElsewhere is what an engine counts as that another VM was told is slow: how slow
-	// is not told. It is chosen, between slowLeast and the 12 that was met; other values were
-	// not compared.
+	// is not told.
 	slowElsewhere = 4.0
 	// slowFirst is how long an engine that says that it is slow counts as slow; each time
 	// that it is found slow again doubles it up to suspectMost.
 	slowFirst = time.Second
 	// slowAskAhead is how long before that an engine is asked again: were it used to find
-	// out, all VMs would do so at once, and some 70 first events be late (two
-	// such moments of one day, with 11 slow engines and 78 VMs).
+	// out, all VMs would do so at once.
 	slowAskAhead = 300 * time.Millisecond
 )
 
@@ -143,8 +141,8 @@
 	Slow []TargetKey
 	// Leaving are those that have said with an answer that they leave.
 	Leaving []TargetID
-	// Resting are those that have asked this VM for rest: for its operators.
-	Resting []RestingTarget
+	// BackedOff are those that have asked this VM to back off: for its operators.
+	BackedOff []TargetBackedOff
 	// Limited are those that take so many requests a second from all VMs: for its operators.
 	Limited []LimitedTarget
 	// Unread are the names that targets have used and that nothing here reads: for its
@@ -154,7 +152,7 @@
 
 // Findings returns what this VM has lately found.
 func (r *Router) Findings(now time.Time) Findings {
-	f := Findings{Leaving: r.Departures(now), Resting: r.RestingTargets(now), Limited: r.LimitedTargets(now)}
+	f := Findings{Leaving: r.Draining(now), BackedOff: r.TargetsBackedOff(now), Limited: r.LimitedTargets(now)}
 	if !r.settings.Policy.Has(SharedFindings) {
 		return f
 	}
--- a/internal/relay/incarnation.go
+++ b/internal/relay/incarnation.go
@@ -344,9 +344,9 @@
 
 // EndedBy returns the incarnations known here that end with the first messages of others. A VM that
 // follows a registry for long may know targets that its own registry has forgotten.
-func (r *Router) EndedBy(words []Target) (ended []Succession) {
+func (r *Router) EndedBy(messages []Target) (ended []Succession) {
 	names, addresses := make(map[string]TargetID), make(map[string]TargetID)
-	for _, t := range words {
+	for _, t := range messages {
 		if _, known := r.targets[t.ID]; !known && t.ID.Born() > 0 {
 			latest(names, t.ID.Name(), t.ID)
 			latest(addresses, t.Address, t.ID)
--- a/internal/relay/incarnation_test.go
+++ b/internal/relay/incarnation_test.go
@@ -15,8 +15,10 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-// lifeWord is a word of the life of i-1 that began at a start.
-func lifeWord(born, call uint64) relay.Target { return word(relay.NewTargetID("i-1", born), call) }
+// heartbeatOf is a heartbeat of the incarnation of i-1 that began at a start.
+func heartbeatOf(born, call uint64) relay.Target {
+	return message(relay.NewTargetID("i-1", born), call)
+}
 
 // counting returns the identities that a registry counts.
 func counting(r *relay.Registry) []relay.TargetID {
@@ -67,30 +69,30 @@
 // What a life has said does not hold of the next one, whose numbers are lower.
 func TestANewLifeStartsFromNothing(t *testing.T) {
 	r := relay.NewRegistry()
-	old := lifeWord(100, 50)
+	old := heartbeatOf(100, 50)
 	old.Leaving, old.Layers = true, config.Range{First: 3, Last: 9}
 	r.Hear(old, start)
-	require.True(t, r.Hear(lifeWord(200, 1), start))
-	require.Equal(t, []relay.Target{lifeWord(200, 1)}, r.All())
+	require.True(t, r.Hear(heartbeatOf(200, 1), start))
+	require.Equal(t, []relay.Target{heartbeatOf(200, 1)}, r.All())
 	ended, again := r.TakeTransitions()
 	require.Equal(t, []relay.Succession{{Old: lifeIDs(100)[0], New: lifeIDs(200)[0]}}, ended)
 	require.Empty(t, again)
 	require.Contains(t, r.Silent(start.Add(-time.Second), start.Add(-time.Second)), lifeIDs(100)[0], "who has not heard of the new one yet leaves the old one alone")
 }
 
-func TestLateWordsOfAnEarlierLifeChangeNothing(t *testing.T) {
-	leaving, gone := lifeWord(100, 60), relay.Target{ID: lifeIDs(100)[0], Call: 1 << 62, Leaving: true, Gone: true}
+func TestLateMessagesOfAnEarlierLifeChangeNothing(t *testing.T) {
+	leaving, gone := heartbeatOf(100, 60), relay.Target{ID: lifeIDs(100)[0], Call: 1 << 62, Leaving: true, Gone: true}
 	leaving.Leaving = true
-	elsewhere := lifeWord(100, 60)
+	elsewhere := heartbeatOf(100, 60)
 	elsewhere.Address = "10.0.0.2:80"
 	for name, late := range map[string]func(*relay.Registry, time.Time) bool{
-		"heartbeat":            func(r *relay.Registry, now time.Time) bool { return r.Hear(lifeWord(100, 60), now) },
+		"heartbeat":            func(r *relay.Registry, now time.Time) bool { return r.Hear(heartbeatOf(100, 60), now) },
 		"from another address": func(r *relay.Registry, now time.Time) bool { return r.Hear(elsewhere, now) },
 		"leaving":              func(r *relay.Registry, now time.Time) bool { return r.Hear(leaving, now) },
 		"sign-off":             func(r *relay.Registry, now time.Time) bool { return r.Hear(gone, now) },
-		"of a control VM":      func(r *relay.Registry, now time.Time) bool { return r.Learn(lifeWord(100, 60), now) },
-		"of a third life":      func(r *relay.Registry, now time.Time) bool { return r.Hear(lifeWord(50, 3), now) },
-		"without a start":      func(r *relay.Registry, now time.Time) bool { return r.Hear(lifeWord(0, 3), now) },
+		"of a control VM":      func(r *relay.Registry, now time.Time) bool { return r.Learn(heartbeatOf(100, 60), now) },
+		"of a third life":      func(r *relay.Registry, now time.Time) bool { return r.Hear(heartbeatOf(50, 3), now) },
+		"without a start":      func(r *relay.Registry, now time.Time) bool { return r.Hear(heartbeatOf(0, 3), now) },
 		"sign of life": func(r *relay.Registry, now time.Time) bool {
 			r.Alive(lifeIDs(100)[0], 60, now)
 			return false
@@ -98,8 +100,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := relay.NewRegistry()
-			r.Hear(lifeWord(100, 50), start)
-			r.Hear(lifeWord(200, 1), start.Add(time.Second))
+			r.Hear(heartbeatOf(100, 50), start)
+			r.Hear(heartbeatOf(200, 1), start.Add(time.Second))
 			r.TakeTransitions()
 			before, digest := r.Since(0), r.Digest()
 			change := r.Change()
@@ -111,25 +113,25 @@
 			ended, again := r.TakeTransitions()
 			require.Empty(t, ended)
 			require.Empty(t, again)
-			require.NotContains(t, r.Silent(now.Add(-3*time.Second), now.Add(-500*time.Millisecond)), lifeIDs(200)[0], "a late word does not make the one that runs silent")
+			require.NotContains(t, r.Silent(now.Add(-3*time.Second), now.Add(-500*time.Millisecond)), lifeIDs(200)[0], "a late message does not make the one that runs silent")
 		})
 	}
 }
 
 func TestALifeThatIsHeardOfLateIsVoidAtOnce(t *testing.T) {
 	r := relay.NewRegistry()
-	r.Hear(lifeWord(200, 1), start)
-	require.False(t, r.Hear(lifeWord(100, 99), start))
+	r.Hear(heartbeatOf(200, 1), start)
+	require.False(t, r.Hear(heartbeatOf(100, 99), start))
 	require.Equal(t, lifeIDs(200), counting(r))
 }
 
-// A sign-off may come before the first word of its life.
+// A sign-off may come before the first message of its life.
 func TestASignOffEndsTheLifeThatItNames(t *testing.T) {
 	for _, born := range []uint64{100, 200} {
 		r := relay.NewRegistry()
-		r.Hear(lifeWord(100, 50), start)
+		r.Hear(heartbeatOf(100, 50), start)
 		r.Hear(relay.Target{ID: lifeIDs(born)[0], Call: 1 << 62, Leaving: true, Gone: true}, start)
-		r.Hear(lifeWord(200, 1), start)
+		r.Hear(heartbeatOf(200, 1), start)
 		held, _ := r.Get(lifeIDs(200)[0])
 		require.Equal(t, born != 200, held.Takes())
 		require.Equal(t, lifeIDs(200), counting(r))
@@ -138,12 +140,12 @@
 
 func TestASignOffWithoutAStartEndsTheLivesThatCount(t *testing.T) {
 	r := relay.NewRegistry()
-	r.Hear(lifeWord(100, 50), start)
-	r.Hear(lifeWord(200, 1), start)
+	r.Hear(heartbeatOf(100, 50), start)
+	r.Hear(heartbeatOf(200, 1), start)
 	require.True(t, r.Hear(relay.Target{ID: "i-1", Call: 1 << 62, Leaving: true, Gone: true}, start))
 	held, _ := r.Get(lifeIDs(200)[0])
 	require.False(t, held.Takes())
-	r.Hear(lifeWord(300, 1), start)
+	r.Hear(heartbeatOf(300, 1), start)
 	held, _ = r.Get(lifeIDs(300)[0])
 	require.True(t, held.Takes(), "a life that begins later is not meant")
 }
@@ -153,18 +155,18 @@
 	for name, higher := range map[string]uint64{"set back": 300, "from the future": math.MaxUint64} {
 		t.Run(name, func(t *testing.T) {
 			r, follower := relay.NewRegistry(), relay.NewRegistry()
-			r.Hear(lifeWord(higher, 9), start)
-			follower.Learn(lifeWord(higher, 9), start)
+			r.Hear(heartbeatOf(higher, 9), start)
+			follower.Learn(heartbeatOf(higher, 9), start)
 			for call := uint64(1); call <= 3; call++ {
-				r.Hear(lifeWord(200, call), start.Add(time.Duration(call)*time.Second))
+				r.Hear(heartbeatOf(200, call), start.Add(time.Duration(call)*time.Second))
 				require.Equal(t, lifeIDs(higher), counting(r))
 			}
 			now := start.Add(relay.SilentAfter + time.Second)
 			change := r.Change()
-			require.True(t, r.Hear(lifeWord(200, 4), now))
+			require.True(t, r.Hear(heartbeatOf(200, 4), now))
 			require.Contains(t, counting(r), lifeIDs(200)[0])
 			_, again := r.TakeTransitions()
-			require.Equal(t, []relay.Target{lifeWord(200, 4)}, again)
+			require.Equal(t, []relay.Target{heartbeatOf(200, 4)}, again)
 
 			for _, told := range r.Since(change) {
 				follower.Learn(told, now)
@@ -177,7 +179,7 @@
 
 			// The one with the higher start was cut off, and speaks again.
 			change = r.Change()
-			require.True(t, r.Hear(lifeWord(higher, 10), now))
+			require.True(t, r.Hear(heartbeatOf(higher, 10), now))
 			require.Equal(t, lifeIDs(higher), counting(r))
 			for _, told := range r.Since(change) {
 				follower.Learn(told, now)
@@ -192,8 +194,8 @@
 // The life that runs may speak to other control VMs alone, of which none knew the missed one.
 func TestAHigherStartIsMissedByBeatsOfOthers(t *testing.T) {
 	r := relay.NewRegistry()
-	r.Hear(lifeWord(300, 9), start)
-	r.Learn(lifeWord(200, 1), start.Add(time.Second))
+	r.Hear(heartbeatOf(300, 9), start)
+	r.Learn(heartbeatOf(200, 1), start.Add(time.Second))
 	r.Alive(lifeIDs(200)[0], 2, start.Add(2*time.Second))
 	require.Equal(t, lifeIDs(300), counting(r))
 	r.Alive(lifeIDs(200)[0], 3, start.Add(relay.SilentAfter+time.Second))
@@ -201,13 +203,13 @@
 	require.Equal(t, []relay.Missed{{ID: lifeIDs(300)[0], Call: 9}}, r.Missed())
 }
 
-// A late word of a life does not pass for a sign that a higher one is missed.
-func TestARepeatedWordMissesNobody(t *testing.T) {
+// A late message of a life does not pass for a sign that a higher one is missed.
+func TestARepeatedMessageMissesNobody(t *testing.T) {
 	r := relay.NewRegistry()
-	r.Hear(lifeWord(100, 5), start)
-	r.Hear(lifeWord(200, 1), start)
+	r.Hear(heartbeatOf(100, 5), start)
+	r.Hear(heartbeatOf(200, 1), start)
 	late := start.Add(10 * time.Second)
-	r.Hear(lifeWord(100, 5), late)
+	r.Hear(heartbeatOf(100, 5), late)
 	r.Hear(relay.Target{ID: lifeIDs(100)[0], Call: 1 << 62, Leaving: true, Gone: true}, late)
 	require.Equal(t, lifeIDs(200), counting(r))
 }
@@ -216,8 +218,8 @@
 func TestSumsTellAMissedLifeFromOneThatSpeaks(t *testing.T) {
 	a, b := relay.NewRegistry(), relay.NewRegistry()
 	for _, r := range []*relay.Registry{a, b} {
-		r.Learn(lifeWord(300, 9), start)
-		r.Learn(lifeWord(200, 1), start)
+		r.Learn(heartbeatOf(300, 9), start)
+		r.Learn(heartbeatOf(200, 1), start)
 		r.Miss(relay.Missed{ID: lifeIDs(300)[0], Call: 9}, start)
 	}
 	require.Equal(t, a.Digest(), b.Digest())
@@ -229,7 +231,7 @@
 }
 
 func wordAt(id relay.TargetID, address string, call uint64) relay.Target {
-	t := word(id, call)
+	t := message(id, call)
 	t.Address = address
 	return t
 }
@@ -248,7 +250,7 @@
 	}
 }
 
-// Where starts are not told, a word of the first that comes late does not bring it back, nor
+// Where starts are not told, a message of the first that comes late does not bring it back, nor
 // does it make the one that runs silent.
 func TestTheLaterRegistrationAtAnAddressCounts(t *testing.T) {
 	r := relay.NewRegistry()
@@ -292,7 +294,7 @@
 }
 
 // A VM whose registry has forgotten a target finds out by itself which of its lives ends.
-func TestTheFirstWordOfALifeEndsThoseBefore(t *testing.T) {
+func TestTheFirstMessageOfALifeEndsThoseBefore(t *testing.T) {
 	r := relay.NewRouter(relay.Settings{})
 	first, second, third := relay.NewTargetID("i-1", 100), relay.NewTargetID("i-2", 200), relay.NewTargetID("i-3", 900)
 	r.TakeTargets([]relay.Target{wordAt(first, "x", 1), wordAt(second, "y", 1), wordAt(third, "z", 1), wordAt("plain", "w", 1)})
@@ -301,11 +303,11 @@
 	require.Empty(t, r.EndedBy([]relay.Target{wordAt(first, "x", 2), wordAt("other", "x", 1), wordAt(relay.NewTargetID("i-3", 800), "z", 1)}))
 }
 
-// referenceLives is what counts of words that came in any order: of each life the highest
+// referenceLives is what counts of messages that came in any order: of each life the highest
 // number, and no life beside one of the same name or address with a later start.
-func referenceLives(words map[relay.TargetID][]relay.Target) map[relay.TargetID]relay.Target {
+func referenceLives(messages map[relay.TargetID][]relay.Target) map[relay.TargetID]relay.Target {
 	count := make(map[relay.TargetID]relay.Target)
-	for id, of := range words {
+	for id, of := range messages {
 		newest := slices.MaxFunc(of, func(a, b relay.Target) int { return int(a.Call) - int(b.Call) })
 		newest.Leaving = slices.ContainsFunc(of, func(t relay.Target) bool { return t.Leaving })
 		newest.Gone = slices.ContainsFunc(of, func(t relay.Target) bool { return t.Gone })
@@ -320,9 +322,9 @@
 	return count
 }
 
-// Whatever is lost and in whatever order words come, by whichever VM, each registry counts the
-// lives that its words tell of.
-func TestNoOrderOfWordsBringsALifeBack(t *testing.T) {
+// Whatever is lost and in whatever order messages come, by whichever VM, each registry counts the
+// lives that its messages tell of.
+func TestNoOrderOfMessagesBringsALifeBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const vms = 3
 		registries, heard := make([]*relay.Registry, vms), make([]map[relay.TargetID][]relay.Target, vms)
@@ -353,7 +355,7 @@
 					heard[vm][w.ID] = append(heard[vm][w.ID], w)
 					registries[vm].Hear(w, start)
 				}
-			case 2: // a word comes late, or again
+			case 2: // a message comes late, or again
 				if len(said) > 0 {
 					take(rapid.SampledFrom(said).Draw(t, "late"))
 				}
@@ -376,7 +378,7 @@
 	})
 }
 
-// What anybody may write is forgotten whole: a word that was dropped neither voids others nor
+// What anybody may write is forgotten whole: a message that was dropped neither voids others nor
 // stays.
 func TestADroppedLifeVoidsNothing(t *testing.T) {
 	r := relay.NewRegistry()
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -24,8 +24,8 @@
 	limitKept = 3 * time.Second
 	// limitAsksMost bounds the limits that one renewal speaks of: 16 are some 0.5 KB.
 	limitAsksMost = 16
-	// limitsMost bounds the limits that are kept: as many as rests.
-	limitsMost = restsMost
+	// limitsMost bounds the limits that are kept: as many as backoffs.
+	limitsMost = backoffsMost
 	// limitMost is the limit from which on none is kept to, in requests a second: no target
 	// runs as many.
 	limitMost = 1000.0
--- a/internal/relay/notice.go
+++ b/internal/relay/notice.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// This file is what targets say of themselves to this VM with their answers; rests.go and
-// departures.go say what becomes of it.
+// This file is what targets say of themselves to this VM with their answers; backoffs.go and
+// draining.go say what becomes of it.
 
 // Notice is what a target says of itself with an answer, whatever the answer is to.
 type Notice struct {
 	// Leaving says that it is about to end.
 	Leaving bool
-	// RestUntil is until when it wants nothing from this VM; zero where it asks for no rest.
-	RestUntil time.Time
+	// BackoffUntil is until when it wants nothing from this VM; zero where it asks for no backoff.
+	BackoffUntil time.Time
 	// Limited says that it takes no more than Limit requests a second, from all VMs together,
 	// Unlimited that it names no such limit. Neither is set where that can't be told.
 	Limited   bool
@@ -24,7 +24,7 @@
 }
 
 // Empty reports whether the target says nothing of itself that anything reads.
-func (n Notice) Empty() bool { return !n.Leaving && n.RestUntil.IsZero() && !n.Limited }
+func (n Notice) Empty() bool { return !n.Leaving && n.BackoffUntil.IsZero() && !n.Limited }
 
 // LimitAnswer returns what the answer says of a limit to a request that was sent at a time, and
 // whether it says anything.
@@ -35,13 +35,13 @@
 // said is what targets have said to this VM, by incarnation: it outlasts what else is known of
 // them.
 type said struct {
-	rests      map[TargetID]rest
-	departures map[TargetID]departure
-	limits     *RateLimits
+	backoffs map[TargetID]backoff
+	draining map[TargetID]drainNotice
+	limits   *RateLimits
 }
 
 func newSaid(seed uint64) said {
-	return said{rests: make(map[TargetID]rest), departures: make(map[TargetID]departure), limits: NewRateLimits(seed)}
+	return said{backoffs: make(map[TargetID]backoff), draining: make(map[TargetID]drainNotice), limits: NewRateLimits(seed)}
 }
 
 // HearLimit takes what an answer of a target says of its limit, and reports whether that is new
--- a/internal/relay/overdue.go
+++ b/internal/relay/overdue.go
@@ -27,14 +27,13 @@
 	// costs a short question to each engine of a path, so that there is one in 22 answers of
 	// 46 events.
 	overdueOne = 1000
-	// overdueFirst is the multiple until pauses have moved it: of 7,689 answers of some 46
-	// events over sound engines 5 in 100 had a pause over 1.99 times its mean. overdueLeast
-	// and overdueMost bound it.
+	// overdueFirst is the multiple until pauses have moved it: few answers of sound engines
+	// have a longer pause. overdueLeast and overdueMost bound it.
 	overdueFirst = 2.0
 	overdueLeast = 1.6
 	overdueMost  = 5.0
-	// firstTimes is how many times the mean of late a first event takes to be overdue: of
-	// 8,410 answers one in a hundred took 3.3 to 3.5 times the one in the middle (two runs).
+	// firstTimes is how many times the mean of late a first event takes to be overdue: one
+	// in a hundred takes longer.
 	firstTimes = 3.5
 	// overdueStep is what one longer pause moves it by.
 	overdueStep = 0.1
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -35,7 +35,7 @@
 const (
 	// memoryUse is the part of an engine's memory that requests are given; the
 	// rest is for answers that get longer than expected and for what other VMs
-	// have begun since they last told. docs/ABLATION.md has what else was tried.
+	// have begun since they last told.
 	memoryUse = 0.94
 	// crowd is how much a full engine counts above an empty one. An answer is in
 	// time by its first event and its pauses, not by its end, so that slow engines
@@ -43,7 +43,6 @@
 	crowd = 3
 	// unreadWeight is how much the wait behind prompts counts above the rest of a
 	// request's time: it is what makes a first event late, and the rest does not.
-	// docs/ABLATION.md has what else was tried.
 	unreadWeight = 12
 	// pipeCaution multiplies the time that a request takes in a pipe between two
 	// halls: a pipe that is not yet full is, once others choose it too, since a prompt
@@ -106,7 +105,7 @@
 
 // inOneHall draws among the best paths that stay in one hall: each with a
 // probability that falls with its cost. Were the best one always taken, all VMs
-// would take the same one until the next word on their loads, 0.4 s later: on the
+// would take the same one until the next report of their loads, 0.4 s later: on the
 // users' grown fleet halls filled up in turn, for a second each.
 func (r *Router) inOneHall(s *Service, a Ask, engines []*target, now time.Time) (Path, bool) {
 	byHall := make(map[string][]*target)
--- a/internal/relay/pause.go
+++ b/internal/relay/pause.go
@@ -25,8 +25,7 @@
 
 const (
 	// meanShare is the part of a route's bound on pauses that the mean pause may take: the
-	// worst pause of an answer is twice its mean (docs/MEASURED.md: 1.8 to 2.3 in the median
-	// of 34,000 answers, by mean pause).
+	// worst pause of an answer is twice its mean.
 	meanShare = 0.5
 	// roomLeast is the part of that which an empty path must leave for others to count as
 	// one whose answers can be in time.
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -226,6 +226,6 @@
 		return false
 	}
 	return slices.ContainsFunc(r.members[service], func(t *target) bool {
-		return r.limits.of(t.key).limited(now) && t.begins() && !t.rest.holds(now) && a.mayBegin(t.ID) && !a.avoids(t.ID)
+		return r.limits.of(t.key).limited(now) && t.begins() && !t.backoff.holds(now) && a.mayBegin(t.ID) && !a.avoids(t.ID)
 	})
 }
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -104,8 +104,8 @@
 	turned uint64
 	// firstHand says that the target spoke to this VM last.
 	firstHand bool
-	// departed says that this VM was told by one that the target has answered that it leaves.
-	departed bool
+	// draining says that this VM was told by one that the target has answered that it leaves.
+	draining bool
 	// void says that another incarnation runs in the place of this one.
 	void bool
 }
@@ -122,8 +122,8 @@
 		return r.take(t, now, true)
 	}
 	news := false
-	for _, word := range r.signOff(t) {
-		news = r.take(word, now, true) || news
+	for _, message := range r.signOff(t) {
+		news = r.take(message, now, true) || news
 	}
 	return news
 }
@@ -177,14 +177,14 @@
 
 // Depart takes that a target has said to another VM with an answer that it leaves, and reports
 // whether that is new. It says nothing of when the target spoke.
-func (r *Registry) Depart(id TargetID) bool {
+func (r *Registry) Drain(id TargetID) bool {
 	e, known := r.targets[id]
 	if !known || e.void || e.target.Leaving {
 		return false
 	}
 	r.change++
 	e.target.Leaving = true
-	e.departed = true
+	e.draining = true
 	e.changed, e.turned = r.change, r.change
 	r.targets[id] = e
 	return true
@@ -249,10 +249,10 @@
 	return r.find(func(e entry) bool { return e.changed > change })
 }
 
-// OwnSince returns the targets that speak to this very VM, or of whose departure it was told,
+// OwnSince returns the targets that speak to this very VM, or of whose draining notice it was told,
 // and that have changed after a change or have turned to it since.
 func (r *Registry) OwnSince(change uint64) []Target {
-	return r.find(func(e entry) bool { return max(e.changed, e.turned) > change && (e.firstHand || e.departed) })
+	return r.find(func(e entry) bool { return max(e.changed, e.turned) > change && (e.firstHand || e.draining) })
 }
 
 // Introduced reports whether one who was told all up to a change knows what an update does
@@ -314,7 +314,7 @@
 
 // replaced reports whether another target runs at the address of one that has spoken after
 // a time. Where their starts do not tell, the other one has spoken later, and a while ago; or
-// it registered later and has spoken again since, so that only a late word of the first is
+// it registered later and has spoken again since, so that only a late message of the first is
 // newer.
 func (r *Registry) replaced(e entry, after, replacedAfter time.Time) bool {
 	for _, id := range r.incarnations.byAddress[e.target.Address] {
--- a/internal/relay/registry_test.go
+++ b/internal/relay/registry_test.go
@@ -11,57 +11,57 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-func word(id relay.TargetID, call uint64) relay.Target {
+func message(id relay.TargetID, call uint64) relay.Target {
 	return relay.Target{ID: id, Service: "s", Address: "10.0.0.1:80", Call: call}
 }
 
 func TestLeavingIsNeverTakenBack(t *testing.T) {
 	r := relay.NewRegistry()
-	leaving := word("i-1", 5)
+	leaving := message("i-1", 5)
 	leaving.Leaving = true
 	require.True(t, r.Hear(leaving, start))
-	require.False(t, r.Hear(word("i-1", 4), start))
-	r.Hear(word("i-1", 9), start)
+	require.False(t, r.Hear(message("i-1", 4), start))
+	r.Hear(message("i-1", 9), start)
 	held, _ := r.Get("i-1")
 	require.True(t, held.Leaving)
 	require.False(t, held.Takes())
 }
 
-func TestLateWordsChangeNothing(t *testing.T) {
+func TestLateMessagesChangeNothing(t *testing.T) {
 	r := relay.NewRegistry()
-	newer := word("i-1", 7)
+	newer := message("i-1", 7)
 	newer.Layers = config.Range{First: 0, Last: 9}
 	r.Hear(newer, start)
-	require.False(t, r.Hear(word("i-1", 3), start.Add(time.Second)))
+	require.False(t, r.Hear(message("i-1", 3), start.Add(time.Second)))
 	held, _ := r.Get("i-1")
 	require.Equal(t, newer.Layers, held.Layers)
 }
 
 func TestSigningOffKeepsWhatWasSaid(t *testing.T) {
 	r := relay.NewRegistry()
-	r.Hear(word("i-1", 3), start)
+	r.Hear(message("i-1", 3), start)
 	r.Hear(relay.Target{ID: "i-1", Call: 1 << 62, Leaving: true, Gone: true}, start)
 	held, _ := r.Get("i-1")
 	require.True(t, held.Gone)
 	require.Equal(t, "s", held.Service)
 }
 
-// A dead engine's late words kept it in use for seconds after its successor had
+// A dead engine's late messages kept it in use for seconds after its successor had
 // begun at the same address: 60 requests a second were refused with 421.
 func TestSuccessorsSilenceTheDead(t *testing.T) {
 	r := relay.NewRegistry()
-	r.Hear(word("old", 30), start)
-	r.Hear(word("new", 1), start.Add(time.Second))
+	r.Hear(message("old", 30), start)
+	r.Hear(message("new", 1), start.Add(time.Second))
 	now := start.Add(2 * time.Second)
 	require.Equal(t, []relay.TargetID{"old"}, r.Silent(now.Add(-3*time.Second), now.Add(-1500*time.Millisecond)))
 	require.Empty(t, r.Silent(start.Add(-time.Second), start.Add(-time.Second)))
 }
 
 // What another VM tells again is no new sign of life.
-func TestRepeatedWordsAreNoSignsOfLife(t *testing.T) {
+func TestRepeatedMessagesAreNoSignsOfLife(t *testing.T) {
 	r := relay.NewRegistry()
-	r.Hear(word("i-1", 3), start)
-	r.Learn(word("i-1", 3), start.Add(5*time.Second))
+	r.Hear(message("i-1", 3), start)
+	r.Learn(message("i-1", 3), start.Add(5*time.Second))
 	r.Alive("i-1", 3, start.Add(5*time.Second))
 	require.Len(t, r.Silent(start.Add(time.Second), start), 1)
 	r.Alive("i-1", 4, start.Add(5*time.Second))
@@ -70,11 +70,11 @@
 
 func TestFollowersGetWhatChanged(t *testing.T) {
 	r := relay.NewRegistry()
-	r.Hear(word("i-1", 1), start)
+	r.Hear(message("i-1", 1), start)
 	first := r.Change()
-	r.Hear(word("i-1", 2), start)
+	r.Hear(message("i-1", 2), start)
 	require.Empty(t, r.Since(first))
-	r.Hear(word("i-2", 1), start)
+	r.Hear(message("i-2", 1), start)
 	require.Len(t, r.Since(first), 1)
 	require.Len(t, r.All(), 2)
 }
@@ -83,16 +83,16 @@
 func TestRegistriesAreComparedBySums(t *testing.T) {
 	a, b := relay.NewRegistry(), relay.NewRegistry()
 	for i := range 300 {
-		target := word(relay.TargetID(fmt.Sprint("i-", i)), 1)
+		target := message(relay.TargetID(fmt.Sprint("i-", i)), 1)
 		a.Hear(target, start)
 		target.Call = 9
 		b.Learn(target, start)
 	}
 	require.Empty(t, a.Unlike(b.Digest()), "the numbers of messages don't count")
-	changed := word("i-7", 10)
+	changed := message("i-7", 10)
 	changed.Layers = config.Range{First: 3, Last: 9}
 	a.Hear(changed, start)
-	a.Hear(word("i-new", 1), start)
+	a.Hear(message("i-new", 1), start)
 	unlike := a.Unlike(b.Digest())
 	require.Less(t, len(unlike), 30)
 	for _, target := range unlike {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -229,18 +229,16 @@
 }
 
 // noRoom returns the refusal of a request that finds no target. Where it finds none because
-// targets rest, none has a place before their rest ends: its caller is to come back after that,
-// at a time drawn from as long again, so that no more come at once than were turned away. Where
-// all come at its end, targets turn 11,700 of them away, and 280 so (a model of 10 VMs, 500
-// requests a second, 4 s in which all three targets want rest, three seeds).
+// VMs back off from targets, none has a place before the backoff ends: its caller is to come back
+// after that, at a time drawn from as long again, so that no more come at once than were turned away.
 func (r *Router) noRoom(service string, a Ask, now time.Time) *Refusal {
 	if refusal := r.noPermit(service, a, now); refusal != nil {
 		return refusal
 	}
-	until, length := r.restsUntil(service, a, now)
+	until, length := r.backoffsUntil(service, a, now)
 	if until.IsZero() {
 		return &Refusal{Kind: RefusedNoRoom, RetryAt: r.soon(now), Reason: "no target of " + service + " has room"}
 	}
 	spread := time.Duration(r.rand.Int64N(int64(max(length, returnLeast))))
-	return &Refusal{Kind: RefusedNoRoom, RetryAt: until.Add(spread), NotBefore: until, Reason: "targets of " + service + " have asked for rest"}
+	return &Refusal{Kind: RefusedNoRoom, RetryAt: until.Add(spread), NotBefore: until, Reason: "targets of " + service + " have asked to back off"}
 }
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -248,7 +248,7 @@
 	require.Less(t, granted, 200/10/2)
 }
 
-// On the grown fleet all VMs took the same hall until the next word on their
+// On the grown fleet all VMs took the same hall until the next report of their
 // loads: halls filled up in turn, and first events came a second late.
 func TestVMsWithTheSamePictureSpreadOverHalls(t *testing.T) {
 	used := make(map[byte]int)
--- a/internal/relay/suspects.go
+++ b/internal/relay/suspects.go
@@ -22,10 +22,6 @@
 // quarantine, which is replicated with the configuration: a VM takes no work without a lease,
 // and a lease brings it to the newest revision. A whole answer anywhere clears the request.
 //
-// In trials of 90 s on six seeds, a request that comes one at a time reached no target later than
-// 3 s after the third had ended, and one that comes in pairs, each sent to two targets, up to 4.
-// Were each end to count, the first fall of a rack under eight copies would blame them each time.
-//
 // Invariants: what counts does not depend on the order in which reports arrive, nor on how
 // often; memory is bounded whatever callers send.
 //
@@ -48,7 +44,7 @@
 	crashedTogether = 4
 	// reportSkew is how much the reports of two VMs may differ in their ways to the leader: a run
 	// that began within it after another one had ended is taken to overlap it. Without it the fall
-	// of a rack under look-alikes blamed them in each of 54 trials with reports up to 95 ms late.
+	// of a rack under look-alikes would blame them.
 	reportSkew = 100 * time.Millisecond
 	// suspectsMost bounds the requests that are suspected, and suspectRuns the runs that are
 	// kept of each: some 400 bytes for each, 0.4 MB in all.
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -47,7 +47,7 @@
 
 const (
 	// herdMost bounds how many other VMs are taken to have done as this one did
-	// since the last word on them: with more, one request of this VM's own would
+	// since the last report of them: with more, one request of this VM's own would
 	// weigh too much.
 	herdMost = 10
 	// herdUsual is how many requests more than before are chance: at ten requests a second
@@ -55,7 +55,7 @@
 	herdUsual = 2
 )
 
-// load is what is under way at a target, as far as is known or likely. The word
+// load is what is under way at a target, as far as is known or likely. The report
 // on the other VMs is up to half a second old; since then they have most likely
 // done what this VM did, above all when all turn away from a lost engine at once.
 //
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -237,7 +237,7 @@
 	if err == nil || ended.Limit.Limited { // what can't be read says neither that there is a limit nor that there is none
 		ended.Limit.SentAt, ended.Limit.HeardAt = sentAt, clock.Now()
 	}
-	ended.RestUntil, _ = RestUntil(response.StatusCode, response.Header, clock.Now()) // what can't be read asks for no rest
+	ended.BackoffUntil, _ = BackoffUntil(response.StatusCode, response.Header, clock.Now()) // what can't be read asks for no backoff
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) != "" {
 		ended.Result = core.ResultRefused
 		return ended
--- a/model/check.sh
+++ b/model/check.sh
@@ -43,6 +43,8 @@
 for m in NO_EPOCH NO_REPEAT NO_MATCH NO_KEEP NO_FENCEDKEEP; do begin stream $m refuted; done
 begin lease "" holds
 for m in NO_NUMBER NO_APPLIED NO_PUSHNUMBER; do begin lease $m refuted; done
+begin permits "" holds
+for m in NO_TAKEN NO_ONWAY NO_BURST NO_WAIT NO_LATER; do begin permits $m refuted; done
 status=0
 for pid in "${pids[@]}"; do wait "$pid" || status=1; done
 exit $status
--- a/query/query.go
+++ b/query/query.go
@@ -42,7 +42,7 @@
 	Quarantine    What = "quarantine"
 	Replicas      What = "replicas"
 	Requests      What = "requests"
-	Rests         What = "rests"
+	Backoffs      What = "backoffs"
 	Services      What = "services"
 	Targets       What = "targets"
 	Unread        What = "unread"
@@ -51,7 +51,7 @@
 
 // Lists returns all lists that can be shown, sorted.
 func Lists() []What {
-	return []What{Config, Events, Leases, Limits, Models, Organisations, Pipelines, Quarantine, Replicas, Requests, Rests, Services, Targets, Unread, VMs}
+	return []What{Backoffs, Config, Events, Leases, Limits, Models, Organisations, Pipelines, Quarantine, Replicas, Requests, Services, Targets, Unread, VMs}
 }
 
 // Statement is a parsed statement: exactly one field is set.
@@ -76,7 +76,7 @@
 // Local reports whether each VM knows the list of itself only, so that the
 // client has to ask them all.
 func (s Show) Local() bool {
-	return s.What == Requests || s.What == Rests || s.What == Limits || s.What == Unread
+	return s.What == Requests || s.What == Backoffs || s.What == Limits || s.What == Unread
 }
 
 // Condition is a test on a field of a row.
--- a/query/query_test.go
+++ b/query/query_test.go
@@ -28,7 +28,7 @@
 func TestParseErrorsPointAtTheColumn(t *testing.T) {
 	tests := []struct{ text, want string }{
 		{"", `column 1: unexpected token "<EOF>"; a statement begins with show, declare, set, remove, drain or admit`},
-		{"show cats", "column 6: there is no list \"cats\"; use one of [config events leases limits models organisations pipelines quarantine replicas requests rests services targets unread vms]"},
+		{"show cats", "column 6: there is no list \"cats\"; use one of [backoffs config events leases limits models organisations pipelines quarantine replicas requests services targets unread vms]"},
 		{"drain model m", "column 7: \"model\" can't stand here; use one of [target vm]"},
 		{"declare target r07 hall=", "column 25: unexpected token \"<EOF>\" (expected ValueNode); `spoolbank help` shows examples"},
 	}
