core: a lease of the incarnation before is not taken

What callers could see: an entry VM that had just started again working by a lease that ran longer than the leader knew, and by permits that were not lent to it. Cause: grants name the VM they are for and the number of the renewal that they answer, and an incarnation counts its renewals from 1 again: one that was on its way to the incarnation before could answer a later renewal of the next. The same class as a repeated grant: a message is matched by less than its identity. Found by the random histories of permits, as a fault of the test's own world that the code had too. Change: a grant names the incarnation that asked, and another one drops it. Tests that make grants by hand name it. Measured: the test fails on the code before (a lease is taken), and passes.

--- a/internal/core/bed_test.go
+++ b/internal/core/bed_test.go
@@ -211,6 +211,7 @@
 func (b *bed) grant(i int, number uint64) {
 	state := b.state
 	b.step(i, core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: "c1"}, Body: core.Message{Grant: &core.Grant{
+		To:   1,
 		Term: 1, Number: number, Revision: state.Revision, State: &state, ViewVersion: 1, View: benchView(len(b.nodes)), ViewWhole: true,
 	}}}})
 }
--- a/internal/core/bench_test.go
+++ b/internal/core/bench_test.go
@@ -95,6 +95,7 @@
 	state := benchConfig(t, targets, organisations)
 	r.step(core.Tick{})
 	r.step(core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: "c1"}, To: "vm000", Body: core.Message{Grant: &core.Grant{
+		To:   1,
 		Term: 1, Number: r.asked, Revision: state.Revision, State: &state, ViewVersion: 1, View: view, ViewWhole: true,
 	}}}})
 	return r
@@ -103,6 +104,7 @@
 // renewLease gives the entry VM its next lease.
 func (r *rig) renewLease(revision config.Revision) {
 	r.step(core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: "c1"}, To: "vm000", Body: core.Message{Grant: &core.Grant{
+		To:   1,
 		Term: 1, Number: r.asked, Revision: revision, ViewVersion: 1,
 	}}}})
 }
--- a/internal/core/control_test.go
+++ b/internal/core/control_test.go
@@ -224,6 +224,7 @@
 	r := newEntryRig(t, 8, 2, 1)
 	before := r.node.Status().EntryRevision
 	r.step(core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: "c1"}, To: "vm000", Body: core.Message{Grant: &core.Grant{
+		To:   1,
 		Term: 1, Number: r.asked, Revision: before - 1, State: &config.State{Revision: before - 1}, ViewVersion: 9,
 	}}}})
 	require.Equal(t, before, r.node.Status().EntryRevision)
@@ -303,6 +304,7 @@
 	require.Zero(t, r.kept, "no other VM is known")
 	view := benchView(2)
 	r.step(core.Received{Envelope: core.Envelope{From: core.ReplicaID{VM: "c1"}, To: "vm000", Body: core.Message{Grant: &core.Grant{
+		To:   1,
 		Term: 1, Number: r.asked, Revision: 2, ViewVersion: 2, View: view,
 	}}}})
 	require.Equal(t, 1, r.kept, "the whole stream goes to the VM that is now known")
--- a/internal/core/entries_test.go
+++ b/internal/core/entries_test.go
@@ -58,7 +58,7 @@
 func TestEntriesAreNotNamedWithoutALease(t *testing.T) {
 	e := newEntryNode(core.Settings{})
 	view := []core.EntryView{{Address: core.EntryAddress{VM: "e2", Hall: "h", Callers: "10.0.0.2:80", Peers: "10.0.0.2:81"}}}
-	e.lease(t, core.Grant{ViewVersion: 1, View: view, ViewWhole: true})
+	e.lease(t, core.Grant{To: 1, ViewVersion: 1, View: view, ViewWhole: true})
 	require.Len(t, e.addresses(t), 1)
 	e.now = e.now.Add(core.DefaultTiming().LeaseTerm)
 	require.Empty(t, e.addresses(t))
@@ -83,13 +83,13 @@
 		}
 		return 0
 	}
-	e.lease(t, core.Grant{ViewVersion: 1, View: view(false, "e2", "e3", "e4"), ViewWhole: true})
+	e.lease(t, core.Grant{To: 1, ViewVersion: 1, View: view(false, "e2", "e3", "e4"), ViewWhole: true})
 	require.Equal(t, 5*time.Second, kept())
-	e.lease(t, core.Grant{ViewVersion: 2, View: view(true, "e4")})
-	e.lease(t, core.Grant{ViewVersion: 3, Gone: []core.VMName{"e4"}})
+	e.lease(t, core.Grant{To: 1, ViewVersion: 2, View: view(true, "e4")})
+	e.lease(t, core.Grant{To: 1, ViewVersion: 3, Gone: []core.VMName{"e4"}})
 	require.Equal(t, 5*time.Second, kept(), "it had said that it leaves")
-	e.lease(t, core.Grant{ViewVersion: 4, Gone: []core.VMName{"e3"}})
+	e.lease(t, core.Grant{To: 1, ViewVersion: 4, Gone: []core.VMName{"e3"}})
 	require.Equal(t, 9*time.Second, kept())
-	e.lease(t, core.Grant{ViewVersion: 5, View: view(false, "e3")})
+	e.lease(t, core.Grant{To: 1, ViewVersion: 5, View: view(false, "e3")})
 	require.Equal(t, 5*time.Second, kept(), "it is back")
 }
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -395,7 +395,7 @@
 func (n *Node) grant(h *holder) {
 	c := n.machine.Config
 	fleet := n.fleetToReport()
-	g := Grant{Term: fleet.term, Leader: fleet.leader, Number: h.granted, Revision: c.Revision, Cluster: n.cluster}
+	g := Grant{To: h.id.Incarnation, Term: fleet.term, Leader: fleet.leader, Number: h.granted, Revision: c.Revision, Cluster: n.cluster}
 	base := n.baseOf(h)
 	if deltas, ok := n.leading.deltas.since(base, c.Revision); ok {
 		g.Deltas = deltas
--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -73,7 +73,7 @@
 	require.GreaterOrEqual(t, asks(now.Add(280*time.Millisecond)), 2)
 	n.Step(now, from(asked, core.Message{TargetNews: &core.TargetNews{Incarnation: 1, Upto: 1, Whole: true}}))
 	for range 10 {
-		n.Step(now, from(asked, core.Message{Grant: &core.Grant{Term: 1, Number: renewal}}))
+		n.Step(now, from(asked, core.Message{Grant: &core.Grant{To: 1, Term: 1, Number: renewal}}))
 		require.Zero(t, asks(now.Add(200*time.Millisecond)))
 	}
 }
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -153,7 +153,7 @@
 // handed on once.
 func (h *holder) addPermits(g *Grant) {
 	if h.permitsNumber == g.Number {
-		g.Permits, g.PermitsTo = h.permits, h.id.Incarnation
+		g.Permits = h.permits
 	}
 	h.permits = nil
 }
@@ -161,7 +161,7 @@
 // permitsTaken takes the permits that came with a lease, and hands on those of registered targets.
 func (n *Node) permitsTaken(g Grant) {
 	sent, ok := n.entry.tenure.sent[g.Number]
-	if !ok || len(g.Permits) == 0 || g.PermitsTo != n.settings.Self.Incarnation {
+	if !ok || len(g.Permits) == 0 {
 		return
 	}
 	lent := PermitsLent{Number: g.Number, Permits: g.Permits, Until: sent.Add(n.settings.Timing.Shortened(relay.PermitLife))}
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -314,6 +314,8 @@
 // Grant is a lease. It carries the changes that bring the holder to Revision,
 // or the whole State when it is too far behind.
 type Grant struct {
+	// To is the incarnation that has asked: the next one of its VM asks under like numbers.
+	To       Incarnation     `cbor:"to"`
 	Term     Term            `cbor:"term"`
 	Number   uint64          `cbor:"number"`
 	Revision config.Revision `cbor:"revision"`
@@ -352,10 +354,7 @@
 	UsageBy int                    `cbor:"usage_by,omitempty"`
 	// Permits are lent for targets with limits; they come with the lease that answers the
 	// renewal which asked for them.
-	// PermitsTo is the incarnation that has asked for them: another one may ask under like
-	// numbers.
-	Permits   []relay.Permits `cbor:"permits,omitempty"`
-	PermitsTo Incarnation     `cbor:"permits_to,omitempty"`
+	Permits []relay.Permits `cbor:"permits,omitempty"`
 }
 
 // Delta is one accepted change of the configuration.
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -324,11 +324,12 @@
 
 // granted takes a lease, with the configuration that it carries. A lease with
 // an older revision or term than is known here is of the past: it is dropped,
-// so that nothing reverts.
+// so that nothing reverts. So is one of an earlier incarnation of this VM, whose numbers say nothing
+// of when this one asked.
 func (n *Node) granted(from ReplicaID, g Grant) {
 	t := &n.entry.tenure
 	sent, ok := t.sent[g.Number]
-	if !ok || g.Term < t.term || g.Revision < n.entry.config.Revision {
+	if !ok || g.To != n.settings.Self.Incarnation || g.Term < t.term || g.Revision < n.entry.config.Revision {
 		return
 	}
 	t.term = g.Term
--- a/internal/daemon/links_test.go
+++ b/internal/daemon/links_test.go
@@ -35,6 +35,7 @@
 			continue
 		}
 		grant := &core.Grant{
+			To:   e.From.Incarnation,
 			Term: 1, Number: e.Body.Renew.Number, Leader: "c1", ViewVersion: 1, ViewWhole: true,
 			View: []core.EntryView{{Address: core.EntryAddress{VM: "e2", Hall: "h", Peers: c.other}}},
 		}
