relay, daemon: tests of who gets permits, who waits, and what counts against a limit

Tests only: a target without a permit counts as full, a limited engine stays a later stage, the more urgent and those who wait go first, returns follow each other at the rate of the limit, the later of two answers counts, a second sending needs a permit of its own, orders, reports and new paths are counted, what is kept is bounded.

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -246,3 +246,10 @@
 	defer g.mu.Unlock()
 	return g.router.Limit(id, clock.Now())
 }
+
+// WaitForPermits has so many requests wait for permits of a service.
+func WaitForPermits(g *Gateway, service string, requests int) {
+	for range requests {
+		g.waitForPermit(service, 1)
+	}
+}
--- a/internal/daemon/limits_test.go
+++ b/internal/daemon/limits_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/spoolbank/spoolbank/internal/core"
 	"github.com/spoolbank/spoolbank/internal/daemon"
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
@@ -49,3 +51,60 @@
 	}
 	require.LessOrEqual(t, float64(limited.ran.Load()-told), allowed)
 }
+
+// A second sending, after a kept connection was gone, needs a permit of its own.
+func TestASecondSendingNeedsAPermit(t *testing.T) {
+	var g *daemon.Gateway
+	var w *worker
+	dropped := step{meanwhile: func() {
+		daemon.ApplyNotice(g, relay.TargetID(w.address), relay.Notice{Limited: true, Limit: 4.5})
+	}}
+	w = newWorker(t, served, dropped, served)
+	g = newEntry(t, relay.RepeatAlways, 2, w)
+	require.Equal(t, http.StatusOK, ask(t, g))
+	require.Equal(t, http.StatusBadGateway, ask(t, g), "the first sending may have run")
+	require.EqualValues(t, 2, w.next.Load())
+	require.Empty(t, daemon.FindingsOf(g).Dead, "it has done nothing wrong")
+}
+
+// Where all targets are limited, a request waits no longer than permits are likely to come, and
+// the leader is asked for some at once.
+func TestARequestWaitsForAPermit(t *testing.T) {
+	w := newWorker(t, limiting)
+	g := newEntry(t, relay.RepeatAlways, 1, w)
+	require.Equal(t, http.StatusOK, ask(t, g))
+	lent := make(chan struct{})
+	go func() {
+		defer close(lent)
+		for event := daemon.Posted(t.Context(), g); event != nil; event = daemon.Posted(t.Context(), g) {
+			if wanted, ok := event.(core.PermitsWanted); ok {
+				permits := []relay.Permits{{Target: wanted.Asks[0].Target, PerSecond: 4.5, Count: 1}}
+				daemon.CarryOut(g, core.PermitsLent{Number: 1, Permits: permits, Until: time.Now().Add(time.Second)})
+				return
+			}
+		}
+	}()
+	require.Equal(t, http.StatusOK, ask(t, g))
+	closed(t, "the leader is asked", lent)
+	require.EqualValues(t, 2, w.ran.Load())
+
+	// Four wait already for the one permit that comes in 0.2 s: the next is refused at once.
+	daemon.WaitForPermits(g, "s", 4)
+	require.Equal(t, http.StatusServiceUnavailable, ask(t, g))
+	require.EqualValues(t, 2, w.ran.Load())
+}
+
+// Whatever an engine is asked beside requests counts against its limit.
+func TestOrdersAndReportsCountAgainstALimit(t *testing.T) {
+	const id = relay.TargetID("i-1")
+	engines := countingEngines{asked: new(atomic.Int32), notice: &relay.Notice{Limited: true, Limit: 3}}
+	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: engines}, &relay.Document{Version: 1}, nil)
+	require.NoError(t, err)
+	e := daemon.EnginesOf(g)
+	_, _ = e.Report(t.Context(), relay.Stage{Target: id}) // it names the limit
+	e.Order(t.Context(), core.OrderLayers{Target: id})
+	_, _ = e.Repath(t.Context(), "a", relay.Path{Stages: []relay.Stage{{Target: id}}})
+	_, _ = e.Report(t.Context(), relay.Stage{Target: id})
+	require.EqualValues(t, 4, engines.asked.Load(), "they go before requests")
+	require.Equal(t, 3, daemon.FindingsOf(g).Limited[0].Used)
+}
--- /dev/null
+++ b/internal/relay/permits_test.go
@@ -0,0 +1,188 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// limited has a Router hear that targets take so many requests a second.
+func limited(r *relay.Router, perSecond float64, ids ...relay.TargetID) {
+	for _, id := range ids {
+		r.HearLimit(id, relay.LimitAnswer{Limited: true, PerSecond: perSecond, SentAt: start.Add(-time.Millisecond), HeardAt: start})
+	}
+}
+
+// lend has a Router be lent permits with the grant of a number.
+func lend(r *relay.Router, number uint64, count int, ids ...relay.TargetID) {
+	var permits []relay.Permits
+	for _, id := range ids {
+		permits = append(permits, relay.Permits{Target: id.Key(), PerSecond: 4, Count: count})
+	}
+	r.TakeGrant(number, permits, start.Add(relay.PermitLife), start)
+}
+
+// A target without a permit counts as full: the other one gets all requests. Each permit is for one.
+func TestATargetWithoutAPermitCountsAsFull(t *testing.T) {
+	r, a := plainRouter("i-1", "i-2")
+	limited(r, 4, "i-1")
+	for range 50 {
+		require.Equal(t, relay.TargetID("i-2"), picked(t, r, a, start))
+	}
+	lend(r, 1, 3, "i-1")
+	var paths []relay.Path
+	for range 20 {
+		paths = append(paths, choose(t, r, a, start))
+	}
+	first := 0
+	for _, p := range paths {
+		if p.First().Target == "i-1" {
+			require.True(t, p.HasPermit())
+			first++
+		}
+	}
+	require.Equal(t, 3, first)
+	require.False(t, r.TakePermit("i-1", start), "another sending needs one more")
+	require.True(t, r.UsePermit("i-1", false, start), "a request that was not sent gives its permit back")
+	require.True(t, r.TakePermit("i-1", start))
+	require.False(t, r.UsePermit("i-1", true, start.Add(relay.PermitLife)), "a permit is void after its time")
+}
+
+// What is not a request goes at once, and is paid for by the next permit.
+func TestWhatGoesBeforeRequestsIsCounted(t *testing.T) {
+	r, _ := plainRouter("i-1")
+	limited(r, 4, "i-1")
+	r.ChargePermit("i-1", start)
+	asks := r.PermitAsks(start)
+	require.Len(t, asks, 1)
+	require.EqualValues(t, 1, asks[0].Unpaid)
+	lend(r, 1, 1, "i-1")
+	r.ChargePermit("i-1", start)
+	require.False(t, r.TakePermit("i-1", start))
+}
+
+// An engine that is limited begins no request without a permit, and stays in use as a later stage.
+func TestALimitedEngineIsALaterStage(t *testing.T) {
+	r, route := newRouter(engines(today))
+	path := choose(t, r, ask(route), start)
+	r.Release(path, false)
+	last := path.Stages[len(path.Stages)-1].Target
+	limited(r, 4, last)
+	passes := 0
+	for range 200 {
+		p := choose(t, r, ask(route), start)
+		require.NotEqual(t, last, p.First().Target)
+		if p.Passes(last) {
+			passes++
+		}
+		r.Release(p, false)
+	}
+	require.NotZero(t, passes)
+}
+
+// Where no other target serves, permits go to the more urgent request first, and among equals to
+// the one that waits.
+func TestPermitsGoToTheMoreUrgentFirst(t *testing.T) {
+	r, a := plainRouter("i-1")
+	limited(r, 4, "i-1")
+	over := r.Wait("web", 1)
+	lend(r, 1, 1, "i-1")
+	for name, c := range map[string]struct {
+		urgency int
+		waiting bool
+		gets    bool
+	}{
+		"a less urgent one":            {urgency: 2},
+		"a less urgent one that waits": {urgency: 2, waiting: true},
+		"one that has just come":       {urgency: 1},
+		"the one that waits":           {urgency: 1, waiting: true, gets: true},
+		"a more urgent one":            {urgency: 0, gets: true},
+	} {
+		a.Urgency, a.Waiting = c.urgency, c.waiting
+		path, refusal := r.Choose(a, start)
+		require.Equal(t, c.gets, refusal == nil, name)
+		if c.gets {
+			r.Release(path, false)
+			r.UsePermit("i-1", false, start)
+		}
+	}
+	over()
+	a.Urgency, a.Waiting = 9, false
+	require.Equal(t, relay.TargetID("i-1"), picked(t, r, a, start))
+}
+
+// Who finds no permit is refused with the truth and a time at which one is likely: those who come
+// back follow each other at the rate of the limit, and a look before then is of no use.
+func TestCallersComeBackAtTheRateOfTheLimit(t *testing.T) {
+	r, a := plainRouter("i-1", "i-2")
+	limited(r, 4, "i-1", "i-2")
+	var returns []time.Time
+	for range 20 {
+		_, refusal := r.Choose(a, start)
+		require.NotNil(t, refusal)
+		require.True(t, refusal.NoPermit)
+		require.True(t, refusal.NotRun())
+		require.Equal(t, start.Add(time.Second/8), refusal.NotBefore)
+		r.SentBack(refusal.Service, refusal)
+		returns = append(returns, refusal.RetryAt)
+	}
+	for i := 1; i < len(returns); i++ {
+		require.Equal(t, time.Second/8, returns[i].Sub(returns[i-1]))
+	}
+	for range 200 {
+		_, refusal := r.Choose(a, start)
+		r.SentBack(refusal.Service, refusal)
+		require.LessOrEqual(t, refusal.RetryAt.Sub(start), 10*time.Second+time.Second)
+	}
+}
+
+// Which of two answers is later is known only where the request of one was sent after the other was
+// heard; the stricter counts until then. A new incarnation has named nothing.
+func TestTheLaterAnswerCounts(t *testing.T) {
+	const id = relay.TargetID("i-1@5")
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	says := func(perSecond float64, sent, heard int) relay.LimitAnswer {
+		return relay.LimitAnswer{Limited: perSecond > 0, PerSecond: perSecond, SentAt: at(sent), HeardAt: at(heard)}
+	}
+	cases := map[string]struct {
+		answers []relay.LimitAnswer
+		want    float64
+	}{
+		"named":                              {answers: []relay.LimitAnswer{says(4, 0, 10)}, want: 4},
+		"not named after that":               {answers: []relay.LimitAnswer{says(4, 0, 10), says(0, 11, 20)}},
+		"an older request's answer":          {answers: []relay.LimitAnswer{says(4, 0, 10), says(0, 5, 20)}, want: 4},
+		"raised":                             {answers: []relay.LimitAnswer{says(4, 0, 10), says(8, 11, 20)}, want: 8},
+		"raised, it is not known when":       {answers: []relay.LimitAnswer{says(4, 0, 10), says(8, 5, 20)}, want: 4},
+		"lowered, it is not known when":      {answers: []relay.LimitAnswer{says(8, 0, 10), says(4, 5, 20)}, want: 4},
+		"over, and named again":              {answers: []relay.LimitAnswer{says(4, 0, 10), says(0, 11, 20), says(3, 21, 30)}, want: 3},
+		"an answer that comes late, over":    {answers: []relay.LimitAnswer{says(0, 11, 20), says(4, 0, 21)}, want: 4},
+		"more than any target runs":          {answers: []relay.LimitAnswer{says(1e6, 0, 10)}},
+		"the rate of one request in 10 s":    {answers: []relay.LimitAnswer{says(0.1, 0, 10)}, want: 0.1},
+		"more than any target runs, after 4": {answers: []relay.LimitAnswer{says(4, 0, 10), says(1e6, 11, 20)}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			r, _ := plainRouter(id)
+			for _, a := range c.answers {
+				r.HearLimit(id, a)
+			}
+			require.Equal(t, c.want, r.Limit(id, at(40)))
+			require.Zero(t, r.Limit("i-1@6", at(40)))
+		})
+	}
+}
+
+// One renewal speaks of few limits, and in time of all; what is kept is bounded.
+func TestWhatIsSaidOfLimitsIsBounded(t *testing.T) {
+	r, _ := plainRouter()
+	for i := range 5000 {
+		limited(r, 4, relay.NewTargetID("i", uint64(i+1)))
+	}
+	require.Len(t, r.PermitAsks(start), 16)
+	require.LessOrEqual(t, len(r.LimitedTargets(start)), 4096)
+	r.PermitAsks(start.Add(2 * time.Minute))
+	require.Empty(t, r.LimitedTargets(start.Add(2*time.Minute)), "of targets that nobody knows")
+}
