--- a/cmd/spoolfake/main.go
+++ b/cmd/spoolfake/main.go
@@ -78,6 +78,8 @@
 	flags.StringVar(&o.Name, 0, "name", "", "name")
 	flags.IntVar(&o.Slots, 0, "slots", 32, "calls at a time")
 	flags.DurationVar(&o.Delay, 0, "delay", 5*time.Millisecond, "time of a call")
+	flags.DurationVar(&o.Backoff, 0, "backoff", 0, "what it asks VMs to wait for where it has no room")
+	flags.Float64Var(&o.Limit, 0, "limit", 0, "calls a second that it names with its answers; 0 names none. GET /calls tells the most in 4 s")
 	return &ff.Command{Name: "service", ShortHelp: "a runner of a plain service", Flags: flags, Exec: func(ctx context.Context, _ []string) error {
 		return serve(ctx, listen, fake.NewService(o).Handler())
 	}}
--- a/internal/core/limits.go
+++ b/internal/core/limits.go
@@ -166,7 +166,9 @@
 	}
 	lent := PermitsLent{Number: g.Number, Permits: g.Permits, Until: sent.Add(n.settings.Timing.Shortened(relay.PermitLife))}
 	n.entry.limits.Grant(lent.Number, lent.Permits, lent.Until, n.now)
-	n.emit(lent)
+	if n.followsTargets() {
+		n.emit(lent)
+	}
 }
 
 // limitsTable lists the targets with limits that this VM knows of.
--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -288,3 +288,45 @@
 	require.ErrorAs(t, err, &refused)
 	require.Equal(t, string(core.RefusedPipeline), refused.Type)
 }
+
+// Runners that name a limit get no more calls than that from all VMs together, whoever is asked and
+// whatever is killed; once they name none they get all again.
+func TestRunnersThatNameALimitGetNoMore(t *testing.T) {
+	const limit = 5.0
+	d := deploy(t, 3, 2, 0)
+	for _, r := range d.runners {
+		r.SetLimit(limit)
+	}
+	lookUps := func(times int) (served int) {
+		for i := range times {
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+d.vms[i%4].callers+"/services/sign/status", nil)
+			require.NoError(t, err)
+			request.Header.Set("Authorization", "Bearer "+testKey)
+			request.Header.Set("Request-Timeout", "2s")
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				continue
+			}
+			_, _ = io.Copy(io.Discard, response.Body) // the status says it
+			response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				served++
+			}
+		}
+		return served
+	}
+	lookUps(20)
+	for _, r := range d.runners {
+		r.TakeLoad()
+	}
+	require.Positive(t, lookUps(30))
+	d.kill(d.vms[4])
+	require.Positive(t, lookUps(30))
+	for i, r := range d.runners {
+		load := r.TakeLoad()
+		t.Logf("runner %d: %+v", i, load)
+		require.LessOrEqual(t, float64(load.Most), 1.5*4*limit+5)
+		r.SetLimit(0)
+	}
+	d.until("as many as come are served", func() bool { return lookUps(20) == 20 })
+}
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -51,8 +51,9 @@
 	busy    int
 	runs    map[string]int
 	leaving bool
-	// arrivals are when calls have reached the runner.
+	// arrivals are when calls have reached the runner in the last limitSpan.
 	arrivals []time.Time
+	load     CallLoad
 }
 
 // NewService returns a runner.
@@ -79,6 +80,7 @@
 		writeJSON(w, target.LoadReport{Busy: s.busy, Slots: s.options.Slots, Leaving: s.leaving})
 	})
 	mux.HandleFunc("GET /audit", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) })
+	mux.HandleFunc("GET /calls", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.TakeLoad()) })
 	mux.HandleFunc("/", s.call)
 	return mux
 }
@@ -122,18 +124,32 @@
 	s.options.Limit = perSecond
 }
 
-// Arrivals returns when calls have reached the runner.
-func (s *Service) Arrivals() []time.Time {
+// limitSpan is the time over which calls are counted.
+const limitSpan = 4 * time.Second
+
+// CallLoad is how many calls have reached a runner, in all and at the most within limitSpan.
+type CallLoad struct {
+	Calls int `json:"calls"`
+	Most  int `json:"most_in_4s"`
+}
+
+// TakeLoad returns what has reached the runner since it was last called.
+func (s *Service) TakeLoad() CallLoad {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.arrivals)
+	load := s.load
+	s.load, s.arrivals = CallLoad{}, nil
+	return load
 }
 
 // nameLimit notes a call, and names the limit that there is.
 func (s *Service) nameLimit(w http.ResponseWriter) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.arrivals = append(s.arrivals, time.Now())
+	now := time.Now()
+	s.arrivals = slices.DeleteFunc(append(s.arrivals, now), func(at time.Time) bool { return at.Before(now.Add(-limitSpan)) })
+	s.load.Calls++
+	s.load.Most = max(s.load.Most, len(s.arrivals))
 	if s.options.Limit > 0 {
 		w.Header().Set(target.HeaderLimit, strconv.FormatFloat(s.options.Limit, 'f', -1, 64))
 	}
