--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -29,11 +29,9 @@
 	// limitMost is the limit from which on none is kept to, in requests a second: no target
 	// runs as many.
 	limitMost = 1000.0
-	// usedBuckets divides the second over which uses are counted.
-	usedBuckets = 10
 )
 
-// limit is what is known of the limit of one target.
+// limit is what is known of the limit of one target, and what this VM has of it.
 type limit struct {
 	id TargetID
 	// answer is the newest answer of its own that this VM has heard.
@@ -44,45 +42,28 @@
 	// knownUntil else.
 	knownUntil time.Time
 	marked     bool
-	// left is the permits that no request has, and reserved those of requests that were
-	// picked and are not sent yet. All are void at until.
+	heldPermits
+	limitCounts
+}
+
+// heldPermits are the permits of a limit that this VM was lent.
+type heldPermits struct {
+	// left is those that no request has, and reserved those of requests that were picked and
+	// are not sent yet. All are void at until.
 	left, reserved int
 	until          time.Time
-	taken          uint64
+	// taken is the number of the grant that was taken last.
+	taken uint64
 	// unpaid counts what went without a permit, returned the permits that were given up.
 	unpaid, returned uint64
-	// wanted counts the requests that wanted the target, used and heldBack those that were
-	// sent and those that found no permit, and lent the permits of late.
-	wanted, lent   recentCount
-	used, heldBack int
-}
-
-// recentCount counts what happened in the last second.
-type recentCount struct {
-	buckets [usedBuckets]int
-	at      int64
-}
-
-func (c *recentCount) advance(now time.Time) {
-	at := now.UnixNano() / int64(wantedKept/usedBuckets)
-	for steps := min(at-c.at, usedBuckets); steps > 0; steps-- {
-		c.buckets[(at-steps+1)%usedBuckets] = 0
-	}
-	c.at = max(c.at, at)
 }
 
-func (c *recentCount) add(n int, now time.Time) {
-	c.advance(now)
-	c.buckets[c.at%usedBuckets] += n
-}
-
-func (c *recentCount) total(now time.Time) int {
-	c.advance(now)
-	total := 0
-	for _, n := range c.buckets {
-		total += n
-	}
-	return total
+// limitCounts count what became of requests that wanted a target.
+type limitCounts struct {
+	// wanted counts those of the last second, and lent the permits that came in it.
+	wanted, lent window
+	// used counts those that were sent, and heldBack those that found no permit.
+	used, heldBack int
 }
 
 // RateLimits keeps the limits of targets for one entry VM. It is not safe for use by several
@@ -194,13 +175,19 @@
 		known.lower(p.PerSecond)
 		if until.After(now) {
 			known.left += p.Count
-			known.lent.add(p.Count, now)
+			known.noteLent(p.Count, now)
 		}
 		known.until = laterTime(known.until, until)
 		known.knownUntil = laterTime(known.knownUntil, now.Add(limitKept))
 	}
 }
 
+func (c *limitCounts) noteLent(permits int, now time.Time) {
+	for range permits {
+		c.lent.add(now, wantedKept)
+	}
+}
+
 // expire drops permits whose time is over.
 func (m *limit) expire(now time.Time) {
 	if !now.Before(m.until) {
@@ -217,7 +204,7 @@
 // Want notes that a request wants a target.
 func (l *RateLimits) Want(id TargetID, now time.Time) {
 	if m := l.of(id.Key()); m.limited(now) {
-		m.wanted.add(1, now)
+		m.wanted.add(now, wantedKept)
 	}
 }
 
@@ -237,7 +224,7 @@
 }
 
 func (m *limit) rate(vms int, now time.Time) float64 {
-	return max(float64(m.lent.total(now)), max(m.perSecond, limitLeast)/float64(vms))
+	return max(float64(m.lent.total(now, wantedKept)), max(m.perSecond, limitLeast)/float64(vms))
 }
 
 // Take takes a permit for one request to a target, and reports whether there is one or none is
@@ -305,7 +292,7 @@
 			continue
 		}
 		m.expire(now)
-		wanted := m.wanted.total(now)
+		wanted := m.wanted.total(now, wantedKept)
 		if m.left > wanted {
 			m.returned += uint64(m.left - wanted)
 			m.left = wanted
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -22,8 +22,8 @@
 	// urgencies is the number of ranks among requests that wait: streams in the middle, and the
 	// classes of the others.
 	urgencies = 12
-	// returnLeast is also the least time after which a caller that found no permit comes back;
-	// returnMost bounds it: what is known of limits is old by then.
+	// returnMost bounds the time after which a caller that found no permit comes back, of which
+	// returnLeast is the least: what is known of limits is old by then.
 	returnMost = 10 * time.Second
 )
 
@@ -117,7 +117,7 @@
 	}
 	r.limitedMembers(service, a, now, func(m *limit) {
 		if m == got || !a.permits || !m.room(now) {
-			m.wanted.add(1, now)
+			m.wanted.add(now, wantedKept)
 		}
 	})
 }
