relay: what holders of permits have too long is looked for ten times a second

Change: the sum of what is lent is kept, and what is void is looked for every 0.1 s; until then it counts as lent, which is safe. A benchmark, and a test of the bytes of 16 limits.

--- a/internal/core/limits_test.go
+++ b/internal/core/limits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/spoolbank/spoolbank/internal/core"
 	"github.com/spoolbank/spoolbank/internal/relay"
+	"github.com/spoolbank/spoolbank/internal/wire"
 )
 
 // limiting is the target that names a limit with each of its answers.
@@ -256,3 +257,24 @@
 	}
 	require.Greater(t, refused, 150, "four a second leave 32 of them before their deadline")
 }
+
+// What a renewal and a lease carry of 16 limits, the most that one speaks of.
+func TestLimitsCostFewBytes(t *testing.T) {
+	asks := make([]core.LimitAsk, 16)
+	permits := make([]relay.Permits, 16)
+	for i := range asks {
+		key := relay.NewTargetID("i-7f3a91c2", uint64(1790000000000+i)).Key()
+		asks[i] = core.LimitAsk{Target: key, Heard: true, Limited: true, PerSecond: 4.5, SentMillis: 1200, HeardMillis: 1000, Wanted: 19, Left: 1, Taken: 70000, Unpaid: 3, Returned: 200}
+		permits[i] = relay.Permits{Target: key, PerSecond: 4.5, Count: 1}
+	}
+	renew, err := wire.Marshal(&core.Renew{Limits: asks})
+	require.NoError(t, err)
+	bare, err := wire.Marshal(&core.Renew{})
+	require.NoError(t, err)
+	grant, err := wire.Marshal(&core.Grant{Permits: permits})
+	require.NoError(t, err)
+	bareGrant, err := wire.Marshal(&core.Grant{})
+	require.NoError(t, err)
+	t.Logf("16 limits: %d bytes in a renewal, %d in a lease", len(renew)-len(bare), len(grant)-len(bareGrant))
+	require.Less(t, 2*(len(renew)-len(bare)+len(grant)-len(bareGrant)), 2048, "bytes a second, with two renewals, of the 3 KB that control may take")
+}
--- a/internal/relay/bench_test.go
+++ b/internal/relay/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
@@ -73,3 +74,38 @@
 		})
 	}
 }
+
+// BenchmarkLendSecond gives what a second costs a leader that lends: each VM renews twice, and
+// speaks of the targets with limits that its requests want.
+func BenchmarkLendSecond(b *testing.B) {
+	for _, size := range []struct{ vms, targets int }{{10, 3}, {300, 1}, {360, 600}} {
+		b.Run(fmt.Sprintf("vms=%d/limited=%d", size.vms, size.targets), func(b *testing.B) {
+			lender := relay.NewLender[int](1, relay.PermitLife, start.Add(-time.Hour))
+			vms := make([]*relay.RateLimits, size.vms)
+			for i := range vms {
+				vms[i] = relay.NewRateLimits(uint64(i))
+				for t := range size.targets {
+					vms[i].Hear(relay.NewTargetID("i", uint64(t+1)), relay.LimitAnswer{Limited: true, PerSecond: 4.5, SentAt: start.Add(-time.Millisecond), HeardAt: start})
+				}
+			}
+			now, number := start, uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				for range 2 {
+					number++
+					now = now.Add(500 * time.Millisecond)
+					for i, vm := range vms {
+						vm.Want(relay.NewTargetID("i", uint64(i%size.targets+1)), now)
+						var permits []relay.Permits
+						for _, ask := range vm.Asks(now) {
+							if p, ok := lender.Ask(i, number, ask, now); ok {
+								permits = append(permits, p)
+							}
+						}
+						vm.Grant(number, permits, now.Add(relay.PermitLife), now)
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/relay/lender.go
+++ b/internal/relay/lender.go
@@ -41,6 +41,9 @@
 	// limitLeast is the least limit that is lent, in requests a second: a target that takes
 	// none would never be found to take some again.
 	limitLeast = 0.1
+	// lendSweep is the time between two looks at what holders have too long: it costs as much as
+	// there are holders.
+	lendSweep = 100 * time.Millisecond
 	// wantedKept is how long what a VM wanted counts.
 	wantedKept = time.Second
 	// orderMargin is by how much two answers that two VMs have heard must differ for one to
@@ -136,8 +139,10 @@
 	free    float64
 	at      time.Time
 	holders map[Holder]*loan
-	// wanted is the sum of what holders want.
-	wanted int
+	// wanted is the sum of what holders want, lent that of the permits that they may still use.
+	wanted, lent int
+	// sweepAt is when what holders have too long is looked for again.
+	sweepAt time.Time
 	// askedAt is when it was asked of last.
 	askedAt time.Time
 }
@@ -224,6 +229,7 @@
 	if count > 0 {
 		held.onWay = append(held.onWay, lentGrant{number: number, count: count})
 		limit.free -= float64(count)
+		limit.lent += count
 	}
 	held.until = now.Add(l.life)
 	return Permits{Target: ask.Target, PerSecond: limit.answer.PerSecond, Count: count}, true
@@ -249,11 +255,25 @@
 	return burstBase + l.answer.PerSecond*burstSpan.Seconds()
 }
 
-// refill adds what has come anew, and drops what holders have too long.
+// refill adds what has come anew.
 func (l *lentLimit[Holder]) refill(now time.Time) {
+	if !now.Before(l.sweepAt) {
+		l.sweepAt = now.Add(lendSweep)
+		l.sweep(now)
+	}
+	if now.After(l.at) {
+		l.free += l.rate() * now.Sub(l.at).Seconds()
+		l.at = now
+	}
+	l.trim()
+}
+
+// sweep drops what holders have too long.
+func (l *lentLimit[Holder]) sweep(now time.Time) {
 	for h, held := range l.holders {
 		if !now.Before(held.until) {
 			l.wanted -= held.wanted
+			l.lent -= held.lent()
 			delete(l.holders, h)
 			continue
 		}
@@ -262,27 +282,14 @@
 			held.wanted = 0
 		}
 	}
-	if now.After(l.at) {
-		l.free += l.rate() * now.Sub(l.at).Seconds()
-		l.at = now
-	}
-	l.trim()
 }
 
 // trim keeps what can be used within the burst.
 func (l *lentLimit[Holder]) trim() {
-	l.free = min(l.free, l.burst()-float64(l.lent()))
-}
-
-// lent is the permits that holders may still use.
-func (l *lentLimit[Holder]) lent() int {
-	lent := 0
-	for _, held := range l.holders {
-		lent += held.lent()
-	}
-	return lent
+	l.free = min(l.free, l.burst()-float64(l.lent))
 }
 
+// lent is the permits that the holder may still use.
 func (h *loan) lent() int {
 	lent := h.left
 	for _, g := range h.onWay {
@@ -300,6 +307,7 @@
 	// No more than has gone since: an ask that comes twice may name returns that were counted
 	// when it came first.
 	gone := max(before-held.lent(), 0)
+	l.lent += held.lent() - before
 	l.free += float64(min(ask.Returned-min(held.returned, ask.Returned), uint64(gone)))
 	l.free -= float64(ask.Unpaid - min(held.unpaid, ask.Unpaid))
 	held.unpaid, held.returned = ask.Unpaid, ask.Returned
