--- a/internal/core/backoffs.go
+++ b/internal/core/backoffs.go
@@ -7,9 +7,10 @@
 	"github.com/spoolbank/spoolbank/internal/core/config"
 )
 
-// This file keeps the backoffs that plain services behind the product's own interface ask for, shows
-// operators which targets are backed off from, and has entry VMs end backoffs that an operator ends. A backoff is
-// known to the VM that was asked for it alone; relay/backoffs.go has the problem.
+// This file keeps the backoffs that plain services behind the product's own interface ask for,
+// shows operators which targets are backed off from, and has entry VMs end backoffs that an
+// operator ends. A backoff is known to the VM that was asked for it alone; relay/backoffs.go has
+// the problem.
 
 // BackoffsEnded tells the runtime of targets, by name, whose backoffs an operator has ended.
 type BackoffsEnded struct{ Targets []string }
--- a/internal/core/change_log.go
+++ b/internal/core/change_log.go
@@ -17,14 +17,14 @@
 type changeLog[V comparable] struct {
 	// first is the number before the first change of this log, last that of the newest.
 	first, last uint64
-	told        map[relay.TargetKey]toldValue[V]
+	told        map[relay.TargetKey]sentValue[V]
 	// changes are sorted by number. One whose target has a later one is void.
 	changes []targetChange
 	// differs reports whether a value is to be told in the place of the one told.
 	differs func(told, now V) bool
 }
 
-type toldValue[V comparable] struct {
+type sentValue[V comparable] struct {
 	value  V
 	number uint64
 }
@@ -36,7 +36,7 @@
 
 // newChangeLog returns a log whose numbers are above first.
 func newChangeLog[V comparable](first uint64, differs func(told, now V) bool) changeLog[V] {
-	return changeLog[V]{first: first, last: first, told: make(map[relay.TargetKey]toldValue[V]), differs: differs}
+	return changeLog[V]{first: first, last: first, told: make(map[relay.TargetKey]sentValue[V]), differs: differs}
 }
 
 // take numbers what is to be told anew, in the order of the targets' keys.
@@ -64,7 +64,7 @@
 
 func (l *changeLog[V]) add(key relay.TargetKey, v V) {
 	l.last++
-	l.told[key] = toldValue[V]{value: v, number: l.last}
+	l.told[key] = sentValue[V]{value: v, number: l.last}
 	l.changes = append(l.changes, targetChange{target: key, number: l.last})
 }
 
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -90,7 +90,7 @@
 		g.WorkUpto = to.WorkSeen
 		return
 	}
-	g.WorkTold = true
+	g.WorkReported = true
 	g.Usage, g.UsageBy = t.usage, t.usageBy
 	work := t.work.since(to.WorkSeen, workMost)
 	g.Others, g.WorkUpto, g.OthersWhole = work.values, work.upto, work.whole
@@ -109,7 +109,7 @@
 		g.WorkUpto = b.WorkSeen
 		return
 	}
-	g.WorkTold = true
+	g.WorkReported = true
 	g.Usage, g.UsageBy = f.usage, f.usageBy
 	work := n.leading.work.since(b.WorkSeen, batchWorkMost)
 	g.Work, g.WorkUpto, g.WorkWhole = work.values, work.upto, work.whole
@@ -275,5 +275,5 @@
 		return
 	}
 	n.entry.workSeen, n.entry.marksSeen = g.WorkUpto, g.MarksUpto
-	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, OthersWhole: g.OthersWhole, OthersTold: g.WorkTold, Usage: g.Usage, UsageBy: g.UsageBy, Marks: g.Marks, MarksWhole: g.MarksWhole})
+	n.emit(FleetLearned{LeaseUntil: n.entry.tenure.until, VMs: g.VMs, Others: g.Others, OthersWhole: g.OthersWhole, OthersReported: g.WorkReported, Usage: g.Usage, UsageBy: g.UsageBy, Marks: g.Marks, MarksWhole: g.MarksWhole})
 }
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -58,8 +58,8 @@
 	revision config.Revision
 	sent     config.Revision
 	sentAt   time.Time
-	// controlsTold is the change of the control VMs that it was told of last.
-	controlsTold uint64
+	// controlsSent is the change of the control VMs that it was told of last.
+	controlsSent uint64
 	// permits were lent for its renewal of permitsNumber, and are not handed on yet.
 	permits       []relay.Permits
 	permitsNumber uint64
@@ -348,8 +348,8 @@
 	t.marks.take(t.marked.values)
 	t.usage, t.usageBy = b.Usage, b.UsageBy
 	t.view.apply(b.ViewVersion, b.View, b.Gone, b.ViewWhole)
-	t.known = b.WorkTold
-	if !b.WorkTold {
+	t.known = b.WorkReported
+	if !b.WorkReported {
 		return
 	}
 	t.total.apply(b.Work, b.WorkUpto, b.WorkWhole)
@@ -406,8 +406,8 @@
 		h.sent, h.sentAt = c.Revision, n.now
 	}
 	fleet.view.since(h.renew.ViewVersion, &g)
-	if n.lookAtControls(); h.controlsTold != n.forwarding.controlsChange {
-		h.controlsTold = n.forwarding.controlsChange
+	if n.lookAtControls(); h.controlsSent != n.forwarding.controlsChange {
+		h.controlsSent = n.forwarding.controlsChange
 		g.Control = n.forwarding.controls
 	}
 	if n.followsTargets() {
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -279,10 +279,10 @@
 	// Work is what all entry VMs together have under way at the targets where that has
 	// changed since the number that the batch named as WorkSeen; WorkWhole says that all
 	// others have none.
-	Work      map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
-	WorkWhole bool                           `cbor:"work_whole,omitempty"`
-	WorkUpto  uint64                         `cbor:"work_upto,omitempty"`
-	WorkTold  bool                           `cbor:"work_told,omitempty"`
+	Work         map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
+	WorkWhole    bool                           `cbor:"work_whole,omitempty"`
+	WorkUpto     uint64                         `cbor:"work_upto,omitempty"`
+	WorkReported bool                           `cbor:"work_reported,omitempty"`
 	// Marks are those of targets that have changed since the number that the batch named as
 	// MarksSeen; MarksWhole says that all others have none.
 	Marks      map[relay.TargetKey]relay.Mark `cbor:"marks,omitempty"`
@@ -339,8 +339,8 @@
 	// lease. WorkUpto is what the holder names as WorkSeen from then on.
 	OthersWhole bool   `cbor:"others_whole,omitempty"`
 	WorkUpto    uint64 `cbor:"work_upto,omitempty"`
-	// WorkTold says that Others is known: a new leader has to hear of it first.
-	WorkTold bool `cbor:"work_told,omitempty"`
+	// WorkReported says that Others is known: a new leader has to hear of it first.
+	WorkReported bool `cbor:"work_reported,omitempty"`
 	// Marks are those of targets that have changed. MarksWhole says that targets missing in
 	// it have none, or come with the next lease. MarksUpto is what the holder names as
 	// MarksSeen from then on.
@@ -349,7 +349,7 @@
 	MarksUpto  uint64                         `cbor:"marks_upto,omitempty"`
 	VMs        int                            `cbor:"vms,omitempty"`
 	// Usage is what UsageBy entry VMs have asked and repeated together in the last window,
-	// by service; it comes with WorkTold.
+	// by service; it comes with WorkReported.
 	Usage   map[string]relay.Usage `cbor:"usage,omitempty"`
 	UsageBy int                    `cbor:"usage_by,omitempty"`
 	// Permits are lent for targets with limits; they come with the lease that answers the
--- a/internal/core/quarantine.go
+++ b/internal/core/quarantine.go
@@ -18,10 +18,10 @@
 // is lost, a VM starts again or another one comes to lead.
 //
 // Algorithm: an entry VM reports crashed runs with its renewals, at once and with each renewal
-// for crashesTold. Its control VM hands them to the leader, which gathers them. What is decided
+// for crashesRepeatedFor. Its control VM hands them to the leader, which gathers them. What is decided
 // goes through the log: a request in quarantine is a part of the configuration, which a lease
 // brings to its holder. What only is suspected is not: it is lost with the leader, but for what
-// was reported within crashesTold.
+// was reported within crashesRepeatedFor.
 //
 // Two other ways were weighed. Were each report in the log, nothing would be lost with a leader,
 // and the fall of a rack would be some hundred entries that say nothing. Were what is decided
@@ -31,13 +31,13 @@
 // or started again between; a request leaves only by an answer of its own, its time or an
 // operator.
 //
-// Limits: a request that ends two targets before a change of leader and crashesTold, and goes
+// Limits: a request that ends two targets before a change of leader and crashesRepeatedFor, and goes
 // on after it, ends up to two more than CrashesMost.
 
 const (
-	// crashesTold is how long an entry VM repeats a report: an election and a lost renewal
+	// crashesRepeatedFor is how long an entry VM repeats a report: an election and a lost renewal
 	// or two take less.
-	crashesTold = 10 * time.Second
+	crashesRepeatedFor = 10 * time.Second
 	// crashesHeld bounds the reports that a VM repeats, some 3 KB in each renewal meanwhile.
 	crashesHeld = 64
 	// crashRenewAfter is the least time between two renewals that reports are hurried by.
@@ -146,9 +146,9 @@
 
 // expire drops what has been told for long enough.
 func (c *crashes) expire(now time.Time) {
-	c.runs = slices.DeleteFunc(c.runs, func(r relay.CrashedRun) bool { return !now.Before(r.Ended.Add(crashesTold)) })
+	c.runs = slices.DeleteFunc(c.runs, func(r relay.CrashedRun) bool { return !now.Before(r.Ended.Add(crashesRepeatedFor)) })
 	for request, at := range c.survived {
-		if !now.Before(at.Add(crashesTold)) {
+		if !now.Before(at.Add(crashesRepeatedFor)) {
 			delete(c.survived, request)
 		}
 	}
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -90,10 +90,10 @@
 	// where it has changed much.
 	Others      map[relay.TargetKey]relay.Work
 	OthersWhole bool
-	// OthersTold says that the leader knows what others have under way.
-	OthersTold bool
+	// OthersReported says that the leader knows what others have under way.
+	OthersReported bool
 	// Usage is what UsageBy entry VMs have asked and repeated in the last window, by
-	// service; it counts where OthersTold is set.
+	// service; it counts where OthersReported is set.
 	Usage   map[string]relay.Usage
 	UsageBy int
 	// Marks are those of targets that have changed; MarksWhole says that all others have
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -216,7 +216,7 @@
 			if first.IsZero() {
 				first = f.now
 			}
-			if send.Envelope.Body.Grant.WorkTold {
+			if send.Envelope.Body.Grant.WorkReported {
 				told = f.now
 			}
 		}
@@ -237,7 +237,7 @@
 		for _, effect := range n.Step(now, from(vm, body)) {
 			if send, ok := effect.(core.Send); ok && send.Envelope.Body.Grant != nil {
 				granted = true
-				told[vm] = send.Envelope.Body.Grant.WorkTold
+				told[vm] = send.Envelope.Body.Grant.WorkReported
 			}
 		}
 		return granted
--- a/internal/daemon/learning.go
+++ b/internal/daemon/learning.go
@@ -79,7 +79,7 @@
 	g.leaseHeld = true
 	g.leaseUntil = e.LeaseUntil
 	g.router.TakeVMs(e.VMs)
-	if e.OthersTold {
+	if e.OthersReported {
 		g.router.TakeOthers(e.Others, e.OthersWhole)
 		g.router.TakeUsage(e.Usage, e.UsageBy, clock.Now())
 	}
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -28,8 +28,8 @@
 	// failedAt is when it last failed for certain, zero once it has done its part.
 	failedAt    time.Time
 	succeededAt time.Time
-	// ownTold is what this VM had under way when the others' work was told.
-	ownTold Work
+	// ownReported is what this VM had under way when the others' work was told.
+	ownReported Work
 	// silent says that the target has told no VM of late that it lives, or that
 	// half of the VMs find it dead; moving that it was ordered to hold other layers.
 	silent bool
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -41,7 +41,7 @@
 		if w, ok := work[t.key]; ok || whole {
 			t.others = w
 		}
-		t.ownTold = t.own
+		t.ownReported = t.own
 	}
 }
 
@@ -66,7 +66,7 @@
 		return t.own.Times(r.vms)
 	}
 	load := t.own.Plus(t.others)
-	more := t.own.Requests - t.ownTold.Requests - herdUsual
+	more := t.own.Requests - t.ownReported.Requests - herdUsual
 	if more <= 0 || !r.settings.Policy.Has(HerdGuess) {
 		return load
 	}
--- a/internal/target/protocol.go
+++ b/internal/target/protocol.go
@@ -21,8 +21,8 @@
 // PathVMs is the path of the platform's list.
 const PathVMs = "/v1/vms"
 
-// RunOrder is a line of a POST to PathRuns. It asks the first stage of Chain to run positions of a stream and to
-// hand its activations on to the next one.
+// RunOrder is a line of a POST to PathRuns. It asks the first stage of Chain to run positions of a
+// stream and to hand its activations on to the next one.
 type RunOrder struct {
 	Stream   core.RequestID `json:"stream"`
 	Epoch    core.Epoch     `json:"epoch"`
