relay, daemon: nobody waits for a permit that does not help

Cause: a request that found no path for want of layers was told that permits were the reason where its first engines had limits, and could wait for one. Change: only where targets hold all layers. A name in the log's code says what it is. Measured: the test fails on the code before, and passes.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -48,8 +48,8 @@
 	started      time.Time
 	// suspended is the time for which this VM was suspended, as logged last.
 	suspended time.Duration
-	// limitsKept are the limits of targets as logged last.
-	limitsKept []limitKept
+	// limitsLogged are the limits of targets as logged last.
+	limitsLogged []loggedLimit
 	// ending is the planned end of this VM, if there is one.
 	ending relay.Ending
 
--- a/internal/daemon/limits.go
+++ b/internal/daemon/limits.go
@@ -48,25 +48,25 @@
 // noteLimits logs and counts the targets with limits, a line where they change.
 func (g *Gateway) noteLimits(limited []relay.LimitedTarget) {
 	g.meter.limits(limited)
-	var now []limitKept
+	var now []loggedLimit
 	for _, l := range limited {
-		now = append(now, limitKept{target: l.Target, perSecond: l.PerSecond})
+		now = append(now, loggedLimit{target: l.Target, perSecond: l.PerSecond})
 	}
-	if slices.Equal(now, g.limitsKept) {
+	if slices.Equal(now, g.limitsLogged) {
 		return
 	}
 	var named []relay.LimitedTarget
 	for _, l := range limited {
-		if !slices.Contains(g.limitsKept, limitKept{target: l.Target, perSecond: l.PerSecond}) && len(named) < limitsNamed {
+		if !slices.Contains(g.limitsLogged, loggedLimit{target: l.Target, perSecond: l.PerSecond}) && len(named) < limitsNamed {
 			named = append(named, l)
 		}
 	}
-	g.log.Info("limits of targets have changed", "targets", len(now), "before", len(g.limitsKept), "new", named)
-	g.limitsKept = now
+	g.log.Info("limits of targets have changed", "targets", len(now), "before", len(g.limitsLogged), "new", named)
+	g.limitsLogged = now
 }
 
-// limitKept is a limit as logged last.
-type limitKept struct {
+// loggedLimit is a limit as it was logged last.
+type loggedLimit struct {
 	target    relay.TargetID
 	perSecond float64
 }
--- a/internal/relay/permits.go
+++ b/internal/relay/permits.go
@@ -222,7 +222,8 @@
 // servedWithPermits reports whether a request would find a target if all that are limited had
 // permits.
 func (r *Router) servedWithPermits(service string, a Ask, now time.Time) bool {
-	if len(r.limits.byTarget) == 0 {
+	s, known := r.services[service]
+	if len(r.limits.byTarget) == 0 || !known || !r.covered(s) {
 		return false
 	}
 	return slices.ContainsFunc(r.members[service], func(t *target) bool {
--- a/internal/relay/permits_test.go
+++ b/internal/relay/permits_test.go
@@ -139,6 +139,21 @@
 	}
 }
 
+// Where a permit would not help, since no target holds some layers, nobody waits for one.
+func TestNobodyWaitsForAPermitThatDoesNotHelp(t *testing.T) {
+	r, route := newRouter(engines(today))
+	for _, target := range placedToday() {
+		limited(r, 4, target.ID)
+		if target.Layers.Last == engine().Layers {
+			target.Leaving, target.Call = true, target.Call+1
+			r.TakeTargets([]relay.Target{target})
+		}
+	}
+	_, refusal := r.Choose(ask(route), start)
+	require.NotNil(t, refusal)
+	require.False(t, refusal.NoPermit)
+}
+
 // Which of two answers is later is known only where the request of one was sent after the other was
 // heard; the stricter counts until then. A new incarnation has named nothing.
 func TestTheLaterAnswerCounts(t *testing.T) {
