relay, core: a target counts as lost by the interval at which it speaks

Cause: a target counted as lost after 3 s of silence, two heartbeats and a half of 1.2 s. Where it is 3 s, as on the whole fleet, almost every target was lost before its next heartbeat, which was then news to all VMs: 1,000 changes a second at 995 VMs (computed), and marks that took sound engines out of use. Ruled out: a larger constant, which would find a lost target late where heartbeats are frequent. Change: the setting timing.target_heartbeat, from which the silence is two heartbeats and a half, at least 3 s since a heartbeat may come seconds late. Deployments with heartbeats of 1.2 s keep their 3 s.

--- a/internal/core/hints_test.go
+++ b/internal/core/hints_test.go
@@ -12,10 +12,14 @@
 )
 
 func controlNode(hints []relay.Target, now time.Time) *core.Node {
+	return controlNodeWith(core.DefaultTiming(), hints, now)
+}
+
+func controlNodeWith(timing core.Timing, hints []relay.Target, now time.Time) *core.Node {
 	self := core.ReplicaID{VM: "c1", Incarnation: 1}
 	return core.New(core.Settings{
 		Self: self, Cluster: "c", Control: true, ControlVMs: []core.VMName{"c1"}, Voters: 1, SnapshotEvery: 100,
-		Timing: core.DefaultTiming(), Seed: 3,
+		Timing: timing, Seed: 3,
 		DecodeDocument: func([]byte) (*relay.Document, error) { return &relay.Document{Version: 1}, nil },
 	}, core.Recovered{Snapshot: core.Snapshot{Index: 1, Term: 1, Members: core.NewMembership(self)}, Targets: hints}, now)
 }
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -128,12 +128,6 @@
 	// forgetAfter is the silence after which a target is dropped: far longer than
 	// a cut between VMs lasts.
 	forgetAfter = 60 * time.Second
-	// silentAfter is the silence after which a target counts as lost: two heartbeats of
-	// 1.2 s and a half, so that one late heartbeat does no harm.
-	silentAfter = relay.SilentAfter
-	// replacedAfter is that silence where another target has its address: a beat and
-	// a quarter.
-	replacedAfter = 1500 * time.Millisecond
 	// deadAtLeast is the number of entry VMs that must find a target dead, and
 	// deadRatio how many must for each that finds it well. VMs that are cut off from
 	// targets find all of them dead, and are fewer than the others.
@@ -205,13 +199,14 @@
 }
 
 func (n *Node) startRegistry(hints []relay.Target) {
+	silence := n.settings.Timing.targetSilence()
 	n.registry = registry{
-		targets:   relay.NewRegistry(),
+		targets:   relay.NewRegistry(silence),
 		followers: make(map[VMName]*follower),
 		followed:  make(map[VMName]position),
-		unnamed:   unnamed{targets: relay.NewRegistry()},
+		unnamed:   unnamed{targets: relay.NewRegistry(silence)},
 	}
-	n.registry.completeAt = n.now.Add(silentAfter)
+	n.registry.completeAt = n.now.Add(silence)
 	for _, t := range hints {
 		n.registry.targets.Learn(t, n.now)
 	}
@@ -257,7 +252,7 @@
 
 // silentTargets returns the targets that have told no VM of late that they live, sorted.
 func (n *Node) silentTargets() []relay.TargetID {
-	return n.registry.targets.Silent(n.now.Add(-silentAfter), n.now.Add(-replacedAfter))
+	return n.registry.targets.Silent(n.now, n.settings.Timing.replacedSilence())
 }
 
 // targetSpoke takes a target's own message.
--- a/internal/core/timing.go
+++ b/internal/core/timing.go
@@ -1,6 +1,10 @@
 package core
 
-import "time"
+import (
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
 
 // Timing holds the intervals that the reducer computes its deadlines from.
 type Timing struct {
@@ -38,6 +42,8 @@
 	WatchEvery time.Duration
 	// StageSilence is the wait for a stage before it is taken for dead.
 	StageSilence time.Duration
+	// TargetHeartbeat is the interval at which registered targets say that they live.
+	TargetHeartbeat time.Duration
 }
 
 // DefaultTiming returns the intervals that the measurements in docs/ are for.
@@ -59,6 +65,7 @@
 		OrderLife:            2 * time.Second,
 		WatchEvery:           500 * time.Millisecond,
 		StageSilence:         2 * time.Second,
+		TargetHeartbeat:      1200 * time.Millisecond,
 	}
 }
 
@@ -69,6 +76,13 @@
 // listedFor is how long after its last renewal callers are sent to an entry VM.
 func (t Timing) listedFor() time.Duration { return min(listedRenewals*t.RenewEvery, t.LeaseTerm) }
 
+// targetSilence is the silence after which a target counts as lost.
+func (t Timing) targetSilence() time.Duration { return relay.SilentAfter(t.TargetHeartbeat) }
+
+// replacedSilence is that silence where another target has its address: a heartbeat and a
+// quarter.
+func (t Timing) replacedSilence() time.Duration { return t.targetSilence() / 2 }
+
 // Shortened returns d less the bound on drift: what the holder of a lease may
 // count on.
 func (t Timing) Shortened(d time.Duration) time.Duration {
--- a/internal/core/unnamed.go
+++ b/internal/core/unnamed.go
@@ -68,8 +68,9 @@
 func (n *Node) tickUnnamed() {
 	u := &n.registry.unnamed
 	if !n.now.Before(u.forgetAt) {
-		u.forgetAt = n.now.Add(silentAfter)
-		u.targets.Forget(n.now.Add(-silentAfter))
+		silence := n.settings.Timing.targetSilence()
+		u.forgetAt = n.now.Add(silence)
+		u.targets.Forget(n.now.Add(-silence))
 		u.targets.TakeTransitions() // nothing runs on what is held back
 	}
 	present := n.machine.Config.Document
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -264,6 +264,7 @@
 	t.KeepEntries = time.Duration(s.KeepEntries)
 	t.KeepEntriesAfterLoss = time.Duration(s.KeepEntriesAfterLoss)
 	t.StageSilence = time.Duration(s.StageSilence)
+	t.TargetHeartbeat = time.Duration(s.TargetHeartbeat)
 	return t
 }
 
--- a/internal/relay/incarnation.go
+++ b/internal/relay/incarnation.go
@@ -20,7 +20,7 @@
 // knows, so that neither the order of arrival nor any clock of its own matters.
 //
 // Where a clock was set back, the incarnation that runs has not the latest start. It is taken once
-// the later ones have been silent for SilentAfter: the control VM that hears it notes them as
+// the later ones have been silent for the silence after which a target counts as lost: the control VM that hears it notes them as
 // missed, up to the last message that it has of each, and tells others with it. A missed incarnation
 // voids nothing. Its next message, which is newer than the note, ends that.
 //
@@ -28,9 +28,9 @@
 // which they arrived; a void incarnation is told to nobody, saved nowhere and given nothing.
 //
 // Limits: a message of an earlier incarnation that comes when the later one has been silent for
-// SilentAfter has the earlier one count until the later one speaks or the earlier one is
+// so long has the earlier one count until the later one speaks or the earlier one is
 // silent for as long. A target at an address that one with a later start had before, by
-// another machine's clock, is taken up to SilentAfter late.
+// another machine's clock, is taken up to that silence late.
 
 // TargetID names one incarnation of a target: by its name and, where it is told, its start.
 type TargetID string
@@ -249,7 +249,7 @@
 	noted := false
 	for _, id := range r.incarnations.rivals(t) {
 		e := r.targets[id]
-		if id.Born() <= t.ID.Born() || !e.silent(now) || r.missing(e.target) {
+		if id.Born() <= t.ID.Born() || !r.isSilent(e, now) || r.missing(e.target) {
 			continue
 		}
 		r.incarnations.missed[id] = missedNote{call: e.target.Call, at: now}
--- a/internal/relay/incarnation_test.go
+++ b/internal/relay/incarnation_test.go
@@ -68,7 +68,7 @@
 
 // What a life has said does not hold of the next one, whose numbers are lower.
 func TestANewLifeStartsFromNothing(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	old := heartbeatOf(100, 50)
 	old.Leaving, old.Layers = true, config.Range{First: 3, Last: 9}
 	r.Hear(old, start)
@@ -77,7 +77,7 @@
 	ended, again := r.TakeTransitions()
 	require.Equal(t, []relay.Succession{{Old: lifeIDs(100)[0], New: lifeIDs(200)[0]}}, ended)
 	require.Empty(t, again)
-	require.Contains(t, r.Silent(start.Add(-time.Second), start.Add(-time.Second)), lifeIDs(100)[0], "who has not heard of the new one yet leaves the old one alone")
+	require.Contains(t, r.Silent(start.Add(2*time.Second), silence), lifeIDs(100)[0], "who has not heard of the new one yet leaves the old one alone")
 }
 
 func TestLateMessagesOfAnEarlierLifeChangeNothing(t *testing.T) {
@@ -99,7 +99,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := relay.NewRegistry()
+			r := relay.NewRegistry(silence)
 			r.Hear(heartbeatOf(100, 50), start)
 			r.Hear(heartbeatOf(200, 1), start.Add(time.Second))
 			r.TakeTransitions()
@@ -113,13 +113,13 @@
 			ended, again := r.TakeTransitions()
 			require.Empty(t, ended)
 			require.Empty(t, again)
-			require.NotContains(t, r.Silent(now.Add(-3*time.Second), now.Add(-500*time.Millisecond)), lifeIDs(200)[0], "a late message does not make the one that runs silent")
+			require.NotContains(t, r.Silent(now, 500*time.Millisecond), lifeIDs(200)[0], "a late message does not make the one that runs silent")
 		})
 	}
 }
 
 func TestALifeThatIsHeardOfLateIsVoidAtOnce(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	r.Hear(heartbeatOf(200, 1), start)
 	require.False(t, r.Hear(heartbeatOf(100, 99), start))
 	require.Equal(t, lifeIDs(200), counting(r))
@@ -128,7 +128,7 @@
 // A sign-off may come before the first message of its life.
 func TestASignOffEndsTheLifeThatItNames(t *testing.T) {
 	for _, born := range []uint64{100, 200} {
-		r := relay.NewRegistry()
+		r := relay.NewRegistry(silence)
 		r.Hear(heartbeatOf(100, 50), start)
 		r.Hear(relay.Target{ID: lifeIDs(born)[0], Call: 1 << 62, Leaving: true, Gone: true}, start)
 		r.Hear(heartbeatOf(200, 1), start)
@@ -139,7 +139,7 @@
 }
 
 func TestASignOffWithoutAStartEndsTheLivesThatCount(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	r.Hear(heartbeatOf(100, 50), start)
 	r.Hear(heartbeatOf(200, 1), start)
 	require.True(t, r.Hear(relay.Target{ID: "i-1", Call: 1 << 62, Leaving: true, Gone: true}, start))
@@ -154,14 +154,14 @@
 func TestALowerStartIsTakenOnceTheHigherOneIsSilent(t *testing.T) {
 	for name, higher := range map[string]uint64{"set back": 300, "from the future": math.MaxUint64} {
 		t.Run(name, func(t *testing.T) {
-			r, follower := relay.NewRegistry(), relay.NewRegistry()
+			r, follower := relay.NewRegistry(silence), relay.NewRegistry(silence)
 			r.Hear(heartbeatOf(higher, 9), start)
 			follower.Learn(heartbeatOf(higher, 9), start)
 			for call := uint64(1); call <= 3; call++ {
 				r.Hear(heartbeatOf(200, call), start.Add(time.Duration(call)*time.Second))
 				require.Equal(t, lifeIDs(higher), counting(r))
 			}
-			now := start.Add(relay.SilentAfter + time.Second)
+			now := start.Add(silence + time.Second)
 			change := r.Change()
 			require.True(t, r.Hear(heartbeatOf(200, 4), now))
 			require.Contains(t, counting(r), lifeIDs(200)[0])
@@ -193,19 +193,19 @@
 
 // The life that runs may speak to other control VMs alone, of which none knew the missed one.
 func TestAHigherStartIsMissedByBeatsOfOthers(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	r.Hear(heartbeatOf(300, 9), start)
 	r.Learn(heartbeatOf(200, 1), start.Add(time.Second))
 	r.Alive(lifeIDs(200)[0], 2, start.Add(2*time.Second))
 	require.Equal(t, lifeIDs(300), counting(r))
-	r.Alive(lifeIDs(200)[0], 3, start.Add(relay.SilentAfter+time.Second))
+	r.Alive(lifeIDs(200)[0], 3, start.Add(silence+time.Second))
 	require.Contains(t, counting(r), lifeIDs(200)[0])
 	require.Equal(t, []relay.Missed{{ID: lifeIDs(300)[0], Call: 9}}, r.Missed())
 }
 
 // A late message of a life does not pass for a sign that a higher one is missed.
 func TestARepeatedMessageMissesNobody(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	r.Hear(heartbeatOf(100, 5), start)
 	r.Hear(heartbeatOf(200, 1), start)
 	late := start.Add(10 * time.Second)
@@ -216,7 +216,7 @@
 
 // A VM that turns to another control VM is told that a missed life speaks again.
 func TestSumsTellAMissedLifeFromOneThatSpeaks(t *testing.T) {
-	a, b := relay.NewRegistry(), relay.NewRegistry()
+	a, b := relay.NewRegistry(silence), relay.NewRegistry(silence)
 	for _, r := range []*relay.Registry{a, b} {
 		r.Learn(heartbeatOf(300, 9), start)
 		r.Learn(heartbeatOf(200, 1), start)
@@ -240,7 +240,7 @@
 func TestTheLaterStartAtAnAddressCounts(t *testing.T) {
 	first, second := relay.NewTargetID("i-1", 100), relay.NewTargetID("i-2", 200)
 	for _, order := range [][]relay.TargetID{{first, second}, {second, first}, {first, second, first}} {
-		r := relay.NewRegistry()
+		r := relay.NewRegistry(silence)
 		for i, id := range order {
 			r.Hear(wordAt(id, "x", uint64(1+i)), start.Add(time.Duration(i)*time.Second))
 		}
@@ -253,9 +253,9 @@
 // Where starts are not told, a message of the first that comes late does not bring it back, nor
 // does it make the one that runs silent.
 func TestTheLaterRegistrationAtAnAddressCounts(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	silent := func(now time.Time) []relay.TargetID {
-		return r.Silent(now.Add(-relay.SilentAfter), now.Add(-1500*time.Millisecond))
+		return r.Silent(now, 1500*time.Millisecond)
 	}
 	r.Hear(wordAt("old", "x", 30), start)
 	for i := range 3 {
@@ -329,7 +329,7 @@
 		const vms = 3
 		registries, heard := make([]*relay.Registry, vms), make([]map[relay.TargetID][]relay.Target, vms)
 		for i := range vms {
-			registries[i], heard[i] = relay.NewRegistry(), make(map[relay.TargetID][]relay.Target)
+			registries[i], heard[i] = relay.NewRegistry(silence), make(map[relay.TargetID][]relay.Target)
 		}
 		addresses := make(map[relay.TargetID]string)
 		calls := make(map[relay.TargetID]uint64)
@@ -381,7 +381,7 @@
 // What anybody may write is forgotten whole: a message that was dropped neither voids others nor
 // stays.
 func TestADroppedLifeVoidsNothing(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	r.Hear(wordAt(relay.NewTargetID("a", 20), "x", 1), start)
 	r.Hear(wordAt(relay.NewTargetID("b", 10), "x", 1), start)
 	require.Len(t, r.All(), 1)
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -78,9 +78,15 @@
 	return newer
 }
 
-// SilentAfter is the silence after which a target counts as lost: two heartbeats of 1.2 s
-// and a half, so that one late heartbeat does no harm.
-const SilentAfter = 3 * time.Second
+// silentLeast is the least silence after which a target counts as lost: a heartbeat may
+// arrive seconds late, however often targets send one.
+const silentLeast = 3 * time.Second
+
+// SilentAfter returns the silence after which a target counts as lost that says so often
+// that it lives: two heartbeats and a half, so that one late heartbeat does no harm.
+func SilentAfter(heartbeat time.Duration) time.Duration {
+	return max(2*heartbeat+heartbeat/2, silentLeast)
+}
 
 // Registry holds the targets by incarnation. The zero value is not usable.
 type Registry struct {
@@ -90,6 +96,8 @@
 	incarnations incarnations
 	// change numbers what was taken, for those who follow the registry.
 	change uint64
+	// silence is that after which a target counts as lost.
+	silence time.Duration
 }
 
 type entry struct {
@@ -110,9 +118,9 @@
 	void bool
 }
 
-// NewRegistry returns an empty registry.
-func NewRegistry() *Registry {
-	return &Registry{targets: make(map[TargetID]entry), incarnations: newIncarnations()}
+// NewRegistry returns an empty registry, in which targets count as lost after a silence.
+func NewRegistry(silence time.Duration) *Registry {
+	return &Registry{targets: make(map[TargetID]entry), incarnations: newIncarnations(), silence: silence}
 }
 
 // Hear takes a target's own message, and reports whether followers are to be told of it
@@ -153,15 +161,15 @@
 	// can wait for them to ask, unless the target leaves: after a loss of all VMs every
 	// target turns to one that it has not spoken to. Who follows this VM alone has been told.
 	turned := firstHand && !present.firstHand && !late
-	if differs || turned || known && !late && present.silent(now) {
+	if differs || turned || known && !late && r.isSilent(present, now) {
 		r.change++
 		e.turned = r.change
 	}
-	if differs || turned && next.Leaving || known && !late && present.silent(now) {
+	if differs || turned && next.Leaving || known && !late && r.isSilent(present, now) {
 		e.changed = r.change
 	}
 	// Who asked for all targets while this one was silent was not told of it.
-	if !known || !present.target.sameBesides(next) || !late && present.silent(now) {
+	if !known || !present.target.sameBesides(next) || !late && r.isSilent(present, now) {
 		e.introduced = r.change
 	}
 	if at, known := slices.BinarySearch(r.names, t.ID); !known {
@@ -190,9 +198,9 @@
 	return true
 }
 
-// silent reports whether a target counts as lost: who asks for all targets is not told of
+// isSilent reports whether a target counts as lost: who asks for all targets is not told of
 // it, so that its next message is news.
-func (e entry) silent(now time.Time) bool { return now.Sub(e.heardAt) > SilentAfter }
+func (r *Registry) isSilent(e entry, now time.Time) bool { return now.Sub(e.heardAt) > r.silence }
 
 // differs compares all but the number of the message.
 func differs(a, b Target) bool {
@@ -204,7 +212,7 @@
 // can tell whether a target is silent.
 func (r *Registry) Alive(id TargetID, call uint64, now time.Time) {
 	if e, ok := r.targets[id]; ok && call > e.target.Call {
-		if e.silent(now) {
+		if r.isSilent(e, now) {
 			r.change++
 			e.changed, e.introduced = r.change, r.change
 		}
@@ -297,12 +305,13 @@
 // All returns every target that counts, sorted by identity.
 func (r *Registry) All() []Target { return r.Since(0) }
 
-// Silent returns the targets that have said nothing after a time and have not
-// signed off, and the void ones. Where another target at the same address has spoken since,
-// less silence is enough: an address has one target at a time, and messages of one that died
-// may still come late.
-func (r *Registry) Silent(after, replacedAfter time.Time) []TargetID {
+// Silent returns the targets that have said nothing for the silence of the registry and have
+// not signed off, and the void ones. Where another target at the same address has spoken since,
+// the silence replaced is enough: an address has one target at a time, and messages of one that
+// died may still come late.
+func (r *Registry) Silent(now time.Time, replaced time.Duration) []TargetID {
 	var silent []TargetID
+	after, replacedAfter := now.Add(-r.silence), now.Add(-replaced)
 	for _, id := range r.names {
 		e := r.targets[id]
 		if !e.target.Gone && (e.void || e.heardAt.Before(after) || r.replaced(e, after, replacedAfter)) {
--- a/internal/relay/registry_test.go
+++ b/internal/relay/registry_test.go
@@ -11,12 +11,15 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
+// silence is that after which a target of these tests counts as lost.
+const silence = 3 * time.Second
+
 func message(id relay.TargetID, call uint64) relay.Target {
 	return relay.Target{ID: id, Service: "s", Address: "10.0.0.1:80", Call: call}
 }
 
 func TestLeavingIsNeverTakenBack(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	leaving := message("i-1", 5)
 	leaving.Leaving = true
 	require.True(t, r.Hear(leaving, start))
@@ -28,7 +31,7 @@
 }
 
 func TestLateMessagesChangeNothing(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	newer := message("i-1", 7)
 	newer.Layers = config.Range{First: 0, Last: 9}
 	r.Hear(newer, start)
@@ -38,7 +41,7 @@
 }
 
 func TestSigningOffKeepsWhatWasSaid(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	r.Hear(message("i-1", 3), start)
 	r.Hear(relay.Target{ID: "i-1", Call: 1 << 62, Leaving: true, Gone: true}, start)
 	held, _ := r.Get("i-1")
@@ -49,27 +52,27 @@
 // A dead engine's late messages kept it in use for seconds after its successor had
 // begun at the same address: 60 requests a second were refused with 421.
 func TestSuccessorsSilenceTheDead(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	r.Hear(message("old", 30), start)
 	r.Hear(message("new", 1), start.Add(time.Second))
 	now := start.Add(2 * time.Second)
-	require.Equal(t, []relay.TargetID{"old"}, r.Silent(now.Add(-3*time.Second), now.Add(-1500*time.Millisecond)))
-	require.Empty(t, r.Silent(start.Add(-time.Second), start.Add(-time.Second)))
+	require.Equal(t, []relay.TargetID{"old"}, r.Silent(now, 1500*time.Millisecond))
+	require.Empty(t, r.Silent(start.Add(2*time.Second), silence))
 }
 
 // What another VM tells again is no new sign of life.
 func TestRepeatedMessagesAreNoSignsOfLife(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	r.Hear(message("i-1", 3), start)
 	r.Learn(message("i-1", 3), start.Add(5*time.Second))
 	r.Alive("i-1", 3, start.Add(5*time.Second))
-	require.Len(t, r.Silent(start.Add(time.Second), start), 1)
+	require.Len(t, r.Silent(start.Add(4*time.Second), 4*time.Second), 1)
 	r.Alive("i-1", 4, start.Add(5*time.Second))
-	require.Empty(t, r.Silent(start.Add(time.Second), start))
+	require.Empty(t, r.Silent(start.Add(4*time.Second), 4*time.Second))
 }
 
 func TestFollowersGetWhatChanged(t *testing.T) {
-	r := relay.NewRegistry()
+	r := relay.NewRegistry(silence)
 	r.Hear(message("i-1", 1), start)
 	first := r.Change()
 	r.Hear(message("i-1", 2), start)
@@ -81,7 +84,7 @@
 
 // Two VMs that were told the same by others compare by sums, and are told of what differs.
 func TestRegistriesAreComparedBySums(t *testing.T) {
-	a, b := relay.NewRegistry(), relay.NewRegistry()
+	a, b := relay.NewRegistry(silence), relay.NewRegistry(silence)
 	for i := range 300 {
 		target := message(relay.TargetID(fmt.Sprint("i-", i)), 1)
 		a.Hear(target, start)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -101,6 +101,8 @@
 	// Silence is the time within which an open connection that has fallen silent is noticed
 	// and left; 0 leaves it to the kernel. See internal/silence.
 	Silence Duration `json:"silence"`
+	// TargetHeartbeat is the interval at which registered targets say that they live.
+	TargetHeartbeat Duration `json:"target_heartbeat"`
 }
 
 // Policy switches mechanisms of the decision logic on or off, by their names; those that
@@ -197,6 +199,7 @@
 			KeepEntriesAfterLoss: Duration(5 * time.Second),
 			StageSilence:         Duration(2 * time.Second),
 			Silence:              Duration(1200 * time.Millisecond),
+			TargetHeartbeat:      Duration(1200 * time.Millisecond),
 		},
 		LogLevel: LogInfo,
 	}
@@ -326,5 +329,6 @@
 	c.require(t.KeepEntriesAfterLoss >= t.KeepEntries, "/timing/keep_entries_after_loss", "keep_entries_after_loss is at least keep_entries")
 	c.require(t.StageSilence > 0, "/timing/stage_silence", "stage_silence is more than 0s")
 	c.require(t.Silence == 0 || time.Duration(t.Silence) >= silenceLeast, "/timing/silence", fmt.Sprintf("silence is 0s to leave it to the kernel, or at least %s, or connections that are only slow are left", silenceLeast))
+	c.require(t.TargetHeartbeat > 0, "/timing/target_heartbeat", "target_heartbeat is more than 0s")
 	c.require(t.ReplaceAfter >= 2*t.ElectionMax, "/timing/replace_after", "replace_after is at least twice election_max")
 }
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -50,6 +50,9 @@
 		{"a silence that nothing can be noticed in", strings.Replace(whole, `"tls"`, `"timing": {"silence": "100ms"}, "tls"`, 1), []string{
 			`6:25: silence is 0s to leave it to the kernel, or at least 600ms, or connections that are only slow are left`,
 		}},
+		{"targets that never say that they live", strings.Replace(whole, `"tls"`, `"timing": {"target_heartbeat": "0s"}, "tls"`, 1), []string{
+			`6:34: target_heartbeat is more than 0s`,
+		}},
 		{"all that is missing", `{}`, []string{
 			"1:1: control.vms is required; list each control VM with its address for peers",
 			"1:1: hall is required; name the VM's data hall",
