core: callers are given up to 64 addresses

Cause: each caller that asks which VMs to use was given all of them, sorted anew: 20 KB and some 10,000 comparisons of halls at 995 VMs (computed), for an answer of which callers use 64 at most. It grows with VMs times callers. Change: up to 64, those of the caller's hall first and the less loaded before, different ones for each caller.

--- a/internal/core/entries_test.go
+++ b/internal/core/entries_test.go
@@ -1,6 +1,7 @@
 package core_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -64,6 +65,33 @@
 	require.Empty(t, e.addresses(t))
 }
 
+// Pattern: a thousand VMs in five halls, of which each was named to each caller that asked.
+func TestACallerIsGivenAFewVMsOfItsHall(t *testing.T) {
+	const vms, halls = 1000, 5
+	e := newEntryNode(core.Settings{})
+	var view []core.EntryView
+	for i := range vms {
+		name := core.VMName(fmt.Sprintf("e%04d", i))
+		view = append(view, core.EntryView{Address: core.EntryAddress{VM: name, Hall: fmt.Sprint("hall", i%halls), Callers: string(name)}, LoadLevel: i / halls % 2})
+	}
+	e.lease(t, core.Grant{To: 1, ViewVersion: 1, View: view, ViewWhole: true})
+	named := make(map[core.VMName]bool)
+	for range 200 {
+		for _, effect := range e.step(core.EntriesAsked{Conn: 1, Hall: "HALL3"}) {
+			entries, ok := effect.(core.Entries)
+			if !ok {
+				continue
+			}
+			require.Len(t, entries.Addresses, 64)
+			for _, a := range entries.Addresses {
+				require.Equal(t, "hall3", a.Hall)
+				named[a.VM] = true
+			}
+		}
+	}
+	require.Len(t, named, vms/halls/2, "callers spread over all VMs of the hall that are little loaded")
+}
+
 // While a quarter of the VMs was lost, every second request had to ask for addresses first,
 // and one in four of those that did waited a second for a lost VM.
 func TestAddressesAreKeptLongerWhileVMsAreLost(t *testing.T) {
--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -80,8 +80,11 @@
 	return l.renewal.Leaving || vm.Drain || n.leading.platform[string(l.holder.VM)]
 }
 
+// loadLevels is the number of levels of loadLevel.
+const loadLevels = 4
+
 // loadLevel makes a load in thousandths coarse.
-func loadLevel(load int) int { return min(load/300, 3) }
+func loadLevel(load int) int { return min(load/300, loadLevels-1) }
 
 func (n *Node) tickLeases() {
 	n.refreshView()
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -410,33 +410,35 @@
 	})
 }
 
+// entriesMost bounds the addresses that a caller is given: it uses a few of them, and each
+// answer with all VMs of a large deployment would cost more than a request.
+const entriesMost = 64
+
+// preferred returns up to entriesMost addresses, the first ones first. Where more are alike,
+// callers get different ones.
 func (n *Node) preferred(hall string) []EntryAddress {
-	var views []EntryView
-	for _, v := range n.entry.view {
-		if !v.Leaving {
-			views = append(views, v)
-		}
-	}
+	views := n.entry.view
 	start := 0
 	if len(views) > 0 {
 		start = n.rand.IntN(len(views))
 	}
-	rotated := slices.Concat(views[start:], views[:start])
-	slices.SortStableFunc(rotated, func(a, b EntryView) int {
-		return cmp.Or(cmp.Compare(away(a, hall), away(b, hall)), cmp.Compare(a.LoadLevel, b.LoadLevel))
-	})
-	addresses := make([]EntryAddress, len(rotated))
-	for i, v := range rotated {
-		addresses[i] = v.Address
-	}
-	return addresses
-}
-
-func away(v EntryView, hall string) int {
-	if hall == "" || strings.EqualFold(v.Address.Hall, hall) {
-		return 0
+	var near, far [loadLevels][]EntryAddress
+	for i := range views {
+		v := &views[(start+i)%len(views)]
+		if v.Leaving {
+			continue
+		}
+		level := min(max(v.LoadLevel, 0), loadLevels-1)
+		ranked := &far[level]
+		if hall == "" || strings.EqualFold(v.Address.Hall, hall) {
+			ranked = &near[level]
+		}
+		if len(*ranked) < entriesMost {
+			*ranked = append(*ranked, v.Address)
+		}
 	}
-	return 1
+	addresses := slices.Concat(slices.Concat(near[:]...), slices.Concat(far[:]...))
+	return addresses[:min(len(addresses), entriesMost)]
 }
 
 // others returns the callers' addresses of other entry VMs.
