relay, core: entry VMs are told of the engines on a shortlist

Cause: every entry VM was told of every engine, and of all that changed at it: VMs times engines. At 995 VMs before 2,985 engines the reducer sends 341 MB while they register and 195 MB while they load; 61 control VMs with 300 to 400 MB each held the messages on their way. Ruled out: marks for engines in reserve, which are told VMs times engines too; lent routes, where each request waits for a control VM. Change: a control VM withholds engines until they are on the shortlist of their hall: the fastest ones with memory for three times the answers in progress at each layer, 64 at least. Engines without layers are told to nobody but control VMs. What leaves is told to all. Tests: bytes of an entry VM at 200 and 400 VMs in six scenes (start, steady, a storm of changes, a third lost and back, a new leader).

--- /dev/null
+++ b/internal/core/fleet_size_test.go
@@ -0,0 +1,215 @@
+package core_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// sizedFleet is a hallFleet of five halls with two control VMs each, before three engines to a
+// VM, each of which speaks to a control VM of its hall.
+type sizedFleet struct {
+	*hallFleet
+	engines []relay.Target
+	spoken  int
+	// rounds counts the rounds of work.
+	rounds int
+}
+
+const (
+	sizedHalls    = 5
+	sizedControls = 2
+	// sizedHeartbeat is the interval at which engines speak.
+	sizedHeartbeat = 3 * time.Second
+	// answersPerSecond is what all VMs begin, however many there are, answerTime how long one
+	// takes, and stagesOfAnswer the engines that it takes: what a fleet is asked for does not
+	// follow from its size.
+	answersPerSecond = 200
+	answerTime       = 4 * time.Second
+	stagesOfAnswer   = 10
+)
+
+func newSizedFleet(t *testing.T, vms int) *sizedFleet {
+	f := &sizedFleet{hallFleet: newHallFleet(t, fleetSize{halls: sizedHalls, controls: sizedControls, disks: sizedControls, entries: vms/sizedHalls - sizedControls})}
+	f.decode = fullDocument
+	f.pass = f.live
+	for i := range 3 * vms {
+		kind := "l4"
+		if i/sizedHalls%10 < 1 {
+			kind = "a100"
+		}
+		f.engines = append(f.engines, relay.Target{
+			ID: relay.TargetID(fmt.Sprintf("i-%08d", i)), Service: "s", Address: fmt.Sprintf("10.9.%d.%d:8080", i/250, i%250),
+			Hall: fmt.Sprintf("hall%d", i%sizedHalls), Accelerator: kind, Slots: 192,
+		})
+	}
+	return f
+}
+
+// live lets time pass in which engines say that they live, in turn.
+func (f *sizedFleet) live(d time.Duration) {
+	each := int(int64(len(f.engines)) * int64(tickEvery) / int64(sizedHeartbeat))
+	for until := f.now.Add(d); f.now.Before(until); {
+		for range each {
+			f.speak(f.spoken % len(f.engines))
+			f.spoken++
+		}
+		f.run(tickEvery)
+	}
+}
+
+func (f *sizedFleet) speak(i int) {
+	e := &f.engines[i]
+	e.Call++
+	to := core.VMName(fmt.Sprintf("c%d-%d", i%sizedHalls, i/sizedHalls%sizedControls))
+	if f.dead[to] {
+		to = core.VMName(fmt.Sprintf("c%d-%d", (i+1)%sizedHalls, i/sizedHalls%sizedControls))
+	}
+	f.step(to, core.TargetSpoke{Conn: 1, Target: *e})
+}
+
+// load has every engine hold layers.
+func (f *sizedFleet) load() {
+	for i := range f.engines {
+		first := i / sizedHalls % 10 * 8
+		f.engines[i].Layers.First, f.engines[i].Layers.Last = first, first+8
+	}
+}
+
+// serve lets time pass in which entry VMs have answers in progress at engines that they know.
+func (f *sizedFleet) serve(d time.Duration) {
+	const round = 200 * time.Millisecond
+	entries := f.entries()
+	for until := f.now.Add(d); f.now.Before(until); {
+		f.rounds++
+		share := int(answerTime / round)
+		for i, vm := range entries {
+			if i%share != f.rounds%share {
+				continue
+			}
+			f.work[vm] = f.answers(vm, i, len(entries))
+		}
+		f.live(round)
+	}
+}
+
+// answers is what one entry VM has in progress.
+func (f *sizedFleet) answers(vm core.VMName, i, vms int) map[relay.TargetKey]relay.Work {
+	work := make(map[relay.TargetKey]relay.Work)
+	var known []relay.TargetID
+	for id := range f.learned[vm] {
+		known = append(known, id)
+	}
+	slices.Sort(known)
+	inProgress := answersPerSecond * int(answerTime.Seconds())
+	for answer := i; answer < inProgress && len(known) > 0; answer += vms {
+		for stage := range stagesOfAnswer {
+			key := known[(answer*31+stage*17+f.rounds*7)%len(known)].Key()
+			work[key] = work[key].Plus(relay.Work{Requests: 1, Tokens: 900 * 8})
+		}
+	}
+	return work
+}
+
+// scene is the bytes of some time.
+type scene struct {
+	// entry is those that an entry VM received and sent in the mean, leader those that the
+	// leader sent, control the most that another control VM did.
+	entry, leader, control int
+}
+
+// play measures what a part of a fleet's life costs.
+func (f *sizedFleet) play(part func()) scene {
+	f.measured = true
+	clear(f.bytes)
+	clear(f.received)
+	part()
+	f.measured = false
+	var s scene
+	leader := f.leader()
+	for vm, sent := range f.bytes {
+		switch {
+		case vm[0] == 'e':
+			s.entry += sent + f.received[vm]
+		case vm == leader:
+			s.leader = sent
+		default:
+			s.control = max(s.control, sent)
+		}
+	}
+	s.entry /= len(f.entries())
+	return s
+}
+
+// third kills or starts every third entry VM.
+func (f *sizedFleet) third(alive bool) {
+	for i, vm := range f.names {
+		switch {
+		case vm[0] != 'e' || i%3 != 0:
+		case alive:
+			f.restart(vm)
+		default:
+			f.dead[vm] = true
+		}
+	}
+}
+
+// playAll plays the scenes of a fleet's day.
+func (f *sizedFleet) playAll() map[string]scene {
+	const settled = 4 * time.Second
+	scenes := make(map[string]scene)
+	f.until("all have a lease", 20*time.Second, func() bool { return f.leased(0) })
+	f.live(time.Second)
+	f.put(1)
+	scenes["start"] = f.play(func() {
+		f.live(sizedHeartbeat + time.Second)
+		f.load()
+		f.live(sizedHeartbeat + time.Second)
+	})
+	f.serve(settled)
+	scenes["steady"] = f.play(func() { f.serve(settled) })
+	scenes["storm"] = f.play(func() {
+		for version := uint64(2); version < 12; version++ {
+			f.put(version)
+			f.serve(settled / 20)
+		}
+	})
+	scenes["third lost"] = f.play(func() { f.third(false); f.serve(settled) })
+	scenes["third back"] = f.play(func() { f.third(true); f.serve(settled) })
+	scenes["new leader"] = f.play(func() { f.dead[f.leader()] = true; f.serve(settled) })
+	return scenes
+}
+
+// Pattern: a fleet that is asked for no more while it grows. What an entry VM is told, and what
+// the leader sends beside what it does for the entry VMs of its hall, follows the requests and
+// what changes: an entry VM was told of all engines and of all that changed at them.
+func TestAnEntryVMIsToldNoMoreWhereTheFleetIsTwiceAsLarge(t *testing.T) {
+	const smaller = 200
+	// A list of entry VMs is the one thing that is told of the whole fleet. It comes anew at a
+	// start, and with a new leader.
+	const flat, withList = 1.25, 1.6
+	most := map[string]float64{
+		"start": withList, "steady": flat, "storm": flat, "third lost": flat, "third back": withList, "new leader": withList,
+	}
+	small := newSizedFleet(t, smaller)
+	large := newSizedFleet(t, 2*smaller)
+	before, after := small.playAll(), large.playAll()
+	for name, factor := range most {
+		t.Logf("%s: entry VM %d and %d B, leader %d and %d B, other control VMs %d and %d B at most", name,
+			before[name].entry, after[name].entry, before[name].leader, after[name].leader, before[name].control, after[name].control)
+		require.LessOrEqual(t, float64(after[name].entry), factor*float64(before[name].entry), "%s: bytes of an entry VM", name)
+		// Twice the entry VMs renew in each hall, and each is told what it was told before.
+		require.LessOrEqual(t, float64(after[name].control), 2*factor*float64(before[name].control), "%s: bytes of a control VM", name)
+	}
+	for _, f := range []*sizedFleet{small, large} {
+		for _, vm := range f.entries() {
+			require.Less(t, len(f.learned[vm]), 3*sizedHalls*relay.ShortlistLeast, vm)
+		}
+	}
+}
--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -134,8 +134,11 @@
 // the targets that live, or of those that its digest lacks.
 func (n *Node) tellAll(vm VMName, f *follower, d relay.Digest) {
 	whole := f.after == 0
+	n.listEngines()
 	targets := n.newsAfter(f.after, false)
 	switch {
+	case f.control:
+		targets = n.live(n.registry.targets.Since(f.after))
 	case whole && len(d) > 0:
 		targets = n.registry.targets.Unlike(d)
 	case whole:
@@ -157,6 +160,7 @@
 	// happens, and again for each ask that crossed it, a leader of 300 VMs with 3,000 targets
 	// that load would send several times what is new.
 	news := make(map[place][]relay.Target)
+	n.listEngines()
 	for _, vm := range slices.Sorted(maps.Keys(n.registry.followers)) {
 		f := n.registry.followers[vm]
 		if n.now.After(f.until) {
@@ -186,16 +190,16 @@
 	}
 }
 
-// newsAfter returns the targets that changed after a change: all, or those that speak to
-// this VM.
-func (n *Node) newsAfter(change uint64, own bool) []relay.Target {
+// newsAfter returns the targets that changed after a change: for a control VM those that speak
+// to this VM, for an entry VM those that are listed.
+func (n *Node) newsAfter(change uint64, control bool) []relay.Target {
 	if change > 0 && change == n.registry.targets.Change() {
 		return nil
 	}
-	if own {
+	if control {
 		return n.registry.targets.OwnSince(change)
 	}
-	return n.registry.targets.Since(change)
+	return n.registry.targets.ListedSince(change)
 }
 
 const (
--- a/internal/core/registry.go
+++ b/internal/core/registry.go
@@ -169,6 +169,8 @@
 	// silentAt is when to look again whether other targets are silent.
 	silentAt time.Time
 	unnamed  unnamed
+	// shortlist is kept by a control VM.
+	shortlist shortlist
 	// leftAt is the change at which it was last heard that a target leaves.
 	leftAt uint64
 }
@@ -206,6 +208,9 @@
 		followed:  make(map[VMName]position),
 		unnamed:   unnamed{targets: relay.NewRegistry(silence)},
 	}
+	if n.settings.Control {
+		n.registry.targets.WithholdEngines()
+	}
 	n.registry.completeAt = n.now.Add(silence)
 	for _, t := range hints {
 		n.registry.targets.Learn(t, n.now)
@@ -334,6 +339,7 @@
 	}
 	if n.settings.Control {
 		n.tickUnnamed()
+		n.listEngines()
 	}
 	n.saveTargets(false)
 	n.registry.news = n.registry.news || n.newsLost()
--- /dev/null
+++ b/internal/core/shortlist.go
@@ -0,0 +1,78 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// This file has a control VM list the engines that entry VMs are told of: see
+// relay/shortlist.go.
+
+// listEvery is the least time between two looks at the shortlists: a look goes through all
+// engines, and load that doubles within it is borne by what is listed.
+const listEvery = 250 * time.Millisecond
+
+// shortlist is when a control VM looks at the shortlists next.
+type shortlist struct{ lookAt time.Time }
+
+// listEngines lists the engines that the load wants, where it is time for it.
+func (n *Node) listEngines() {
+	s := &n.registry.shortlist
+	if n.now.Before(s.lookAt) {
+		return
+	}
+	s.lookAt = n.now.Add(listEvery)
+	if n.registry.unnamed.decoded.document == nil || !n.registry.targets.Withheld() {
+		return
+	}
+	engines := n.liveEngines()
+	for _, service := range slices.Sorted(maps.Keys(engines)) {
+		for _, id := range n.shortlistOf(service, engines[service]) {
+			n.registry.news = n.registry.targets.List(id) || n.registry.news
+		}
+	}
+}
+
+// liveEngines returns the targets that may be withheld and can be given work, by service.
+func (n *Node) liveEngines() map[string][]relay.Target {
+	marks := n.markedTargets()
+	engines := make(map[string][]relay.Target)
+	for _, t := range n.live(n.registry.targets.All()) {
+		if t.Accelerator != "" && t.Takes() && !marks[t.ID.Key()].Has(relay.MarkSilent) {
+			engines[t.Service] = append(engines[t.Service], t)
+		}
+	}
+	return engines
+}
+
+// shortlistOf returns the engines of a service that entry VMs are to know: all of them where
+// the document has no cost model of them, for they hold no layers then.
+func (n *Node) shortlistOf(service string, engines []relay.Target) []relay.TargetID {
+	if e := n.registry.unnamed.decoded.document.Engine(service); e != nil {
+		return e.Shortlist(engines, e.InProgress(engines, n.fleetWork()))
+	}
+	ids := make([]relay.TargetID, len(engines))
+	for i := range engines {
+		ids[i] = engines[i].ID
+	}
+	return ids
+}
+
+// markedTargets returns the marks of targets as this VM knows them.
+func (n *Node) markedTargets() map[relay.TargetKey]relay.Mark {
+	if n.leads() {
+		return n.leading.fleet.marks
+	}
+	return n.forwarding.report.marked.values
+}
+
+// fleetWork returns what all entry VMs have under way at targets, as this VM knows it.
+func (n *Node) fleetWork() map[relay.TargetKey]relay.Work {
+	if n.leads() {
+		return n.leading.fleet.work
+	}
+	return n.forwarding.report.total.values
+}
--- a/internal/relay/digest.go
+++ b/internal/relay/digest.go
@@ -27,12 +27,12 @@
 
 func (id TargetID) bucket() int { return int(id.Key() % digestBuckets) }
 
-// Digest returns the sums of the registry. Void incarnations are not in it; missed ones differ from
-// those that speak again.
+// Digest returns the sums of the registry. Void incarnations and withheld engines are not in it;
+// missed ones differ from those that speak again.
 func (r *Registry) Digest() Digest {
 	d := make(Digest, digestBuckets)
 	for _, e := range r.targets {
-		if e.void {
+		if e.void || !e.listed() {
 			continue
 		}
 		d[e.target.ID.bucket()] += e.target.hash()
@@ -50,15 +50,15 @@
 	return h.Sum32()
 }
 
-// Unlike returns the targets in the buckets where other sums differ from those of this
-// registry, sorted by identity. Sums of another number of buckets differ in all.
+// Unlike returns the targets that are not withheld, in the buckets where other sums differ from
+// those of this registry, sorted by identity. Sums of another number of buckets differ in all.
 func (r *Registry) Unlike(other Digest) []Target {
 	own := r.Digest()
 	if len(other) != len(own) {
-		return r.All()
+		return r.ListedSince(0)
 	}
 	return r.find(func(e entry) bool {
 		at := e.target.ID.bucket()
-		return own[at] != other[at]
+		return own[at] != other[at] && e.listed()
 	})
 }
--- a/internal/relay/document.go
+++ b/internal/relay/document.go
@@ -160,6 +160,18 @@
 	return slices.ContainsFunc(d.Services, func(s Service) bool { return s.Name == service })
 }
 
+// Engine returns the cost model of a service's engines, or nil where the document has none.
+func (d *Document) Engine(service string) *Engine {
+	if d == nil {
+		return nil
+	}
+	i := slices.IndexFunc(d.Services, func(s Service) bool { return s.Name == service })
+	if i < 0 || d.Services[i].Engine == nil || d.Services[i].Engine.Layers <= 0 {
+		return nil
+	}
+	return d.Services[i].Engine
+}
+
 // InvalidError says why a document can't be taken.
 type InvalidError struct {
 	Subject string
--- a/internal/relay/registry.go
+++ b/internal/relay/registry.go
@@ -98,6 +98,8 @@
 	change uint64
 	// silence is that after which a target counts as lost.
 	silence time.Duration
+	// withholds says that engines are withheld until they are listed: see shortlist.go.
+	withholds bool
 }
 
 type entry struct {
@@ -116,6 +118,8 @@
 	draining bool
 	// void says that another incarnation runs in the place of this one.
 	void bool
+	// withheld says that those who follow for themselves are not told of it.
+	withheld bool
 }
 
 // NewRegistry returns an empty registry, in which targets count as lost after a silence.
@@ -150,6 +154,7 @@
 	e.target, e.heardAt, e.firstHand = next, now, firstHand
 	if !known {
 		e.registered = now
+		e.withheld = r.withholds && next.isEngine()
 	}
 	late := known && t.Call <= present.target.Call
 	if late {
@@ -257,6 +262,11 @@
 	return r.find(func(e entry) bool { return e.changed > change })
 }
 
+// ListedSince is Since without the engines that are withheld.
+func (r *Registry) ListedSince(change uint64) []Target {
+	return r.find(func(e entry) bool { return e.changed > change && e.listed() })
+}
+
 // OwnSince returns the targets that speak to this very VM, or of whose draining notice it was told,
 // and that have changed after a change or have turned to it since.
 func (r *Registry) OwnSince(change uint64) []Target {
