relay: the next incarnation of a listed engine is told of

Cause: found by reading, after the shortlist: an engine that starts again holds nothing and was withheld, so that entry VMs which knew the incarnation before heard of its end only by its silence. Change: the incarnation that voids a listed one is listed.

--- a/internal/relay/incarnation.go
+++ b/internal/relay/incarnation.go
@@ -224,6 +224,9 @@
 		r.change++
 		if void {
 			r.incarnations.ended = append(r.incarnations.ended, Succession{Old: id, New: by})
+			if e.listed() {
+				r.List(by)
+			}
 		} else {
 			e.changed, e.introduced = r.change, r.change
 			r.incarnations.revived = append(r.incarnations.revived, id)
--- a/internal/relay/shortlist.go
+++ b/internal/relay/shortlist.go
@@ -18,8 +18,9 @@
 // worked out anew as load and engines change, and what was listed once stays so: who was told of
 // an engine is told of what becomes of it.
 //
-// Invariants: where a hall has no more than ShortlistLeast engines, all of them are listed; an
-// engine that leaves is told of, listed or not.
+// Invariants: where a hall has no more than ShortlistLeast engines that hold layers, all of them
+// are listed; an engine that leaves is told of, listed or not; who was told of an incarnation is
+// told of the one that replaces it.
 //
 // Limits: a list is up to a renewal behind the load, which shortlistRoom allows for. Lists grow
 // while a process lives, by as many engines as have taken the places of others.
--- /dev/null
+++ b/internal/relay/shortlist_test.go
@@ -0,0 +1,105 @@
+package relay_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// replicas returns so many engines of a kind that hold each eighth of the layers in a hall.
+func replicas(hall, kind string, each int) []relay.Target {
+	var targets []relay.Target
+	for part := range 8 {
+		for i := range each {
+			id := fmt.Sprintf("%s-%s-%d-%02d", hall, kind, part, i)
+			targets = append(targets, relay.Target{
+				ID: relay.TargetID(id), Service: "s", Address: id + ":80", Hall: hall, Accelerator: kind,
+				Slots: 192, Call: 1, Layers: config.Range{First: 10 * part, Last: 10 * (part + 1)},
+			})
+		}
+	}
+	return targets
+}
+
+// Pattern: halls with hundreds of engines before few requests. The fastest are listed, as many
+// as the answers in progress want, and each layer is held by as many of them.
+func TestTheFastestEnginesAreListedAsFarAsTheLoadWantsThem(t *testing.T) {
+	targets := append(replicas("a", "small", 30), replicas("a", "middle", 10)...)
+	few := replicas("b", "small", 4)
+	kinds := func(listed []relay.TargetID) map[string]int {
+		counts := make(map[string]int)
+		for _, id := range listed {
+			for _, target := range append(targets, few...) {
+				if target.ID == id {
+					counts[target.Hall+" "+target.Accelerator]++
+				}
+			}
+		}
+		return counts
+	}
+	idle := kinds(engine().Shortlist(append(targets, few...), 0))
+	require.Equal(t, relay.ShortlistLeast, idle["a middle"], "the fast ones first")
+	require.Zero(t, idle["a small"])
+	require.Len(t, few, idle["b small"], "a hall of few lists them all")
+
+	busy := kinds(engine().Shortlist(targets, 900))
+	require.Equal(t, 80, busy["a middle"])
+	require.Greater(t, busy["a small"], 80)
+	require.Less(t, busy["a small"], 240)
+	counts := make([]int, 8)
+	for _, id := range engine().Shortlist(targets, 900) {
+		for _, target := range targets {
+			if target.ID == id {
+				counts[target.Layers.First/10]++
+			}
+		}
+	}
+	for _, n := range counts {
+		require.Equal(t, counts[0], n, "no layer is held by fewer")
+	}
+}
+
+func TestWithheldEnginesAreToldOfOnceListedOrLeaving(t *testing.T) {
+	r := relay.NewRegistry(silence)
+	r.WithholdEngines()
+	targets := replicas("a", "small", 1)
+	for _, target := range targets {
+		r.Hear(target, start)
+	}
+	plain := relay.Target{ID: "plain", Service: "w", Address: "w:80", Call: 1}
+	r.Hear(plain, start)
+	require.Equal(t, []relay.Target{plain}, r.ListedSince(0))
+	require.Len(t, r.All(), len(targets)+1)
+
+	change := r.Change()
+	require.True(t, r.List(targets[2].ID))
+	require.False(t, r.List(targets[2].ID), "it is listed")
+	require.Equal(t, []relay.Target{targets[2]}, r.ListedSince(change))
+	require.False(t, r.Introduced(targets[2].ID, change), "who asks knows nothing of it yet")
+
+	change = r.Change()
+	leaving := targets[5]
+	leaving.Call, leaving.Leaving = 2, true
+	r.Hear(leaving, start)
+	require.Equal(t, []relay.Target{leaving}, r.ListedSince(change), "some VM may have it from another control VM")
+}
+
+// An engine that starts again at its address holds nothing, and is not on any shortlist: who
+// was told of it before went on sending there.
+func TestTheNextIncarnationOfAListedEngineIsToldOf(t *testing.T) {
+	r := relay.NewRegistry(silence)
+	r.WithholdEngines()
+	first := replicas("a", "small", 1)[0]
+	first.ID = relay.NewTargetID("i-1", 1000)
+	r.Hear(first, start)
+	r.List(first.ID)
+	change := r.Change()
+	next := first
+	next.ID, next.Layers = relay.NewTargetID("i-1", 2000), config.Range{}
+	require.True(t, r.Hear(next, start))
+	require.Equal(t, []relay.Target{next}, r.ListedSince(change))
+}
