--- a/internal/core/change_log.go
+++ b/internal/core/change_log.go
@@ -9,19 +9,19 @@
 )
 
 // changeLog numbers the changes of a value that each target has, so that one who names the
-// number that it was told of last is told of what has changed since and of nothing else.
+// number that it was sent last is sent what has changed since and nothing else.
 // The zero value of V is that of a target that nothing is said of.
 //
-// Invariant: who has been told up to a number has been told of every target whose newest
+// Invariant: who has been sent up to a number has been sent every target whose newest
 // change has at most that number.
 type changeLog[V comparable] struct {
 	// first is the number before the first change of this log, last that of the newest.
 	first, last uint64
-	told        map[relay.TargetKey]sentValue[V]
+	sent        map[relay.TargetKey]sentValue[V]
 	// changes are sorted by number. One whose target has a later one is void.
 	changes []targetChange
-	// differs reports whether a value is to be told in the place of the one told.
-	differs func(told, now V) bool
+	// differs reports whether a value is to be sent in the place of the one sent.
+	differs func(sent, now V) bool
 }
 
 type sentValue[V comparable] struct {
@@ -35,21 +35,21 @@
 }
 
 // newChangeLog returns a log whose numbers are above first.
-func newChangeLog[V comparable](first uint64, differs func(told, now V) bool) changeLog[V] {
-	return changeLog[V]{first: first, last: first, told: make(map[relay.TargetKey]sentValue[V]), differs: differs}
+func newChangeLog[V comparable](first uint64, differs func(sent, now V) bool) changeLog[V] {
+	return changeLog[V]{first: first, last: first, sent: make(map[relay.TargetKey]sentValue[V]), differs: differs}
 }
 
-// take numbers what is to be told anew, in the order of the targets' keys.
+// take numbers what is to be sent anew, in the order of the targets' keys.
 func (l *changeLog[V]) take(values map[relay.TargetKey]V) {
 	var changed []relay.TargetKey
 	for key, now := range values {
-		if told, known := l.told[key]; !known || l.differs(told.value, now) {
+		if sent, known := l.sent[key]; !known || l.differs(sent.value, now) {
 			changed = append(changed, key)
 		}
 	}
 	var zero V
-	for key, told := range l.told {
-		if _, ok := values[key]; !ok && told.value != zero {
+	for key, sent := range l.sent {
+		if _, ok := values[key]; !ok && sent.value != zero {
 			changed = append(changed, key)
 		}
 	}
@@ -57,18 +57,18 @@
 	for _, key := range changed {
 		l.add(key, values[key])
 	}
-	if len(l.changes) > 2*len(l.told) {
+	if len(l.changes) > 2*len(l.sent) {
 		l.changes = slices.DeleteFunc(l.changes, l.void)
 	}
 }
 
 func (l *changeLog[V]) add(key relay.TargetKey, v V) {
 	l.last++
-	l.told[key] = sentValue[V]{value: v, number: l.last}
+	l.sent[key] = sentValue[V]{value: v, number: l.last}
 	l.changes = append(l.changes, targetChange{target: key, number: l.last})
 }
 
-func (l *changeLog[V]) void(c targetChange) bool { return l.told[c.target].number != c.number }
+func (l *changeLog[V]) void(c targetChange) bool { return l.sent[c.target].number != c.number }
 
 // news are values that have changed: all up to the number Upto. Whole says that the asker's
 // number was not of this log, so that every other target has the zero value, or comes with
@@ -95,17 +95,17 @@
 		if len(n.values) == most {
 			return n
 		}
-		n.values[c.target] = l.told[c.target].value
+		n.values[c.target] = l.sent[c.target].value
 		n.upto = c.number
 	}
 	n.upto = l.last
 	return n
 }
 
-// changeFollower is the values of a changeLog as far as they were told here.
+// changeFollower is the values of a changeLog as far as they were sent here.
 type changeFollower[V comparable] struct {
 	values map[relay.TargetKey]V
-	// seen is the number of the newest change that was told.
+	// seen is the number of the newest change that was sent.
 	seen uint64
 }
 
--- a/internal/core/effect.go
+++ b/internal/core/effect.go
@@ -148,8 +148,8 @@
 // ListPlatform asks the platform for its list. PlatformListed answers it.
 type ListPlatform struct{}
 
-// Reach tells the runtime where a VM's peers address is.
-type Reach struct {
+// PeerFound tells the runtime where a VM's peers address is.
+type PeerFound struct {
 	VM      VMName
 	Address string
 }
@@ -187,7 +187,7 @@
 func (Watch) isEffect()        {}
 func (Order) isEffect()        {}
 func (ListPlatform) isEffect() {}
-func (Reach) isEffect()        {}
+func (PeerFound) isEffect()    {}
 func (Entries) isEffect()      {}
 func (Stopped) isEffect()      {}
 func (Note) isEffect()         {}
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -53,15 +53,15 @@
 
 // newMarkLog returns a log of the marks of targets whose numbers are above first.
 func newMarkLog(first uint64) changeLog[relay.Mark] {
-	return newChangeLog(first, func(told, now relay.Mark) bool { return told != now })
+	return newChangeLog(first, func(sent, now relay.Mark) bool { return sent != now })
 }
 
-func differsMuch(told, now relay.Work) bool {
-	if (told.Requests == 0) != (now.Requests == 0) {
+func differsMuch(sent, now relay.Work) bool {
+	if (sent.Requests == 0) != (now.Requests == 0) {
 		return true
 	}
-	change := now.Requests - told.Requests
-	return max(change, -change) >= max(workStep, int(workShare*float64(told.Requests)))
+	change := now.Requests - sent.Requests
+	return max(change, -change) >= max(workStep, int(workShare*float64(sent.Requests)))
 }
 
 // fleetToReport returns what this VM may tell its holders of the fleet: its own sums where it
@@ -71,14 +71,14 @@
 		return &n.forwarding.report
 	}
 	f := n.leading.fleetNow(n)
-	told := &fleetReport{
+	report := &fleetReport{
 		term: n.replica.hard.Term, leader: n.settings.Self.VM, vms: f.vms,
 		known: n.knowsWork(), work: n.leading.work, marks: n.leading.marks, usage: f.usage, usageBy: f.usageBy,
 	}
 	if !n.now.Before(n.leading.viewFrom) {
-		told.view = n.leading.view
+		report.view = n.leading.view
 	}
-	return told
+	return report
 }
 
 // addTo adds to a lease what is known of all entry VMs and targets.
@@ -189,7 +189,7 @@
 	usage   map[string]relay.Usage
 	usageBy int
 	// marks are those of the targets that say nothing of late, or that far more entry VMs
-	// find dead than well, and of engines that are to give up layers.
+	// find dead than sound, and of engines that are to give up layers.
 	marks map[relay.TargetKey]relay.Mark
 }
 
@@ -202,7 +202,7 @@
 	}
 	l.fleet = fleet{at: n.now, work: make(map[relay.TargetKey]relay.Work), usage: make(map[string]relay.Usage)}
 	dead := make(map[relay.TargetKey]int)
-	well := make(map[relay.TargetKey]int)
+	sound := make(map[relay.TargetKey]int)
 	var slow []relay.TargetKey
 	add := func(part FleetPart) {
 		l.fleet.usageBy += part.VMs
@@ -215,8 +215,8 @@
 		for id, vms := range part.Dead {
 			dead[id] += vms
 		}
-		for id, vms := range part.Well {
-			well[id] += vms
+		for id, vms := range part.Sound {
+			sound[id] += vms
 		}
 		slow = append(slow, part.Slow...)
 	}
@@ -228,7 +228,7 @@
 	}
 	l.fleet.vms = n.entriesKnown()
 	l.work.take(l.fleet.work)
-	l.fleet.marks = n.marksOf(dead, well)
+	l.fleet.marks = n.marksOf(dead, sound)
 	for _, key := range slow {
 		l.fleet.marks[key] = l.fleet.marks[key].With(relay.MarkSlow)
 	}
@@ -240,17 +240,17 @@
 	return l.fleet
 }
 
-// marksOf returns the marks of targets, of which so many entry VMs find some dead or well.
+// marksOf returns the marks of targets, of which so many entry VMs find some dead or sound.
 //
 // An engine that holds nothing yet has no use that an order takes away: it is not marked. At
 // a start all engines are ordered at once.
-func (n *Node) marksOf(dead, well map[relay.TargetKey]int) map[relay.TargetKey]relay.Mark {
+func (n *Node) marksOf(dead, sound map[relay.TargetKey]int) map[relay.TargetKey]relay.Mark {
 	marks := make(map[relay.TargetKey]relay.Mark)
 	for _, id := range n.silentTargets() {
 		marks[id.Key()] = relay.MarkSilent
 	}
 	for key, vms := range dead {
-		if vms >= deadAtLeast && vms >= deadRatio*well[key] {
+		if vms >= deadAtLeast && vms >= deadRatio*sound[key] {
 			marks[key] = relay.MarkSilent
 		}
 	}
--- a/internal/core/fleet_bench_test.go
+++ b/internal/core/fleet_bench_test.go
@@ -83,14 +83,14 @@
 	f.asked[vm]++
 	name := core.VMName(fmt.Sprintf("10.2.%d.%d:7681", vm/250, vm%250))
 	work := make(map[relay.TargetKey]relay.Work)
-	var well []relay.TargetKey
+	var sound []relay.TargetKey
 	for range benchStages {
 		id := f.targets[f.rand.IntN(len(f.targets))].ID.Key()
 		work[id] = relay.Work{Requests: 1 + f.rand.IntN(3), Tokens: 900, Unread: f.rand.IntN(800)}
-		well = append(well, id)
+		sound = append(sound, id)
 	}
 	text, err := wire.Marshal(from(name, core.Message{Renew: &core.Renew{
-		Number: f.asked[vm], Address: core.EntryAddress{VM: name, Hall: "hall1", Callers: string(name), Peers: string(name)}, WorkSeen: f.seen[vm], Work: work, Well: well,
+		Number: f.asked[vm], Address: core.EntryAddress{VM: name, Hall: "hall1", Callers: string(name), Peers: string(name)}, WorkSeen: f.seen[vm], Work: work, Sound: sound,
 	}}).Envelope)
 	require.NoError(f.b, err)
 	var e core.Envelope
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -181,7 +181,7 @@
 	if !ok || h.id != id {
 		h = &holder{id: id}
 		n.forwarding.holders[id.VM] = h
-		n.emit(Reach{VM: id.VM, Address: r.Address.Peers})
+		n.emit(PeerFound{VM: id.VM, Address: r.Address.Peers})
 	}
 	h.renew = r
 	h.renewedAt = n.now
@@ -306,7 +306,7 @@
 func (n *Node) partOfFleet() FleetPart {
 	part := FleetPart{
 		Work: make(map[relay.TargetKey]relay.Work), Usage: make(map[string]relay.Usage), VMs: len(n.forwarding.holders),
-		Dead: make(map[relay.TargetKey]int), Well: make(map[relay.TargetKey]int),
+		Dead: make(map[relay.TargetKey]int), Sound: make(map[relay.TargetKey]int),
 	}
 	for _, h := range n.forwarding.holders {
 		for service, s := range h.renew.Usage {
@@ -318,8 +318,8 @@
 		for _, id := range h.renew.Dead {
 			part.Dead[id]++
 		}
-		for _, id := range h.renew.Well {
-			part.Well[id]++
+		for _, id := range h.renew.Sound {
+			part.Sound[id]++
 		}
 		part.Slow = append(part.Slow, h.renew.Slow...)
 	}
--- a/internal/core/grants.go
+++ b/internal/core/grants.go
@@ -118,7 +118,7 @@
 // reachEntry tells the runtime the address of an entry VM that is to get an answer.
 func (n *Node) reachEntry(vm VMName) {
 	if l, ok := n.leading.leases[vm]; ok {
-		n.emit(Reach{VM: vm, Address: l.renewal.Address.Peers})
+		n.emit(PeerFound{VM: vm, Address: l.renewal.Address.Peers})
 	}
 }
 
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -192,10 +192,10 @@
 	Work map[relay.TargetKey]relay.Work `cbor:"work,omitempty"`
 	// Usage is what the entry VM has asked and repeated in the last window, by service.
 	Usage map[string]relay.Usage `cbor:"usage,omitempty"`
-	// Dead are the targets that have lately failed it and done nothing since, Well
+	// Dead are the targets that have lately failed it and done nothing since, Sound
 	// those that have done their part.
-	Dead []relay.TargetKey `cbor:"dead,omitempty"`
-	Well []relay.TargetKey `cbor:"well,omitempty"`
+	Dead  []relay.TargetKey `cbor:"dead,omitempty"`
+	Sound []relay.TargetKey `cbor:"well,omitempty"`
 	// Slow are those that say that they are slow.
 	Slow []relay.TargetKey `cbor:"slow,omitempty"`
 	// Draining are targets that have said to it with an answer that they leave.
@@ -235,9 +235,9 @@
 	// Usage is the sum of what they have asked and repeated, VMs their number.
 	Usage map[string]relay.Usage `cbor:"usage,omitempty"`
 	VMs   int                    `cbor:"vms"`
-	// Dead and Well count the entry VMs that found a target so.
-	Dead map[relay.TargetKey]int `cbor:"dead,omitempty"`
-	Well map[relay.TargetKey]int `cbor:"well,omitempty"`
+	// Dead and Sound count the entry VMs that found a target so.
+	Dead  map[relay.TargetKey]int `cbor:"dead,omitempty"`
+	Sound map[relay.TargetKey]int `cbor:"well,omitempty"`
 	// Slow are the targets that have told any of them that they are slow, sorted.
 	Slow []relay.TargetKey `cbor:"slow,omitempty"`
 }
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -81,9 +81,9 @@
 	// first plan may be made.
 	known     int
 	settledAt time.Time
-	// told is what was last noted of a service's plan and faults, holds what the layers
+	// noted is what was last noted of a service's plan and faults, holds what the layers
 	// that engines hold bear, and holdsAt when that is worked out again, by service.
-	told    map[string]planNotes
+	noted   map[string]planNotes
 	holds   map[string]relay.Capacity
 	holdsAt map[string]time.Time
 }
--- a/internal/core/placing_notes.go
+++ b/internal/core/placing_notes.go
@@ -20,12 +20,12 @@
 	if err := errors.Join(s.Engine.Faults(engines)...); err != nil {
 		text = strings.ReplaceAll(err.Error(), "\n", "; ")
 	}
-	told := n.leading.placing.told[s.Name]
-	if text == told.faults {
+	noted := n.leading.placing.noted[s.Name]
+	if text == noted.faults {
 		return
 	}
-	told.faults = text
-	n.leading.placing.told[s.Name] = told
+	noted.faults = text
+	n.leading.placing.noted[s.Name] = noted
 	if text != "" {
 		n.note("cost model can't be planned with as it is: "+text, s.Name)
 	}
@@ -37,12 +37,12 @@
 	whole, left := s.Engine.Hold(held), s.Engine.HoldAfter(held, lossesNoted)
 	text := fmt.Sprintf("plan for %s: %d of them hold layers, the least held layer %d times in a hall; bears %.0f answers in progress and %.0f a second, each %s, of %d and %d tokens; %.0f a second without the %d engines whose loss costs most",
 		kindsOf(engines), len(plan), whole.Copies, whole.Answers, whole.Rate, whole.Time.Round(roundedTo), s.Engine.UsualPrompt, s.Engine.UsualAnswer, left.Rate, lossesNoted)
-	told := n.leading.placing.told[s.Name]
-	if text == told.plan {
+	noted := n.leading.placing.noted[s.Name]
+	if text == noted.plan {
 		return
 	}
-	told.plan = text
-	n.leading.placing.told[s.Name] = told
+	noted.plan = text
+	n.leading.placing.noted[s.Name] = noted
 	n.note(text, s.Name)
 }
 
--- a/internal/core/seldom_test.go
+++ b/internal/core/seldom_test.go
@@ -15,10 +15,10 @@
 type seldomFleet struct {
 	node *core.Node
 	now  time.Time
-	// seen is the change that the VM e1, which follows, has been told of last, and told counts
+	// seen is the change that the VM e1, which follows, has been told of last, and news counts
 	// the targets that it was told of.
 	seen uint64
-	told int
+	news int
 }
 
 const seldomHeartbeat = 3 * time.Second
@@ -27,7 +27,7 @@
 	effects := f.node.Step(f.now, event)
 	for _, news := range newsTo(effects, "e1") {
 		f.seen = max(f.seen, news.Upto)
-		f.told += len(news.Targets) + len(news.Updates)
+		f.news += len(news.Targets) + len(news.Updates)
 		f.step(from("e1", core.Message{Follow: &core.Follow{Incarnation: news.Incarnation, After: f.seen, Came: true}}))
 	}
 	return effects
@@ -64,12 +64,12 @@
 	f.now = lead(f.node, time.Unix(100, 0))
 	f.speak(targets, 1, seldomHeartbeat+late)
 	f.speak(targets, 2, seldomHeartbeat+late)
-	f.told = 0
+	f.news = 0
 	for call := uint64(3); call < 6; call++ {
 		f.speak(targets, call, seldomHeartbeat+late)
 		require.Zero(t, f.marked(), "all of them live")
 	}
-	require.Zero(t, f.told, "nothing that they said was new")
+	require.Zero(t, f.news, "nothing that they said was new")
 
 	for until := f.now.Add(relay.SilentAfter(seldomHeartbeat) + late); f.now.Before(until); {
 		f.now = f.now.Add(20 * time.Millisecond)
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -250,7 +250,7 @@
 		Work:        n.entry.work,
 		Usage:       n.entry.usage,
 		Dead:        n.entry.findings.Dead,
-		Well:        n.entry.findings.Well,
+		Sound:       n.entry.findings.Sound,
 		Slow:        n.entry.findings.Slow,
 		Draining:    n.entry.findings.Leaving,
 		Limits:      n.limitAsks(),
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -154,7 +154,7 @@
 	for _, v := range g.View {
 		lines[v.Address.VM] = v
 		if v.Address.VM != n.settings.Self.VM {
-			n.emit(Reach{VM: v.Address.VM, Address: v.Address.Peers})
+			n.emit(PeerFound{VM: v.Address.VM, Address: v.Address.Peers})
 		}
 	}
 	for _, vm := range g.Gone {
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -10,7 +10,7 @@
 	switch e := effect.(type) {
 	case core.Send:
 		d.peers.send(e.Envelope)
-	case core.Reach:
+	case core.PeerFound:
 		d.peers.learn(e.VM, e.Address)
 	case core.Persist, core.SaveSnapshot, core.Joined:
 		d.toDisk(e)
--- a/internal/daemon/silent.go
+++ b/internal/daemon/silent.go
@@ -38,8 +38,8 @@
 	// and a second copy would add to it.
 	silentFirsts = 3
 	silentFirst  = time.Second
-	// wellReports is how many reports in a row say that the engine does its part.
-	wellReports = 2
+	// soundReports is how many reports in a row say that the engine does its part.
+	soundReports = 2
 )
 
 // answerTimes estimates the time to a plain answer, by service.
@@ -115,16 +115,16 @@
 // noteWell takes a report by which the engine neither stands still nor is slow.
 func (w *watcher) noteWell(report EngineReport) {
 	if report.Pace > 1 {
-		w.well = 0
+		w.sound = 0
 		return
 	}
-	w.well++
+	w.sound++
 }
 
 // onSilent reports whether the stream is on a silent connection, and can go on over another.
 func (w *watcher) onSilent() bool {
 	after, known := w.silentAfter()
-	if !known || w.well < wellReports || clock.Since(w.since()) < after || !w.f.couldRepeat() {
+	if !known || w.sound < soundReports || clock.Since(w.since()) < after || !w.f.couldRepeat() {
 		return false
 	}
 	w.silent = true
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -26,8 +26,8 @@
 	request *target.Request
 	// called says that the engines have been asked in the present pause.
 	called bool
-	// well counts the reports in the present pause by which the engine does its part.
-	well int
+	// sound counts the reports in the present pause by which the engine does its part.
+	sound int
 	// silent says that the try was given up for its connection.
 	silent bool
 }
@@ -44,7 +44,7 @@
 // listen sets how long the next event is waited for before waitOn is asked.
 func (w *watcher) listen() {
 	w.called = false
-	w.well = 0
+	w.sound = 0
 	w.request.Patience = pauseCheck
 	if after, ok := w.f.g.overdueAfter(w.f.pace); ok && w.worthHurry() {
 		soonest := time.Duration(hurryShare * float64(w.f.route.Pause))
@@ -174,7 +174,7 @@
 	if err != nil && !errors.Is(err, ErrEngineSilent) {
 		// It lives, and its report can't be used: that says nothing of the request.
 		w.f.g.log.Info("report of an engine is not used", "target", first.Target, "request", w.f.call.ID, "error", err.Error())
-		w.well = 0
+		w.sound = 0
 		return false
 	}
 	if err != nil {
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -134,9 +134,9 @@
 
 // Findings is what a VM has lately found of targets, sorted.
 type Findings struct {
-	// Dead are those that have failed and done nothing since, Well those that have done
+	// Dead are those that have failed and done nothing since, Sound those that have done
 	// their part since they last failed.
-	Dead, Well []TargetKey
+	Dead, Sound []TargetKey
 	// Slow are those that say that they are slow.
 	Slow []TargetKey
 	// Leaving are those that have said with an answer that they leave.
@@ -164,14 +164,14 @@
 		case now.Before(t.failedAt.Add(findingsKept)):
 			f.Dead = append(f.Dead, t.key)
 		case now.Before(t.succeededAt.Add(findingsKept)):
-			f.Well = append(f.Well, t.key)
+			f.Sound = append(f.Sound, t.key)
 		}
 		if now.Before(t.slowUntil) {
 			f.Slow = append(f.Slow, t.key)
 		}
 	}
 	slices.Sort(f.Dead)
-	slices.Sort(f.Well)
+	slices.Sort(f.Sound)
 	slices.Sort(f.Slow)
 	return f
 }
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -59,8 +59,8 @@
 	suspectCost = 4
 )
 
-// reach is the best way found to a layer position.
-type reach struct {
+// arrival is the best way found to a layer position.
+type arrival struct {
 	cost  float64
 	last  *target
 	first *target
@@ -141,30 +141,30 @@
 func (r *Router) shortest(s *Service, a Ask, engines []*target, now time.Time) (Path, time.Duration, bool) {
 	e := s.Engine
 	candidates := r.candidates(s, a, engines, now)
-	reached := make([]reach, e.Layers+1)
-	reached[0].ok = true
+	arrivals := make([]arrival, e.Layers+1)
+	arrivals[0].ok = true
 	whole := config.Range{Last: e.Layers}
-	r.span(e, a, candidates, whole, reached)
-	if !reached[e.Layers].ok {
+	r.span(e, a, candidates, whole, arrivals)
+	if !arrivals[e.Layers].ok {
 		return Path{}, 0, false
 	}
-	stages, changes := stagesTo(reached, whole)
+	stages, changes := stagesTo(arrivals, whole)
 	if changes > 0 && !a.Begun && r.changing+changes > r.changesMost(e) {
 		return Path{}, 0, false
 	}
-	return Path{Service: s.Name, Stages: stages, tokens: a.held(), prompt: a.Prompt, changes: changes, pass: reached[e.Layers].pass}, time.Duration(reached[e.Layers].cost), true
+	return Path{Service: s.Name, Stages: stages, tokens: a.held(), prompt: a.Prompt, changes: changes, pass: arrivals[e.Layers].pass}, time.Duration(arrivals[e.Layers].cost), true
 }
 
-// span finds the best ways from the beginning of some layers, which is reached, to each
+// span finds the best ways from the beginning of some layers, which is arrivals, to each
 // position within them.
-func (r *Router) span(e *Engine, a Ask, candidates []candidate, layers config.Range, reached []reach) {
+func (r *Router) span(e *Engine, a Ask, candidates []candidate, layers config.Range, arrivals []arrival) {
 	ends := bordersOf(e, candidates, layers)
 	for _, at := range ends {
-		if !reached[at].ok {
+		if !arrivals[at].ok {
 			continue
 		}
 		for i := range candidates {
-			r.extend(e, a, &candidates[i], at, ends, reached)
+			r.extend(e, a, &candidates[i], at, ends, arrivals)
 		}
 	}
 }
@@ -232,12 +232,12 @@
 
 // extend tries an engine as the next stage after the best way to a position, up to
 // each position that it holds the layers to.
-func (r *Router) extend(e *Engine, a Ask, c *candidate, at int, ends []int, reached []reach) {
+func (r *Router) extend(e *Engine, a Ask, c *candidate, at int, ends []int, arrivals []arrival) {
 	if at < c.Layers.First || at >= c.Layers.Last || at == 0 && !c.mayBegin {
 		return
 	}
-	before := reached[at]
-	next := reach{last: c.target, first: before.first, from: at, ok: true}
+	before := arrivals[at]
+	next := arrival{last: c.target, first: before.first, from: at, ok: true}
 	way := 0.0
 	if before.last != nil {
 		way = float64(time.Duration(a.answer+1)*e.delay(before.last.Hall, c.Hall) + r.pipeCost(e, before.last, c.target, a))
@@ -260,7 +260,7 @@
 		if c.suspect {
 			next.cost *= suspectCost
 		}
-		if present := &reached[end]; !present.ok || next.cost < present.cost {
+		if present := &arrivals[end]; !present.ok || next.cost < present.cost {
 			*present = next
 		}
 	}
@@ -357,13 +357,13 @@
 // stagesTo follows the best way over some layers back to its beginning, and counts
 // the changes of halls on it. An engine that the way leaves and comes back to runs the
 // layers between itself: it holds them, and a path names no engine twice.
-func stagesTo(reached []reach, layers config.Range) (stages []Stage, changes int) {
-	var hops []reach
+func stagesTo(arrivals []arrival, layers config.Range) (stages []Stage, changes int) {
+	var hops []arrival
 	var ends []int
 	for at := layers.Last; at > layers.First; {
-		hops = append(hops, reached[at])
+		hops = append(hops, arrivals[at])
 		ends = append(ends, at)
-		at = reached[at].from
+		at = arrivals[at].from
 	}
 	slices.Reverse(hops)
 	slices.Reverse(ends)
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -326,7 +326,7 @@
 	r.Succeeded(good, start)
 	found := r.Findings(start.Add(time.Second))
 	require.Equal(t, []relay.TargetKey{bad.Key()}, found.Dead)
-	require.Equal(t, []relay.TargetKey{good.Key()}, found.Well)
+	require.Equal(t, []relay.TargetKey{good.Key()}, found.Sound)
 	r.Succeeded(bad, start.Add(time.Second))
 	found = r.Findings(start.Add(time.Second))
 	require.Empty(t, found.Dead)
--- a/internal/relay/substitute.go
+++ b/internal/relay/substitute.go
@@ -70,13 +70,13 @@
 	}
 	hall := slices.DeleteFunc(r.usable(s.Name, a, now, false), func(t *target) bool { return t.Hall != first.hall })
 	candidates := r.candidates(s, a, hall, now)
-	reached := make([]reach, s.Engine.Layers+1)
-	reached[lost.Layers.First] = reach{ok: true}
-	r.span(s.Engine, a, candidates, lost.Layers, reached)
-	if !reached[lost.Layers.Last].ok {
+	arrivals := make([]arrival, s.Engine.Layers+1)
+	arrivals[lost.Layers.First] = arrival{ok: true}
+	r.span(s.Engine, a, candidates, lost.Layers, arrivals)
+	if !arrivals[lost.Layers.Last].ok {
 		return nil
 	}
-	stages, _ := stagesTo(reached, lost.Layers)
+	stages, _ := stagesTo(arrivals, lost.Layers)
 	return stages
 }
 
