core: a log line where entry VMs are told of more engines

Cause: an operator saw an engine that no entry VM uses, and no line that said why. Change: one line of a control VM each time that a shortlist grows, with its inputs: engines, how many of them are listed, and the answers in progress.

--- a/internal/core/shortlist.go
+++ b/internal/core/shortlist.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"time"
@@ -30,10 +31,24 @@
 	}
 	engines := n.liveEngines()
 	for _, service := range slices.Sorted(maps.Keys(engines)) {
-		for _, id := range n.shortlistOf(service, engines[service]) {
-			n.registry.news = n.registry.targets.List(id) || n.registry.news
+		n.listService(service, engines[service])
+	}
+}
+
+// listService lists the engines of a service that the load wants, of those that live.
+func (n *Node) listService(service string, engines []relay.Target) {
+	ids, answers := n.shortlistOf(service, engines)
+	more := 0
+	for _, id := range ids {
+		if n.registry.targets.List(id) {
+			more++
 		}
 	}
+	if more == 0 {
+		return
+	}
+	n.registry.news = true
+	n.note(fmt.Sprintf("entry VMs are told of %d engines more: %d of %d are on the shortlists, for %.0f answers in progress", more, len(ids), len(engines), answers), service)
 }
 
 // liveEngines returns the targets that may be withheld and can be given work, by service.
@@ -48,17 +63,18 @@
 	return engines
 }
 
-// shortlistOf returns the engines of a service that entry VMs are to know: all of them where
-// the document has no cost model of them, for they hold no layers then.
-func (n *Node) shortlistOf(service string, engines []relay.Target) []relay.TargetID {
+// shortlistOf returns the engines of a service that entry VMs are to know, and the answers in
+// progress that they are for: all of them where the document has no cost model of them, for
+// they hold no layers then.
+func (n *Node) shortlistOf(service string, engines []relay.Target) (ids []relay.TargetID, answers float64) {
 	if e := n.registry.unnamed.decoded.document.Engine(service); e != nil {
-		return e.Shortlist(engines, e.InProgress(engines, n.fleetWork()))
+		answers = e.InProgress(engines, n.fleetWork())
+		return e.Shortlist(engines, answers), answers
 	}
-	ids := make([]relay.TargetID, len(engines))
 	for i := range engines {
-		ids[i] = engines[i].ID
+		ids = append(ids, engines[i].ID)
 	}
-	return ids
+	return ids, 0
 }
 
 // markedTargets returns the marks of targets as this VM knows them.
