core: a fleet that starts is ordered 64 engines at a time

Cause: the leader of the whole fleet ordered 2,922 engines in one step, and each order is a connection and a call of its runtime: steps took up to 322 ms, 111 of 200 VMs of a hall lost their lease 8 s later, and connections were taken for silent for 8 s more (trial on, log of walu-bay, before the first request). It grows with engines. Ruled out: fewer orders in all, which leaves the flood where a fleet needs all of its engines. Change: 64 orders without an outcome at a time; each outcome brings the next, so that no time is lost between. Test: 600 engines that are ordered 64 at a time, each once.

--- a/internal/core/leading.go
+++ b/internal/core/leading.go
@@ -109,7 +109,7 @@
 		reports:  make(map[string]map[VMName]sighting),
 		platform: make(map[string]bool),
 		orders:   make(map[string]*orderState),
-		placing:  placing{orders: make(map[relay.TargetID]layerOrder), queued: make(map[string][]relay.Assignment), noted: make(map[string]planNotes), holds: make(map[string]relay.Capacity), holdsAt: make(map[string]time.Time)},
+		placing:  placing{orders: make(map[relay.TargetID]layerOrder), underWay: make(map[relay.TargetID]bool), queued: make(map[string][]relay.Assignment), noted: make(map[string]planNotes), holds: make(map[string]relay.Capacity), holdsAt: make(map[string]time.Time)},
 	}
 }
 
--- /dev/null
+++ b/internal/core/orders_flood_test.go
@@ -0,0 +1,46 @@
+package core_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// Pattern: a start of thousands of engines, all of which are empty. The leader ordered all of
+// them in one step, and its heartbeats and leases waited behind as many calls.
+func TestAFleetThatStartsIsOrderedAFewEnginesAtATime(t *testing.T) {
+	const engines, atATime = 600, 64
+	f := newEngineFleet(t, smallFleet, engines)
+	f.pass = f.hallFleet.run
+	f.until("all have a lease", 10*time.Second, func() bool { return f.leased(0) })
+	f.hallFleet.run(time.Second)
+	f.put(1)
+	speak := func() {
+		for _, id := range f.ids {
+			e := f.engines[id]
+			e.target.Call++
+			f.step(e.speaks, core.TargetSpoke{Conn: 1, Target: e.target})
+		}
+	}
+	for range 5 {
+		speak()
+		f.hallFleet.run(time.Second)
+	}
+	require.Len(t, f.orders, atATime, "none of them has an outcome")
+
+	ordered := make(map[relay.TargetID]bool)
+	for len(f.orders) > 0 {
+		next := f.orders[0]
+		f.orders = f.orders[1:]
+		require.False(t, ordered[next.Target], "%s is ordered once", next.Target)
+		ordered[next.Target] = true
+		f.engines[next.Target].target.Layers = next.Layers
+		f.step(next.by, core.LayersOrdered{Target: next.Target, Outcome: core.OrderBegun})
+		require.LessOrEqual(t, len(f.orders), atATime)
+	}
+	require.Len(t, ordered, engines, "each outcome brings the next order, with no wait between")
+}
--- a/internal/core/placing.go
+++ b/internal/core/placing.go
@@ -1,6 +1,7 @@
 package core
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -77,6 +78,8 @@
 	queued map[string][]relay.Assignment
 	// orders holds what was ordered and is not yet seen to be held.
 	orders map[relay.TargetID]layerOrder
+	// underWay are the engines with an order that has no outcome yet.
+	underWay map[relay.TargetID]bool
 	// known is the number of engines at the last look, and settledAt when the
 	// first plan may be made.
 	known     int
@@ -178,17 +181,45 @@
 // one is done is known up to a heartbeat later, in which the store is not to be idle.
 const loadsAhead = 8
 
+// ordersAtOnce is how many orders are under way at a time. Each is a connection and a call of
+// the runtime's, behind all of which the leader's heartbeats and leases would wait.
+const ordersAtOnce = 64
+
 // orderSome orders no more engines than can load at a time: all that load share a store, and of
 // thousands that load at once none would hold anything for long.
 func (n *Node) orderSome(s *relay.Service, assignments []relay.Assignment) {
+	p := &n.leading.placing
 	for _, a := range assignments {
-		if most := s.Engine.LoadsAtOnce; most > 0 && len(n.leading.placing.orders) >= loadsAhead*most {
+		if !p.mayOrder(s.Engine) {
 			return
 		}
 		n.orderLayers(s.Engine, a)
 	}
 }
 
+// mayOrder reports whether one engine more may be ordered now.
+func (p *placing) mayOrder(e *relay.Engine) bool {
+	if len(p.underWay) >= ordersAtOnce {
+		return false
+	}
+	return e.LoadsAtOnce <= 0 || len(p.orders) < loadsAhead*e.LoadsAtOnce
+}
+
+// orderQueued orders the next ones of the plans of fleets that held nothing.
+func (n *Node) orderQueued() {
+	p := &n.leading.placing
+	for _, service := range slices.Sorted(maps.Keys(p.queued)) {
+		e := p.decoded.document.Engine(service)
+		for e != nil && len(p.queued[service]) > 0 && p.mayOrder(e) {
+			next := p.queued[service][0]
+			p.queued[service] = p.queued[service][1:]
+			if _, ordered := p.orders[next.Target]; !ordered {
+				n.orderLayers(e, next)
+			}
+		}
+	}
+}
+
 // enginesOf returns the engines of a service that live and take work, with what
 // they hold or were ordered to hold.
 func (n *Node) enginesOf(service string) (engines []relay.Target, holding bool) {
@@ -222,6 +253,7 @@
 	share := float64(a.Layers.Len()) / float64(e.Layers)
 	load := time.Duration(float64(e.Load) * share * loadCaution)
 	n.leading.placing.orders[a.Target] = layerOrder{layers: a.Layers, until: n.now.Add(load + placeUnknown)}
+	n.leading.placing.underWay[a.Target] = true
 	n.note("engine ordered to hold layers "+a.Layers.String(), string(a.Target))
 	n.leading.lender.Charge(a.Target.Key())
 	n.emit(OrderLayers{Target: a.Target, Address: t.Address, Layers: a.Layers, NotAfter: n.now.Add(placeLife)})
@@ -231,13 +263,14 @@
 const loadCaution = 4
 
 func (n *Node) layersOrdered(o LayersOrdered) {
-	order, ok := n.leading.placing.orders[o.Target]
-	if !ok {
-		return
-	}
-	n.note("order of layers "+order.layers.String()+" "+o.Outcome.String(), string(o.Target))
-	if o.Outcome == OrderRefused {
-		order.until = n.now.Add(placeAgain)
-		n.leading.placing.orders[o.Target] = order
+	p := &n.leading.placing
+	delete(p.underWay, o.Target)
+	if order, ok := p.orders[o.Target]; ok {
+		n.note("order of layers "+order.layers.String()+" "+o.Outcome.String(), string(o.Target))
+		if o.Outcome == OrderRefused {
+			order.until = n.now.Add(placeAgain)
+			p.orders[o.Target] = order
+		}
 	}
+	n.orderQueued()
 }
