core: a control VM numbers the list of entry VMs for its holders

Change: a control VM numbers the list for its holders by itself, as it does with work and marks, and merges what a leader says, so that lines which are as they were are not sent again. A whole list counts where it answers a later renewal, since the numbers of two lists can't be compared; a holder of a control VM that began to lead never took its list.

--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -107,7 +107,10 @@
 	term   Term
 	leader VMName
 	vms    int
-	view   entryList
+	// view is the list of entry VMs, numbered by this VM for its holders: a new leader's list,
+	// which comes whole, is news to them only where it differs. viewSeen is the leader's number.
+	view     entryList
+	viewSeen uint64
 	// usage is what usageBy entry VMs have asked and repeated.
 	usage   map[string]relay.Usage
 	usageBy int
@@ -130,7 +133,7 @@
 			marked: newChangeFollower[relay.Mark](),
 			work:   newWorkLog(forwarderNumbers(n.settings.Seed)),
 			marks:  newMarkLog(forwarderNumbers(n.settings.Seed)),
-			view:   newEntryList(0),
+			view:   newEntryList(forwarderNumbers(n.settings.Seed)),
 		},
 	}
 }
@@ -246,7 +249,7 @@
 	f.number++
 	delete(f.batches, f.number-keptBatches)
 	b := RenewBatch{
-		Number: f.number, ViewVersion: f.report.view.version, WorkSeen: f.report.total.seen, MarksSeen: f.report.marked.seen,
+		Number: f.number, ViewVersion: f.report.viewSeen, WorkSeen: f.report.total.seen, MarksSeen: f.report.marked.seen,
 		Following: n.entryFollowers(), Expected: n.expectedHolders(), Part: n.partDue(),
 		Crashed: f.crashes.reports(n.now), Survived: f.crashes.cleared(n.now),
 	}
@@ -347,7 +350,10 @@
 	t.marked.apply(b.Marks, b.MarksUpto, b.MarksWhole)
 	t.marks.take(t.marked.values)
 	t.usage, t.usageBy = b.Usage, b.UsageBy
-	t.view.apply(b.ViewVersion, b.View, b.Gone, b.ViewWhole)
+	if b.ViewVersion > t.viewSeen {
+		t.viewSeen = b.ViewVersion
+		t.view.merge(b.View, b.Gone, b.ViewWhole)
+	}
 	t.known = b.WorkReported
 	if !b.WorkReported {
 		return
--- a/internal/core/leading.go
+++ b/internal/core/leading.go
@@ -117,7 +117,7 @@
 	n.leading.reset()
 	n.leading.lender = relay.NewLender[ReplicaID](n.rand.Uint64(), n.settings.Timing.Lengthened(relay.PermitLife), n.now)
 	n.leading.blindUntil = n.now.Add(n.settings.Timing.Lengthened(n.settings.Timing.LeaseTerm))
-	n.leading.view = newEntryList(n.replica.hard.Term)
+	n.leading.view = newEntryList(uint64(n.replica.hard.Term) << 32)
 	n.leading.work = newWorkLog(uint64(n.replica.hard.Term) << 32)
 	n.leading.marks = newMarkLog(uint64(n.replica.hard.Term) << 32)
 	n.leading.workFrom = n.now.Add(workSettle)
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -70,6 +70,8 @@
 	controls    []ControlVM
 	view        []EntryView
 	viewVersion uint64
+	// viewNumber is the number of the renewal that view was taken with.
+	viewNumber uint64
 	// lost holds the entry VMs that have vanished from view, and when.
 	lost map[VMName]time.Time
 	// halls holds the data hall of each VM in view.
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -6,14 +6,15 @@
 	"time"
 )
 
-// entryList is the leader's list of entry VMs, as callers are told of them. It
+// entryList is a list of entry VMs, as callers are told of them: the leader's, or that
+// of a control VM for those that renew with it. It
 // remembers at which version each line changed, so that a holder gets only
 // what it lacks: at the two-year size the whole list for every change would
 // cost more than all other control messages.
 type entryList struct {
 	version uint64
-	// first is the version that the list began with in this term. A holder of
-	// an earlier one gets the whole list.
+	// first is the version that the list began with. A holder of an earlier one gets
+	// the whole list.
 	first uint64
 	lines map[VMName]entryLine
 	// names holds the keys of lines, sorted.
@@ -27,9 +28,8 @@
 	changed uint64
 }
 
-// newEntryList returns the list that a leader begins its term with.
-func newEntryList(term Term) entryList {
-	first := uint64(term) << 32
+// newEntryList returns an empty list whose numbers are above first.
+func newEntryList(first uint64) entryList {
 	return entryList{version: first, first: first, lines: make(map[VMName]entryLine), gone: make(map[VMName]uint64)}
 }
 
@@ -60,6 +60,9 @@
 
 // since puts into a grant what has changed after a holder's version.
 func (l *entryList) since(version uint64, g *Grant) {
+	if len(l.lines) == 0 {
+		return // no leader has said it yet: the holder keeps what it has
+	}
 	g.ViewVersion = l.version
 	if version == l.version {
 		return
@@ -84,30 +87,25 @@
 	b.ViewVersion, b.View, b.Gone, b.ViewWhole = g.ViewVersion, g.View, g.Gone, g.ViewWhole
 }
 
-// apply takes what has changed up to a version of the leader's list.
-func (l *entryList) apply(version uint64, view []EntryView, gone []VMName, whole bool) {
-	if version <= l.version {
-		return
-	}
+// merge takes what has changed of another list, or all of it. Lines that are as they were keep
+// their numbers.
+func (l *entryList) merge(view []EntryView, gone []VMName, whole bool) {
 	if whole {
-		*l = newEntryList(0)
-		l.first = version
+		named := make(map[VMName]bool, len(view))
+		for _, v := range view {
+			named[v.Address.VM] = true
+		}
+		for _, vm := range slices.Clone(l.names) {
+			if !named[vm] {
+				l.remove(vm)
+			}
+		}
 	}
-	l.version = version
 	for _, v := range view {
-		vm := v.Address.VM
-		if at, known := slices.BinarySearch(l.names, vm); !known {
-			l.names = slices.Insert(l.names, at, vm)
-		}
-		l.lines[vm] = entryLine{view: v, changed: version}
-		delete(l.gone, vm)
+		l.set(v)
 	}
 	for _, vm := range gone {
-		if at, known := slices.BinarySearch(l.names, vm); known {
-			l.names = slices.Delete(l.names, at, at+1)
-		}
-		delete(l.lines, vm)
-		l.gone[vm] = version
+		l.remove(vm)
 	}
 }
 
@@ -140,11 +138,25 @@
 	}
 }
 
+// listLife has the numbers of one list in common, of those of a term or of a control VM's life.
+const listLife = 32
+
+// newerView reports whether a grant brings a newer list than is held here. Numbers of two lists
+// say nothing of which is newer: a whole one counts where it answers a later renewal.
+func (n *Node) newerView(g Grant) bool {
+	held := n.entry.viewVersion
+	if g.ViewVersion>>listLife == held>>listLife {
+		return g.ViewVersion > held
+	}
+	return g.ViewWhole && g.Number >= n.entry.viewNumber
+}
+
 // takeView brings the list of entry VMs to the grant's version.
 func (n *Node) takeView(g Grant) {
-	if g.ViewVersion <= n.entry.viewVersion {
+	if !n.newerView(g) {
 		return
 	}
+	n.entry.viewNumber = g.Number
 	lines := make(map[VMName]EntryView, len(n.entry.view)+len(g.View))
 	if !g.ViewWhole {
 		for _, v := range n.entry.view {
