core: a VM that turns to another control VM keeps its list of entry VMs

When a leader is lost all VMs turn to others, and back a few seconds later: VMs times VMs. Change: a renewal names the sum of the list that is held; where it is the teller's, the grant says so and no more.

--- a/internal/core/fleet_size_test.go
+++ b/internal/core/fleet_size_test.go
@@ -192,10 +192,10 @@
 func TestAnEntryVMIsToldNoMoreWhereTheFleetIsTwiceAsLarge(t *testing.T) {
 	const smaller = 200
 	// A list of entry VMs is the one thing that is told of the whole fleet. It comes anew at a
-	// start, and with a new leader.
+	// start, and where many VMs come and go.
 	const flat, withList = 1.25, 1.6
 	most := map[string]float64{
-		"start": withList, "steady": flat, "storm": flat, "third lost": flat, "third back": withList, "new leader": withList,
+		"start": withList, "steady": flat, "storm": flat, "third lost": flat, "third back": withList, "new leader": flat,
 	}
 	small := newSizedFleet(t, smaller)
 	large := newSizedFleet(t, 2*smaller)
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -411,7 +411,7 @@
 	if base < c.Revision {
 		h.sent, h.sentAt = c.Revision, n.now
 	}
-	fleet.view.since(h.renew.ViewVersion, &g)
+	fleet.view.grantTo(h.renew, &g)
 	if n.lookAtControls(); h.controlsSent != n.forwarding.controlsChange {
 		h.controlsSent = n.forwarding.controlsChange
 		g.Control = n.forwarding.controls
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -174,8 +174,9 @@
 	Number   uint64          `cbor:"number"`
 	Address  EntryAddress    `cbor:"address"`
 	Revision config.Revision `cbor:"revision"`
-	// ViewVersion is the version of the list of entry VMs that is held.
+	// ViewVersion is the version of the list of entry VMs that is held, and ViewSum its sum.
 	ViewVersion uint64 `cbor:"view_version"`
+	ViewSum     uint64 `cbor:"view_sum,omitempty"`
 	// Away says that no control VM of the asker's hall has answered it.
 	Away bool `cbor:"away,omitempty"`
 	// Leaving asks to be left out of the addresses that callers get.
@@ -328,7 +329,9 @@
 	View        []EntryView `cbor:"view,omitempty"`
 	Gone        []VMName    `cbor:"gone,omitempty"`
 	ViewWhole   bool        `cbor:"view_whole,omitempty"`
-	Cluster     string      `cbor:"cluster"`
+	// ViewSame says that the holder's list is the newest, under another version.
+	ViewSame bool   `cbor:"view_same,omitempty"`
+	Cluster  string `cbor:"cluster"`
 	// Control are the control VMs that live.
 	Control []ControlVM `cbor:"control,omitempty"`
 	// Leader is the VM that has granted it.
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -70,7 +70,8 @@
 	controls    []ControlVM
 	view        []EntryView
 	viewVersion uint64
-	// viewNumber is the number of the renewal that view was taken with.
+	// viewSum is the sum of view, and viewNumber the number of the renewal that it was taken with.
+	viewSum    uint64
 	viewNumber uint64
 	// lost holds the entry VMs that have vanished from view, and when.
 	lost map[VMName]time.Time
@@ -243,6 +244,7 @@
 		Address:     n.settings.Address,
 		Revision:    n.entry.config.Revision,
 		ViewVersion: n.entry.viewVersion,
+		ViewSum:     n.entry.viewSum,
 		Leaving:     n.stopping,
 		InProgress:  len(n.entry.streams) + len(n.entry.calls),
 		Load:        n.load(),
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"fmt"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -18,7 +20,9 @@
 	first uint64
 	lines map[VMName]entryLine
 	// names holds the keys of lines, sorted.
-	names     []VMName
+	names []VMName
+	// sum is that of all lines, by which two lists are compared without sending them.
+	sum       uint64
 	gone      map[VMName]uint64
 	refreshAt time.Time
 }
@@ -40,9 +44,13 @@
 		return
 	}
 	l.version++
-	if at, known := slices.BinarySearch(l.names, vm); !known {
+	at, known := slices.BinarySearch(l.names, vm)
+	if !known {
 		l.names = slices.Insert(l.names, at, vm)
+	} else {
+		l.sum ^= l.lines[vm].view.hash()
 	}
+	l.sum ^= view.hash()
 	l.lines[vm] = entryLine{view: view, changed: l.version}
 	delete(l.gone, vm)
 }
@@ -54,10 +62,38 @@
 	l.version++
 	at, _ := slices.BinarySearch(l.names, vm)
 	l.names = slices.Delete(l.names, at, at+1)
+	l.sum ^= l.lines[vm].view.hash()
 	delete(l.lines, vm)
 	l.gone[vm] = l.version
 }
 
+// hash covers a line as a whole.
+func (v EntryView) hash() uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, v.Address.VM, "|", v.Address.Hall, "|", v.Address.Callers, "|", v.Address.Peers, "|", v.Incarnation, v.Leaving, v.LoadLevel) // a hash takes everything
+	return h.Sum64()
+}
+
+// hashOf is the sum of some lines.
+func hashOf(view []EntryView) uint64 {
+	sum := uint64(0)
+	for _, v := range view {
+		sum ^= v.hash()
+	}
+	return sum
+}
+
+// grantTo puts into a grant what its holder lacks of the list. One whose list came from another
+// control VM, and is the same, is told so: when a hall's control VMs are lost, all of its VMs turn
+// to others, and back.
+func (l *entryList) grantTo(held Renew, g *Grant) {
+	if len(l.lines) > 0 && held.ViewSum == l.sum && held.ViewVersion != l.version {
+		g.ViewVersion, g.ViewSame = l.version, true
+		return
+	}
+	l.since(held.ViewVersion, g)
+}
+
 // since puts into a grant what has changed after a holder's version.
 func (l *entryList) since(version uint64, g *Grant) {
 	if len(l.lines) == 0 {
@@ -148,7 +184,7 @@
 	if g.ViewVersion>>listLife == held>>listLife {
 		return g.ViewVersion > held
 	}
-	return g.ViewWhole && g.Number >= n.entry.viewNumber
+	return (g.ViewWhole || g.ViewSame) && g.Number >= n.entry.viewNumber
 }
 
 // takeView brings the list of entry VMs to the grant's version.
@@ -157,6 +193,10 @@
 		return
 	}
 	n.entry.viewNumber = g.Number
+	if g.ViewSame {
+		n.entry.viewVersion = g.ViewVersion
+		return
+	}
 	lines := make(map[VMName]EntryView, len(n.entry.view)+len(g.View))
 	if !g.ViewWhole {
 		for _, v := range n.entry.view {
@@ -180,6 +220,7 @@
 		n.entry.halls[vm] = lines[vm].Address.Hall
 	}
 	n.entry.viewVersion = g.ViewVersion
+	n.entry.viewSum = hashOf(n.entry.view)
 	n.findKeepers()
 }
 
