--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -10,7 +10,7 @@
 //
 // Problem: each entry VM chooses by the work at every target, and there are ten
 // targets to a VM. Were each lease to carry the work at all of them, the leader's bytes
-// would grow with the square of the deployment: at 100 VMs they were 1.9 MB a second.
+// would grow with the square of the deployment.
 //
 // Algorithm: the leader sums up the work of all entry VMs, which control VMs sum up for
 // those that renew with them (forwarding.go), and numbers what has changed
@@ -33,13 +33,12 @@
 	// that as a part of what was told last.
 	workStep  = 2
 	workShare = 0.1
-	// workMost bounds the targets in one lease: 256 are some 6 KB, so that 300 holders
-	// cost the leader 3.5 MB a second when all targets change all the time.
+	// workMost bounds the targets with changed work in one lease, which comes often.
 	workMost = 256
-	// marksMost bounds the targets with changed marks in one lease: 1,024 are some 6 KB.
+	// marksMost bounds the targets with changed marks in one lease.
 	marksMost = 1024
-	// batchWorkMost bounds the targets in one batch: 2,048 are some 25 KB, which a control
-	// VM is sent once, after an election.
+	// batchWorkMost bounds the targets in one batch, which a control VM is sent in full only
+	// after an election.
 	batchWorkMost = 2048
 	// workSettle is how long after its election a leader has been told of the work of all
 	// entry VMs: they renew every 0.5 s, and find a new leader in two renewals.
--- a/internal/core/followers.go
+++ b/internal/core/followers.go
@@ -157,8 +157,8 @@
 	}
 	// News are on their way until the follower acknowledges them: one that is slow, or behind
 	// a full link, then gets all that changed meanwhile at once. Were each change sent as it
-	// happens, and again for each ask that crossed it, a leader of 300 VMs with 3,000 targets
-	// that load would send several times what is new.
+	// happens, and again for each ask that crossed it, a leader whose targets load would send
+	// several times what is new.
 	news := make(map[place][]relay.Target)
 	n.listEngines()
 	for _, vm := range slices.Sorted(maps.Keys(n.registry.followers)) {
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -12,9 +12,8 @@
 // This file is what a control VM does for the entry VMs that renew with it.
 //
 // Problem: were every entry VM to renew with the leader, its messages and bytes would grow
-// with the deployment: at 300 entry VMs a thousand renewals a second and a copy of each
-// change for each of them kept it from its heartbeats, and it lost the lead to its own
-// load.
+// with the deployment: its renewals, and a copy of each change for each entry VM, keep it
+// from its heartbeats, and it loses the lead to its own load.
 //
 // Algorithm: an entry VM renews with a control VM of its own data hall, which gathers the
 // renewals of some time into one RenewBatch to the leader. The leader's GrantBatch grants
--- a/internal/relay/digest.go
+++ b/internal/relay/digest.go
@@ -7,12 +7,9 @@
 
 // This file compares two registries without sending what both have.
 //
-// A VM that turns to another control VM has been told of nearly all targets by the one
-// before. It sends a sum of hashes for each of some buckets of targets, and is told of the
-// buckets that differ: at 3,000 targets of which one has changed, some 320 bytes and 47
-// targets instead of 3,000, which are 225 KB (computed). When the VMs of one hall out of
-// three turn to the others, messages of targets take 4.1 MB in 4 s instead of 21.3 (reducer, 300
-// VMs, 3,000 targets).
+// A VM that turns to another control VM has been sent nearly all targets by the one before.
+// It sends a sum of hashes for each of some buckets of targets, and is sent the buckets that
+// differ.
 //
 // Limits: two registries with the same sums that differ pass for equal once in four thousand
 // million comparisons of a bucket; the next change of a target that differs mends it.
--- a/internal/relay/path.go
+++ b/internal/relay/path.go
@@ -273,8 +273,8 @@
 }
 
 // layersMost returns the layers that a target has memory for, for one request more. A VM
-// that takes all others to do as it does admits at random: where 76 VMs have a request
-// each and there is room for 50, each admits its own with a probability of 50 in 76.
+// that takes all others to do as it does admits at random, so that all of them together admit
+// about as many as there is room for.
 func (r *Router) layersMost(e *Engine, kind Accelerator, a Ask, t *target) int {
 	held := t.Layers.Len()
 	room := memoryUse*float64(e.tokenLayers(kind, held)) - float64(r.load(t).Tokens)
