relay: a part of the budget under one repeat is drawn for

Cause: what all VMs may repeat is divided by the VMs, and each took whole repeats only. With more VMs than repeats none has one: at 995 VMs and 1,040 repeats nobody repeated a request that had got nothing until 300 requests a second had been counted, and nobody without fresh sums at all, streams in the middle among them. It holds only while a fleet is small. Ruled out: lent repeats, which cost a way to the leader while a caller waits; drawing anew each time, with which all VMs would have one after some tries. Change: each VM draws once for each service whether the fraction of its part is a repeat to it. Test: 2,000 VMs that all meet a lost target in the same second, with sums and without: 0 repeats before; since, over 0.7 of the bound and never above it.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -1,6 +1,11 @@
 package relay
 
-import "time"
+import (
+	"hash/fnv"
+	"math"
+	"math/rand/v2"
+	"time"
+)
 
 // This file bounds repeats over all VMs without a message for each of them.
 //
@@ -12,6 +17,11 @@
 // target may repeat far more than its own part of the whole. The parts of the fixed number
 // of VMs that are not in the sums are left to them.
 //
+// A part may be less than one repeat: a fleet of more VMs than there are repeats. Were each VM
+// to keep to whole ones, none would repeat anything, though all of them together may. Each VM
+// draws once for each service whether the fraction of its part is one to it, so that the parts
+// of all add up to what they were in the mean.
+//
 // A VM without fresh sums keeps to its part of the fixed number and to the share of its own
 // requests. A VM that knows too low a number of VMs would take too large a
 // part; the fixed number is therefore divided by the most that were ever known.
@@ -67,6 +77,9 @@
 	repeats  window
 	// recent counts the repeats of sumsKept.
 	recent window
+	// drawn is from 0 to 1: the fraction of a part counts as one repeat where it is above
+	// the rest.
+	drawn float64
 }
 
 // sums are what the VMs of the fleet have used together.
@@ -131,7 +144,7 @@
 		allowed *= pooledNotBegunShare
 	}
 	part := (allowed - float64(usage.Repeats)) / float64(max(heard, 1))
-	if float64(b.recent.total(now, sumsKept)+1) > part {
+	if float64(b.recent.total(now, sumsKept)+1) > math.Floor(part+b.drawn) {
 		return false
 	}
 	b.note(now, t)
@@ -144,6 +157,13 @@
 	b.recent.add(now, sumsKept)
 }
 
+// drawn returns a number from 0 to 1 that this VM keeps for a service.
+func (r *Router) drawn(service string) float64 {
+	h := fnv.New64a()
+	h.Write([]byte(service)) // a hash takes everything
+	return rand.New(rand.NewPCG(r.settings.Seed, h.Sum64())).Float64()
+}
+
 // take takes one repeat, if the budget has it. Whole says that it may take the last one.
 func (b *budget) take(now time.Time, t BudgetTerms, vms int, age time.Duration, whole bool) bool {
 	grown := min(max(float64(age)/float64(t.Window), youngShare), 1)
@@ -151,7 +171,7 @@
 	if !whole {
 		allowed *= notBegunShare
 	}
-	if float64(b.repeats.total(now, t.Window)+1) > allowed {
+	if float64(b.repeats.total(now, t.Window)+1) > math.Floor(allowed+b.drawn) {
 		return false
 	}
 	b.note(now, t)
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -159,7 +159,7 @@
 func (r *Router) budget(service string) *budget {
 	b, ok := r.budgets[service]
 	if !ok {
-		b = &budget{}
+		b = &budget{drawn: r.drawn(service)}
 		r.budgets[service] = b
 	}
 	return b
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -213,6 +213,45 @@
 	require.Greater(t, float64(total), 0.95*bound-vms)
 }
 
+// Pattern: a fleet of more VMs than there are repeats, all of which meet a lost target within the
+// same second, with sums and without. No part is one, and nobody repeated anything.
+func TestAFleetOfMoreVMsThanRepeatsUsesItsBudget(t *testing.T) {
+	const vms = 2000
+	for name, test := range map[string]struct {
+		usage map[string]relay.Usage
+		bound float64
+	}{
+		"sums":    {map[string]relay.Usage{"s": {Requests: 300}}, 0.2*300 + 200},
+		"no sums": {nil, 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			total := 0
+			now := start.Add(20 * time.Second)
+			routers := make([]*relay.Router, vms)
+			for i := range routers {
+				routers[i], _ = newRouterWithSeed(nil, uint64(i))
+				routers[i].TakeVMs(vms)
+			}
+			for range 20 {
+				now = now.Add(100 * time.Millisecond)
+				for _, r := range routers {
+					if test.usage != nil {
+						r.TakeUsage(test.usage, vms, now)
+					}
+					if r.Repeat("s", true, now) {
+						total++
+					}
+				}
+				if test.usage != nil {
+					test.usage["s"] = relay.Usage{Requests: 300, Repeats: total}
+				}
+			}
+			require.LessOrEqual(t, float64(total), test.bound)
+			require.Greater(t, float64(total), 0.7*test.bound)
+		})
+	}
+}
+
 // The parts of VMs that nobody hears of are left to them.
 func TestPartsOfVMsThatAreNotHeardOfAreLeftToThem(t *testing.T) {
 	r, _ := newRouter(nil)
