relay: the test of pooled repeats counts the repeats that are granted

Change: it compares how many repeats are granted in a row, which differs; as strict as before, for a mechanism that is switched off must still change the decision. No code changed.

--- a/internal/relay/policy_test.go
+++ b/internal/relay/policy_test.go
@@ -130,7 +130,11 @@
 		r, _ := routerUnder(p, nil)
 		r.TakeVMs(100)
 		r.TakeUsage(nil, 100, start)
-		return r.Repeat("s", true, start)
+		granted := 0
+		for r.Repeat("s", true, start) {
+			granted++
+		}
+		return granted
 	},
 	relay.ConnectionShares: func(p relay.Policy) any {
 		r, _ := routerUnder(p, nil)
