target: a silent link is reported once

By a trace the same link was found silent twice, 1 to 7 ms apart, over one connection: the look that leaves a link arms the next one, which is due at once, before the link is broken. Ruled out: the second link being slow under load; two connections were made, and both reports name one address. Change: a link that was left is not left again. Run links carry the product's own streams; the users' platform does not use them.

--- a/internal/target/silence.go
+++ b/internal/target/silence.go
@@ -119,7 +119,8 @@
 		l.state = state.Asked(now)
 		_ = l.writer.Write(RunLine{Number: numberAlive}) // one that can't be sent stays without an answer
 	}
-	left := action == silence.Void && !l.broken
+	// The next look may be due before the link is broken.
+	left := action == silence.Void && !l.broken && !l.silent
 	l.silent = l.silent || left
 	l.arm(now)
 	l.mu.Unlock()
