--- a/internal/core/fleet_size_test.go
+++ b/internal/core/fleet_size_test.go
@@ -189,7 +189,7 @@
 // Pattern: a fleet that is asked for no more while it grows. What an entry VM is told, and what
 // the leader sends beside what it does for the entry VMs of its hall, follows the requests and
 // what changes: an entry VM was told of all engines and of all that changed at them.
-func TestAnEntryVMIsToldNoMoreWhereTheFleetIsTwiceAsLarge(t *testing.T) {
+func TestAnEntryVMIsSentNoMoreWhereTheFleetIsTwiceAsLarge(t *testing.T) {
 	const smaller = 200
 	// A list of entry VMs is the one thing that is told of the whole fleet. It comes anew at a
 	// start, and where many VMs come and go.
--- a/internal/core/timing.go
+++ b/internal/core/timing.go
@@ -79,8 +79,7 @@
 // targetSilence is the silence after which a target counts as lost.
 func (t Timing) targetSilence() time.Duration { return relay.SilentAfter(t.TargetHeartbeat) }
 
-// replacedSilence is that silence where another target has its address: a heartbeat and a
-// quarter.
+// replacedSilence is that silence where another target has its address: half of it.
 func (t Timing) replacedSilence() time.Duration { return t.targetSilence() / 2 }
 
 // Shortened returns d less the bound on drift: what the holder of a lease may
--- a/internal/core/view.go
+++ b/internal/core/view.go
@@ -8,11 +8,10 @@
 	"time"
 )
 
-// entryList is a list of entry VMs, as callers are told of them: the leader's, or that
-// of a control VM for those that renew with it. It
-// remembers at which version each line changed, so that a holder gets only
-// what it lacks: at the two-year size the whole list for every change would
-// cost more than all other control messages.
+// entryList is a list of entry VMs, as callers are told of them: the leader's, or that of a
+// control VM for those that renew with it. It remembers at which version each line changed, so
+// that a holder gets only what it lacks: the whole list for every change would cost more than
+// all other control messages.
 type entryList struct {
 	version uint64
 	// first is the version that the list began with. A holder of an earlier one gets
@@ -174,14 +173,15 @@
 	}
 }
 
-// listLife has the numbers of one list in common, of those of a term or of a control VM's life.
-const listLife = 32
+// listNumberBits is the number of low bits in which the numbers of one list differ. Those above
+// are of the leader's term, or of the life of the control VM that numbers the list.
+const listNumberBits = 32
 
 // newerView reports whether a grant brings a newer list than is held here. Numbers of two lists
 // say nothing of which is newer: a whole one counts where it answers a later renewal.
 func (n *Node) newerView(g Grant) bool {
 	held := n.entry.viewVersion
-	if g.ViewVersion>>listLife == held>>listLife {
+	if g.ViewVersion>>listNumberBits == held>>listNumberBits {
 		return g.ViewVersion > held
 	}
 	return (g.ViewWhole || g.ViewSame) && g.Number >= n.entry.viewNumber
--- a/internal/relay/shortlist_test.go
+++ b/internal/relay/shortlist_test.go
@@ -63,7 +63,7 @@
 	}
 }
 
-func TestWithheldEnginesAreToldOfOnceListedOrLeaving(t *testing.T) {
+func TestWithheldEnginesAreSentOnceListedOrLeaving(t *testing.T) {
 	r := relay.NewRegistry(silence)
 	r.WithholdEngines()
 	targets := replicas("a", "small", 1)
@@ -90,7 +90,7 @@
 
 // An engine that starts again at its address holds nothing, and is not on any shortlist: who
 // was told of it before went on sending there.
-func TestTheNextIncarnationOfAListedEngineIsToldOf(t *testing.T) {
+func TestTheNextIncarnationOfAListedEngineIsListedToo(t *testing.T) {
 	r := relay.NewRegistry(silence)
 	r.WithholdEngines()
 	first := replicas("a", "small", 1)[0]
