--- /dev/null
+++ b/internal/core/entries.go
@@ -0,0 +1,66 @@
+package core
+
+import (
+	"slices"
+	"strings"
+)
+
+// This file says which entry VMs a caller should use.
+
+// entriesAsked answers which entry addresses a caller should use: those of its
+// hall first, then the less loaded, those without a lease or about to go not
+// at all. A VM that has no lease itself knows of none: its list may name VMs that
+// are long gone.
+func (n *Node) entriesAsked(e EntriesAsked) {
+	var addresses []EntryAddress
+	if n.hasLease() {
+		addresses = n.preferred(e.Hall)
+	}
+	n.emit(Entries{
+		Conn:      e.Conn,
+		Addresses: addresses,
+		KeepUntil: n.now.Add(n.keepEntries()),
+	})
+}
+
+// entriesMost bounds the addresses that a caller is given: it uses a few of them, and each
+// answer with all VMs of a large deployment would cost more than a request.
+const entriesMost = 64
+
+// preferred returns up to entriesMost addresses, the first ones first. Where more are alike,
+// callers get different ones.
+func (n *Node) preferred(hall string) []EntryAddress {
+	views := n.entry.view
+	start := 0
+	if len(views) > 0 {
+		start = n.rand.IntN(len(views))
+	}
+	var near, far [loadLevels][]EntryAddress
+	for i := range views {
+		v := &views[(start+i)%len(views)]
+		if v.Leaving {
+			continue
+		}
+		level := min(max(v.LoadLevel, 0), loadLevels-1)
+		ranked := &far[level]
+		if hall == "" || strings.EqualFold(v.Address.Hall, hall) {
+			ranked = &near[level]
+		}
+		if len(*ranked) < entriesMost {
+			*ranked = append(*ranked, v.Address)
+		}
+	}
+	addresses := slices.Concat(slices.Concat(near[:]...), slices.Concat(far[:]...))
+	return addresses[:min(len(addresses), entriesMost)]
+}
+
+// others returns the callers' addresses of other entry VMs.
+func (n *Node) others() []string {
+	var addresses []string
+	for _, a := range n.preferred(n.settings.Address.Hall) {
+		if a.VM != n.settings.Self.VM {
+			addresses = append(addresses, a.Callers)
+		}
+	}
+	return addresses
+}
