--- /dev/null
+++ b/internal/daemon/planned_test.go
@@ -0,0 +1,109 @@
+package daemon_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/daemon"
+	"github.com/spoolbank/spoolbank/internal/relay"
+)
+
+// resumableEntry returns a gateway whose route may resume streams on two targets, for 20 s.
+func resumableEntry(t *testing.T, targets ...relay.Target) *daemon.Gateway {
+	t.Helper()
+	document := &relay.Document{
+		Version:  1,
+		Services: []relay.Service{{Name: "s", MaxConns: 100}},
+		Routes: []relay.Route{{
+			Name: "r", Host: "h", Prefix: "/", Repeat: relay.RepeatResume, Stream: true, Timeout: 20 * time.Second, Objective: time.Second,
+			Pause: 200 * time.Millisecond, MaxTargets: 2, Anonymous: true, Shares: []relay.Share{{Service: "s", Weight: 1}},
+		}},
+	}
+	budget := relay.BudgetTerms{Share: 1, Fixed: 100, Window: 10 * time.Second}
+	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: healthyEngines{}, Router: relay.Settings{Seed: 1, Started: time.Now(), Budget: budget}}, document, targets)
+	require.NoError(t, err)
+	return g
+}
+
+// stream has a gateway serve a stream, and returns a channel with its answer, or "cut".
+func stream(t *testing.T, g *daemon.Gateway) <-chan string {
+	t.Helper()
+	answer := make(chan string, 1)
+	go func() {
+		w := httptest.NewRecorder()
+		defer func() {
+			if recover() != nil {
+				answer <- "cut"
+				return
+			}
+			answer <- w.Body.String()
+		}()
+		now := time.Now()
+		g.Serve(t.Context(), w, &daemon.Call{ID: "a", Arrived: now, Deadline: now.Add(20 * time.Second), Method: http.MethodPost, URI: "/", Path: "/", Host: "h", AnswerTokens: 10})
+	}()
+	return answer
+}
+
+func engineAt(id relay.TargetID, address string) relay.Target {
+	return relay.Target{ID: id, Service: "s", Address: address, Slots: 10, Call: 1}
+}
+
+// leavingEngine returns a target that accepts no new work.
+func leavingEngine(id relay.TargetID) relay.Target {
+	t := engineAt(id, "127.0.0.1:1")
+	t.Leaving = true
+	return t
+}
+
+// beginning and rest are the two parts of an answer; whole is both.
+const (
+	beginning = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 13\r\n\r\nid: 1\n\n"
+	rest      = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 6\r\n\r\nx: 2\n\n"
+	whole     = "id: 1\n\nx: 2\n\n"
+)
+
+// brokenOff ends a stream after its first event.
+var brokenOff = step{runs: true, text: beginning, closes: true}
+
+// Guards against ending the run of a suspected engine although no other engine takes work.
+func TestRunOfSuspectedEngineIsKeptWithoutAnotherPath(t *testing.T) {
+	p := newPausing(t)
+	g := resumableEntry(t, engineAt("i-1", p.address), leavingEngine("i-2"))
+	answer := stream(t, g)
+	closed(t, "the stream begins", p.begun)
+	daemon.Suspect(g, "i-1")
+	select {
+	case <-p.connClosed:
+	case <-time.After(time.Second): // four checks of a stalled stream
+	}
+	close(p.resume)
+	require.Equal(t, whole, <-answer)
+}
+
+// Guards against ending a begun stream whose engine has ended, while other engines are full for
+// longer than callers usually wait, with most of its route's time left.
+func TestBegunStreamWaitsForRoom(t *testing.T) {
+	first := newWorker(t, brokenOff)
+	second := newWorker(t, rejected, rejected, rejected, rejected, rejected, rejected, step{runs: true, text: rest})
+	g := resumableEntry(t, engineAt("i-1", first.address))
+	started := make(chan struct{})
+	first.steps[0].beforeAnswer = func() {
+		daemon.TakeTarget(g, leavingEngine("i-1"))
+		daemon.TakeTarget(g, engineAt("i-2", second.address))
+		close(started)
+	}
+	answer := stream(t, g)
+	closed(t, "the stream begins", started)
+	require.Equal(t, whole, <-answer)
+}
+
+// Guards against ending a begun stream because the one engine with room has failed it before.
+func TestBegunStreamReturnsToEngineThatFailedIt(t *testing.T) {
+	w := newWorker(t, brokenOff, step{runs: true, text: rest})
+	g := resumableEntry(t, engineAt("i-1", w.address), leavingEngine("i-2"))
+	require.Equal(t, whole, <-stream(t, g))
+}
--- a/internal/daemon/promises_test.go
+++ b/internal/daemon/promises_test.go
@@ -62,6 +62,8 @@
 	beforeAnswer func()
 	// ends closes the listener, and this connection after the answer.
 	ends bool
+	// closes closes this connection after the answer.
+	closes bool
 }
 
 var (
@@ -118,7 +120,7 @@
 		if s.beforeAnswer != nil {
 			s.beforeAnswer()
 		}
-		if _, err := io.WriteString(conn, s.text); err != nil || s.text == "" || s.ends {
+		if _, err := io.WriteString(conn, s.text); err != nil || s.text == "" || s.ends || s.closes {
 			return
 		}
 	}
