daemon, relay: a run is ended only once another path is secured

Callers saw streams end in the middle while their engine worked. Cause: a VM ended the run of a suspected, stalled or silent engine as soon as route and budget would allow a repeat, and looked for a path only then; where engines were full or leaving there was none, and the stream was cut 1.8 s later. Class: break before make. The same for a request without a first event, and for a stream on a silent connection.

Change: Router.Reroute takes the new path and the repeat together, with the old path's room free for the new one, or leaves both; the watcher ends a run only after that. A begun stream takes no repeat any more while it has no path. A request that has not begun is given up as before at the end of its caller's patience.

Weighed: asking the next engine before the old run is ended as well would run a request on two engines at once.

--- a/internal/daemon/choosing.go
+++ b/internal/daemon/choosing.go
@@ -18,7 +18,13 @@
 	waiting := false
 	for {
 		path, refusal := f.g.choose(f, waiting)
-		if refusal == nil || !f.worthWaiting(refusal, until) {
+		if refusal == nil {
+			return path, nil
+		}
+		if refusal.Denial != relay.NotDenied {
+			refusal = f.refusalFor(refusal.Denial)
+		}
+		if !f.worthWaiting(refusal, until) {
 			return path, refusal
 		}
 		if refusal.NoPermit && !waiting {
@@ -34,7 +40,7 @@
 
 // worthWaiting reports whether a choice that was refused may succeed if it is repeated before until.
 func (f *forwarding) worthWaiting(r *relay.Refusal, until time.Time) bool {
-	if r.Kind == relay.RefusedCrashes || !r.NotBefore.Before(until) {
+	if r.Kind == relay.RefusedCrashes || !r.NotBefore.Before(until) || r.Denial != relay.NotDenied && !r.Denial.Temporary() {
 		return false
 	}
 	return f.waitsForRoom() || r.NoPermit
@@ -94,17 +100,22 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	path, refusal := g.router.Choose(f.pathRequest(waiting), now)
+	request := f.pathRequest(f.attempts, waiting)
+	if f.headSent {
+		return g.router.ChooseRepeat(request, f.attempts, now)
+	}
+	path, refusal := g.router.Choose(request, now)
 	if refusal == nil && f.count == 0 {
 		g.router.CountRequest(path.Service, now)
 	}
 	return path, refusal
 }
 
-// pathRequest describes the request to the router. The caller holds the gateway's lock.
-func (f *forwarding) pathRequest(waiting bool) relay.PathRequest {
+// pathRequest describes the request to the router, after some attempts. The caller holds the
+// gateway's lock.
+func (f *forwarding) pathRequest(after relay.Attempts, waiting bool) relay.PathRequest {
 	return relay.PathRequest{
-		Route: f.route, Service: f.service, Avoid: f.avoided(), Only: f.g.router.AllowedTargets(f.attempts),
+		Route: f.route, Service: f.service, Avoid: f.avoided(), Only: f.g.router.AllowedTargets(after),
 		Prompt: f.call.PromptTokens, MaxTokens: f.call.AnswerTokens, LengthHint: f.call.LengthHint, Begun: f.headSent, Resumed: f.resumed(),
 		Urgency: f.urgency(), Waiting: waiting,
 	}
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -137,6 +137,9 @@
 	abandoned bool
 	// endCause is why the caller gets no whole answer after this try.
 	endCause EndCause
+	// secured is the path that the request continues on once the present run has ended, if it was
+	// taken before. The present path is released then.
+	secured *relay.Path
 }
 
 // delivery is what the caller has received.
@@ -199,8 +202,9 @@
 
 // run tries targets until the caller has its final answer.
 func (f *forwarding) run(ctx context.Context) {
+	defer f.releaseSecured()
 	for {
-		path, refusal := f.choose(ctx)
+		path, refusal := f.next(ctx)
 		if refusal != nil {
 			f.end(ctx, refusal)
 			return
@@ -228,10 +232,6 @@
 		}
 		f.g.log.Info("try failed", "request", f.call.ID, "fingerprint", f.fingerprint, "try", f.count, "result", r.String(), "cause", f.lastCause, "path", path.String(), "begun", f.headSent, "read", f.promptProcessed)
 		f.recordAttempt(r, path)
-		if refusal := f.awaitRepeat(ctx); refusal != nil {
-			f.end(ctx, refusal)
-			return
-		}
 	}
 }
 
@@ -262,7 +262,9 @@
 func (f *forwarding) release(path relay.Path) {
 	f.g.mu.Lock()
 	defer f.g.mu.Unlock()
-	f.g.router.Release(f.lastPath, f.promptProcessed)
+	if f.secured == nil {
+		f.g.router.Release(f.lastPath, f.promptProcessed)
+	}
 	if f.permitReserved {
 		f.permitReserved = false
 		f.g.router.EndReservation(path.First().Target, false, clock.Now())
--- a/internal/daemon/incomplete.go
+++ b/internal/daemon/incomplete.go
@@ -150,7 +150,7 @@
 	now := clock.Now()
 	g := f.g
 	g.mu.Lock()
-	shortage := g.router.Shortage(f.pathRequest(false), now)
+	shortage := g.router.Shortage(f.pathRequest(f.attempts, false), now)
 	document, age := 0, time.Duration(0)
 	if d := g.router.Document(); d != nil {
 		document, age = int(d.Version), now.Sub(g.documentAt)
--- a/internal/daemon/planned_test.go
+++ b/internal/daemon/planned_test.go
@@ -82,6 +82,7 @@
 	}
 	close(p.resume)
 	require.Equal(t, whole, <-answer)
+	require.Zero(t, daemon.InFlight(g))
 }
 
 // Guards against ending a begun stream whose engine has ended, while other engines are full for
@@ -99,6 +100,7 @@
 	answer := stream(t, g)
 	closed(t, "the stream begins", started)
 	require.Equal(t, whole, <-answer)
+	require.Zero(t, daemon.InFlight(g))
 }
 
 // Guards against ending a begun stream because the one engine with room has failed it before.
@@ -106,4 +108,5 @@
 	w := newWorker(t, brokenOff, step{runs: true, text: rest})
 	g := resumableEntry(t, engineAt("i-1", w.address), leavingEngine("i-2"))
 	require.Equal(t, whole, <-stream(t, g))
+	require.Zero(t, daemon.InFlight(g))
 }
--- a/internal/daemon/repeating.go
+++ b/internal/daemon/repeating.go
@@ -39,20 +39,20 @@
 	return a
 }
 
-// awaitRepeat returns why the request may not go to another target, or nil. A stream that has
-// begun waits for a repeat: the retry budget refills as its window advances, and cutting the
-// stream off would discard completed work.
-func (f *forwarding) awaitRepeat(ctx context.Context) *relay.Refusal {
-	until := f.waitUntil()
-	for {
-		denial := f.takeRepeat()
-		switch {
-		case denial == relay.NotDenied:
-			return nil
-		case !f.headSent || !denial.Temporary() || !f.pause(ctx, until):
-			return f.refusalFor(denial)
+// next returns the path of the next try. A request that has not begun gets a repeat at once or is
+// refused; its caller can be asked to come back.
+func (f *forwarding) next(ctx context.Context) (relay.Path, *relay.Refusal) {
+	if f.secured != nil {
+		path := *f.secured
+		f.secured = nil
+		return path, nil
+	}
+	if f.count > 0 && !f.headSent {
+		if denial := f.takeRepeat(); denial != relay.NotDenied {
+			return relay.Path{}, f.refusalFor(denial)
 		}
 	}
+	return f.choose(ctx)
 }
 
 // takeRepeat takes a repeat from the retry budget, or returns why it is denied.
@@ -73,6 +73,57 @@
 	return &relay.Refusal{Kind: relay.RefusedNotTaken, RetryAt: retryAt, Denial: d, Reason: "no target took it: " + f.lastCause + "; " + d.String()}
 }
 
+// mayAbandon reports whether the present run may be ended because of some targets on its path. A
+// run that may still go on is ended only once another path is secured. A request that has not begun
+// is given up at the end of its caller's patience, as long as that is of use to its caller.
+func (f *forwarding) mayAbandon(culprits ...relay.TargetID) bool {
+	if f.secure(culprits) {
+		return true
+	}
+	if f.headSent || clock.Now().Before(f.waitUntil()) {
+		return false
+	}
+	return f.couldRepeat()
+}
+
+// secure takes another path for the request, without some targets, and releases the present one.
+func (f *forwarding) secure(without []relay.TargetID) bool {
+	now := clock.Now()
+	if f.g.quarantineRefusal(f, now) != nil {
+		return false
+	}
+	attempts := f.attemptsAfter(resultBroken, f.lastPath)
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	request := f.pathRequest(attempts, false)
+	if len(request.Only) > 0 {
+		request.Only = slices.DeleteFunc(request.Only, func(id relay.TargetID) bool { return slices.Contains(without, id) })
+		if len(request.Only) == 0 {
+			return false
+		}
+	}
+	request.Avoid = slices.Concat(request.Avoid, without)
+	path, refusal := f.g.router.Reroute(f.lastPath, f.promptProcessed, request, attempts, now)
+	if refusal != nil {
+		return false
+	}
+	f.secured = &path
+	return true
+}
+
+// releaseSecured releases a secured path that is not used.
+func (f *forwarding) releaseSecured() {
+	if f.secured == nil {
+		return
+	}
+	f.g.mu.Lock()
+	defer f.g.mu.Unlock()
+	f.g.router.Release(*f.secured, false)
+	if f.secured.HasPermit() {
+		f.g.router.EndReservation(f.secured.First().Target, false, clock.Now())
+	}
+}
+
 // couldRepeat reports whether the request may go to another target if its present try is
 // abandoned.
 func (f *forwarding) couldRepeat() bool {
--- a/internal/relay/router.go
+++ b/internal/relay/router.go
@@ -198,10 +198,7 @@
 		return Path{}, r.noRoomRefusal(name, a, now)
 	}
 	path.permit = r.reservePermit(path.First().Target, now)
-	r.addInFlight(path, 1)
-	for _, s := range path.Stages {
-		r.targets[s.Target].ownWork.Unread += path.prompt
-	}
+	r.occupy(path, false)
 	return path, nil
 }
 
