daemon: a begun stream without a path waits for all of its time

Callers saw streams end in the middle though other engines would have had room a moment later. Cause: a begun stream was given up 1.8 s after its last event, a constant, whatever the time of its route (20 s) and the patience of its caller; engines that refuse are left alone for up to 0.8 s, so that four or five refusals used it up. Class: a guess of the caller's patience in the place of its deadline.

Change: it waits until its deadline; a caller without patience ends it by closing. The checks for room, each a search over all engines, go from 30 to 250 ms apart as the wait grows.

Weighed: a bound by route from the longest wait that callers are known to have; it would still cut the more patient ones.

--- a/internal/daemon/choosing.go
+++ b/internal/daemon/choosing.go
@@ -46,18 +46,19 @@
 	return f.waitsForRoom() || r.NoPermit
 }
 
-// waitUntil returns until when a request waits for room, or for a repeat: callers abandon an
-// answer that has sent nothing for callerEventTimeout. A request that can be asked to come back
-// waits for a permit only, for a part of its route's objective.
+// waitUntil returns until when a request waits for room, or for a repeat. An answer that has begun
+// waits for all of its time: its caller can't be asked to come back, and ends the wait itself when
+// it has no more patience. Other callers abandon a stream without an event after
+// callerEventTimeout. A request that can be asked to come back waits for a permit only, for a part
+// of its route's objective.
 func (f *forwarding) waitUntil() time.Time {
-	if !f.waitsForRoom() {
-		return f.call.Arrived.Add(min(f.route.Objective/permitWaitDivisor, callerEventTimeout))
+	switch {
+	case f.headSent:
+		return f.deadline
+	case f.waitsForRoom():
+		return f.call.Arrived.Add(callerEventTimeout)
 	}
-	since := f.call.Arrived
-	if f.headSent {
-		since = f.lastEvent
-	}
-	return since.Add(callerEventTimeout)
+	return f.call.Arrived.Add(min(f.route.Objective/permitWaitDivisor, callerEventTimeout))
 }
 
 // permitWaitDivisor is the divisor of a route's objective that gives the longest wait for a
@@ -66,11 +67,16 @@
 
 // pause waits before the next check, and reports false when the wait is over.
 func (f *forwarding) pause(ctx context.Context, until time.Time) bool {
-	if !clock.Now().Before(until) {
+	now := clock.Now()
+	if !now.Before(until) {
 		return false
 	}
+	since := f.call.Arrived
+	if f.headSent {
+		since = f.lastEvent
+	}
 	select {
-	case <-time.After(roomRetryInterval):
+	case <-time.After(min(max(now.Sub(since)/roomRetryDivisor, roomRetryInterval), maxRoomRetryInterval)):
 		return true
 	case <-ctx.Done():
 		return false
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -68,8 +68,12 @@
 	// roomRetryInterval is the interval between two checks for room, or for a repeat, with which
 	// an interrupted stream can resume: slots become free every few hundredths of a second.
 	roomRetryInterval = 30 * time.Millisecond
-	// callerEventTimeout bounds the wait of a call from its arrival: callers abandon a stream
-	// after 2 s without an event, and the first event takes some 100 ms.
+	// roomRetryDivisor and maxRoomRetryInterval lengthen it with the wait, to a part of the wait:
+	// each check searches all engines.
+	roomRetryDivisor     = 16
+	maxRoomRetryInterval = 250 * time.Millisecond
+	// callerEventTimeout bounds the wait of a call without an event from its arrival: callers
+	// abandon a stream after 2 s without an event, and the first event takes some 100 ms.
 	callerEventTimeout = 1800 * time.Millisecond
 )
 
--- a/internal/daemon/repeating.go
+++ b/internal/daemon/repeating.go
@@ -75,12 +75,12 @@
 
 // mayAbandon reports whether the present run may be ended because of some targets on its path. A
 // run that may still go on is ended only once another path is secured. A request that has not begun
-// is given up at the end of its caller's patience, as long as that is of use to its caller.
+// is given up shortly before its caller leaves, if it may be sent again.
 func (f *forwarding) mayAbandon(culprits ...relay.TargetID) bool {
 	if f.secure(culprits) {
 		return true
 	}
-	if f.headSent || clock.Now().Before(f.waitUntil()) {
+	if f.headSent || clock.Now().Before(f.call.Arrived.Add(callerEventTimeout)) {
 		return false
 	}
 	return f.couldRepeat()
