daemon: a begun stream avoids a target that failed it for a while only

Callers saw streams end in the middle though an engine had room for them. Cause: a target that failed a request, or was taken for the cause of a pause, was avoided until the end of the request, also where it was the only one that takes work (others leave as planned). Class: permanent exclusion on evidence of a moment; suspicion of a target for all requests ends after 0.5 to 4 s.

--- a/internal/daemon/answer.go
+++ b/internal/daemon/answer.go
@@ -128,7 +128,7 @@
 	}
 	if f.route.Repeat != relay.RepeatNever {
 		f.failedAnswer = given
-		f.avoid = append(f.avoid, path.First().Target)
+		f.avoid = f.avoid.With(path.First().Target, clock.Now())
 		return resultBroken
 	}
 	f.writeWhole(given)
--- a/internal/daemon/choosing.go
+++ b/internal/daemon/choosing.go
@@ -121,19 +121,20 @@
 // gateway's lock.
 func (f *forwarding) pathRequest(after relay.Attempts, waiting bool) relay.PathRequest {
 	return relay.PathRequest{
-		Route: f.route, Service: f.service, Avoid: f.avoided(), Only: f.g.router.AllowedTargets(after),
+		Route: f.route, Service: f.service, Avoid: f.avoided(clock.Now()), Only: f.g.router.AllowedTargets(after),
 		Prompt: f.call.PromptTokens, MaxTokens: f.call.AnswerTokens, LengthHint: f.call.LengthHint, Begun: f.headSent, Resumed: f.resumed(),
 		Urgency: f.urgency(), Waiting: waiting,
 	}
 }
 
 // avoided returns the targets that are excluded. A stream that has begun does not exclude
-// targets that had no room: its caller can't be asked to come back.
-func (f *forwarding) avoided() []relay.TargetID {
+// targets that had no room, and those that failed only for a while: its caller can't be asked to
+// come back, and a failure may be one of a connection or of another stage.
+func (f *forwarding) avoided(now time.Time) []relay.TargetID {
 	if f.headSent {
-		return f.avoid
+		return f.avoid.until(now)
 	}
-	return slices.Concat(f.avoid, f.full)
+	return slices.Concat(f.avoid.all(), f.full)
 }
 
 // withTarget returns ids with id added, without duplicates.
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -99,7 +99,7 @@
 	// service is the request's service, once the first path is chosen.
 	service string
 	// avoid holds the targets that failed, and full those that refused the request.
-	avoid []relay.TargetID
+	avoid avoidedTargets
 	full  []relay.TargetID
 	count int
 	// attempts records the tries before the present one.
--- a/internal/daemon/outcome.go
+++ b/internal/daemon/outcome.go
@@ -22,7 +22,7 @@
 	first := path.First()
 	f.lastCause = "target " + first.Address + " answered " + strconv.Itoa(answer.Status) + ", and not that it has not run"
 	f.g.recordFailure(first.Target, false)
-	f.avoid = append(f.avoid, first.Target)
+	f.avoid = f.avoid.With(first.Target, clock.Now())
 	return resultBroken
 }
 
@@ -50,7 +50,7 @@
 		culprit = watch.culprit
 	}
 	f.g.recordFailure(culprit, true)
-	f.avoid = append(f.avoid, culprit)
+	f.avoid = f.avoid.With(culprit, clock.Now())
 	f.recordBrokenOff(path, watch, err)
 	if errors.Is(err, target.ErrNotSent) && !f.resent {
 		f.recordUnreached(path.First().Target)
