relay, daemon: a refusal is no sign that an engine is lost

Callers saw streams end in the middle under planned work while the engines that could run them were only full. Cause: three refusals in a row counted as a failure; when twice as many VMs reported one as reported a success, the leader marked the engine as lost for all of them. Class: a full resource taken for a dead one, by all at once.

Change: an engine that refuses for itself answers, so it is alive. One in whose name others refuse is asked for its report each third time, and counts as lost if it does not answer, or another incarnation does. Answers of another target in its place (421) count as before. TestFindingsSeparateDeadFromSound asked for the fault itself; it asks the same of 421 now, and TestFullEngineIsNotFoundFailed the opposite of refusals.

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -47,7 +47,9 @@
 	others         int
 	running        map[*fleetRun]bool
 	leaving, ended bool
-	server         *http.Server
+	// refused is the number of runs for which there was no room.
+	refused int
+	server  *http.Server
 }
 
 // fleetRun is the run of a request at its first engine.
@@ -147,6 +149,9 @@
 	for _, address := range strings.Split(path, ",") {
 		e := f.engines[address]
 		if e == nil || !e.accepts() {
+			if e != nil {
+				e.refused++
+			}
 			return nil, address
 		}
 		run.stages = append(run.stages, e)
@@ -158,6 +163,13 @@
 	return run, ""
 }
 
+// refusals returns the number of runs for which an engine had no room.
+func (f *fleet) refusals(e *fleetEngine) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return e.refused
+}
+
 func (f *fleet) finish(run *fleetRun) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -282,12 +282,6 @@
 	g.meter.targetFailed()
 }
 
-func (g *Gateway) recordRefusal(id relay.TargetID) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.router.RecordRefusal(id, clock.Now())
-}
-
 func (g *Gateway) recordSuccess(id relay.TargetID) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -132,6 +132,8 @@
 
 // markFull marks the first target of a path as full, so that others are tried before it.
 func (f *forwarding) markFull(path relay.Path) {
-	f.g.recordRefusal(path.First().Target)
+	f.g.mu.Lock()
+	f.g.router.RecordRefusal(path.First().Target, clock.Now())
+	f.g.mu.Unlock()
 	f.full = append(f.full, path.First().Target)
 }
--- a/internal/daemon/outcome.go
+++ b/internal/daemon/outcome.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 	"syscall"
 
@@ -114,14 +115,40 @@
 		culprit = s
 	}
 	f.lastCause = "target " + culprit.Address + " answered " + strconv.Itoa(answer.Status) + ", not run"
-	if culprit.Target != path.First().Target || notice.BackoffUntil.IsZero() {
-		f.g.recordRefusal(culprit.Target)
-	}
+	f.g.recordRefusal(path.First(), culprit, answer.Status, notice)
 	f.recordStageLost(culprit)
 	f.full = append(f.full, culprit.Target)
 	return resultNotRun
 }
 
+// recordRefusal records that a target refused a request with a status because of a stage, which may
+// be itself.
+func (g *Gateway) recordRefusal(by, of relay.Stage, status int, notice relay.Notice) {
+	own := by.Target == of.Target
+	now := clock.Now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case own && !notice.BackoffUntil.IsZero():
+		// The requested backoff takes the place of the pause after a refusal.
+	case own && status == http.StatusMisdirectedRequest:
+		g.router.RecordMisdirected(of.Target, now)
+	case g.router.RecordRefusal(of.Target, now) && !own:
+		go g.checkAlive(of)
+	}
+}
+
+// checkAlive asks a stage in whose name another target has refused requests. One that does not
+// answer is lost.
+func (g *Gateway) checkAlive(s relay.Stage) {
+	g.meter.probed()
+	report, err := g.probes.ask(g.daemon.context, s)
+	if errors.Is(err, ErrEngineSilent) || err == nil && s.Target.OtherIncarnation(report.StartMillis) {
+		g.log.Info("engine that others refuse for is lost", "target", s.Target, "address", s.Address, "error", errorText(err))
+		g.recordFailure(s.Target, true)
+	}
+}
+
 // drain reads a small body to its end, so that the connection can be reused.
 func drain(answer *target.Answer) {
 	if answer.Framed && answer.Length < streamReadBytes {
--- a/internal/daemon/planned_test.go
+++ b/internal/daemon/planned_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/spoolbank/spoolbank/internal/core/config"
 	"github.com/spoolbank/spoolbank/internal/daemon"
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
@@ -110,3 +111,32 @@
 	require.Equal(t, whole, <-stream(t, g))
 	require.Zero(t, daemon.InFlight(g))
 }
+
+// Guards against a full engine that this VM reports as lost because other engines refuse for it.
+func TestEngineThatOthersRefuseForIsAsked(t *testing.T) {
+	for name, ends := range map[string]bool{"full": false, "ended": true} {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, 1)
+			defer f.stop()
+			f.add(config.Range{Last: 2}, 10)
+			later := f.add(config.Range{First: 2, Last: fleetLayers}, 0)
+			g, _ := f.newGateway(1)
+			if ends {
+				f.end(later)
+			}
+			refuse := func() {
+				now := time.Now()
+				g.Serve(t.Context(), httptest.NewRecorder(), &daemon.Call{ID: "a", Arrived: now, Deadline: now.Add(time.Minute), Method: http.MethodPost, URI: "/", Path: "/", Host: "h"})
+			}
+			lost := func() bool { return len(daemon.FindingsOf(g).Failed) > 0 }
+			if ends {
+				require.Eventually(t, func() bool { refuse(); return lost() }, testTimeout, time.Millisecond)
+				return
+			}
+			for f.refusals(later) < 4 {
+				refuse()
+			}
+			require.False(t, lost())
+		})
+	}
+}
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -27,16 +27,27 @@
 )
 
 // RecordRefusal records that a target did not accept a request: it is full, or its layers have
-// changed. Its other requests go on, so that it is not suspect.
-func (r *Router) RecordRefusal(id TargetID, now time.Time) {
-	if t, ok := r.targets[id]; ok {
-		t.refusalsInRow++
-		if r.settings.Policy.Has(FullPause) {
-			t.refusedUntil = now.Add(min(initialFullPause<<min(t.refusalsInRow-1, 4), maxFullPause))
-		}
-		if t.refusalsInRow >= failedAfterRefusals {
-			t.failedAt = now
-		}
+// changed. Its other requests go on, so that it is neither suspect nor failed, however often it
+// refuses: one that is full of long answers has no success to report for seconds. The result is
+// set if the refusals in a row are a reason to ask the target whether it is alive, where another
+// target refused in its name.
+func (r *Router) RecordRefusal(id TargetID, now time.Time) (doubtful bool) {
+	t, ok := r.targets[id]
+	if !ok {
+		return false
+	}
+	t.refusalsInRow++
+	if r.settings.Policy.Has(FullPause) {
+		t.refusedUntil = now.Add(min(initialFullPause<<min(t.refusalsInRow-1, 4), maxFullPause))
+	}
+	return t.refusalsInRow%doubtfulRefusals == 0
+}
+
+// RecordMisdirected records that a request met another target, or none that holds its layers, in the
+// place of this one. If that repeats, the target counts as failed.
+func (r *Router) RecordMisdirected(id TargetID, now time.Time) {
+	if r.RecordRefusal(id, now) {
+		r.targets[id].failedAt = now
 	}
 }
 
@@ -126,9 +137,9 @@
 	// findingsTTL is how long a VM reports what it found of a target: a VM of the grown fleet
 	// meets each engine about once in this time.
 	findingsTTL = 2 * time.Second
-	// failedAfterRefusals is the number of refusals in a row after which an engine counts as failed:
-	// one that is full runs requests, which succeed in between.
-	failedAfterRefusals = 3
+	// doubtfulRefusals is the number of refusals in a row after which it is doubtful whether a target
+	// is still there.
+	doubtfulRefusals = 3
 )
 
 // Findings is what a VM has recently found of targets, sorted.
--- a/internal/relay/router_test.go
+++ b/internal/relay/router_test.go
@@ -372,12 +372,29 @@
 	found = r.Findings(start.Add(time.Second))
 	require.Empty(t, found.Failed)
 	for range 3 {
-		r.RecordRefusal(good, start.Add(time.Second))
+		r.RecordMisdirected(good, start.Add(time.Second))
 	}
 	found = r.Findings(start.Add(time.Second))
 	require.Equal(t, []relay.TargetKey{good.Key()}, found.Failed)
 }
 
+// Guards against a full engine that all VMs take for lost: it got no requests, and the streams that
+// ran there were ended.
+func TestFullEngineIsNotFoundFailed(t *testing.T) {
+	r, route := newRouter(engines(presentFleet))
+	full := choose(t, r, ask(route), start).First().Target
+	doubtful := 0
+	for range 30 {
+		if r.RecordRefusal(full, start) {
+			doubtful++
+		}
+	}
+	require.Empty(t, r.Findings(start).Failed)
+	require.False(t, r.IsSuspect(full, start))
+	require.Equal(t, 10, doubtful, "each third refusal in a row")
+	require.False(t, r.RecordRefusal("unknown", start))
+}
+
 // After a power loss of all VMs, 1,000 callers return at once. If each of 76 VMs chose by its own
 // work alone, full engines would refuse 850 of them.
 func TestVMsStartingTogetherShareEngines(t *testing.T) {
