--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -33,6 +33,9 @@
 	fleetEventInterval = 15 * time.Millisecond
 	// fleetStall is how long an engine waits for a later stage that has ended.
 	fleetStall = 500 * time.Millisecond
+	// minFleetRepeats and maxFleetRepeats bound the fixed part of the repeat budget.
+	minFleetRepeats = 20
+	maxFleetRepeats = 300
 	// maxReportDelay is the longest time that an engine takes for a report.
 	maxReportDelay = 40 * time.Millisecond
 )
@@ -331,7 +334,7 @@
 		targets = append(targets, f.target(e))
 	}
 	logs := &logLines{}
-	budget := relay.BudgetTerms{Share: 0.2, Fixed: 300, Window: 10 * time.Second}
+	budget := relay.BudgetTerms{Share: 0.2, Fixed: float64(minFleetRepeats + f.draw(maxFleetRepeats-minFleetRepeats)), Window: 10 * time.Second}
 	platform := daemon.Platform{Codec: f.codec, Engines: f, Router: relay.Settings{Hall: "a", Seed: seed, Started: time.Now(), Budget: budget}}
 	g, err := daemon.GatewayFor(settings.Settings{}, funcr.New(logs.add, funcr.Options{}), platform, fleetDocument(1), targets)
 	require.NoError(f.t, err)
