daemon, relay: names and grouping after reading the change; each repeated 421 counts

What is known of an incomplete answer is a struct of its own; endRun is named for what it prepares. A target in whose place another one answers (421) counts as failed from the third refusal on, each time, as it did before refusals were split; in between only each third one counted.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -92,6 +92,7 @@
 	tries
 	attempt
 	delivery
+	ending
 }
 
 // tries is the history of a request's tries.
@@ -117,8 +118,6 @@
 	// ambiguousSend is set if within one try a sending without any response was followed by
 	// another: what the target reports of the second does not apply to the first.
 	ambiguousSend bool
-	// tried describes the last tries for the log.
-	tried []triedTarget
 	// leftSilentConn is set if the last try was abandoned because its connection was silent.
 	leftSilentConn bool
 }
@@ -137,10 +136,6 @@
 	resent bool
 	// permitReserved is set if a permit of the first target is reserved and unused.
 	permitReserved bool
-	// abandoned is set if this VM ended the run while its target kept the connection open.
-	abandoned bool
-	// endCause is why the caller gets no whole answer after this try.
-	endCause EndCause
 	// secured is the path that the request continues on once the present run has ended, if it was
 	// taken before. The present path is released then.
 	secured *relay.Path
--- a/internal/daemon/histories_test.go
+++ b/internal/daemon/histories_test.go
@@ -170,7 +170,6 @@
 		daemon.Suspect(g, h.anyEngine().id)
 	case 5:
 		if h.fleet.draw(3) == 0 {
-			_, _, _ = h.vm()
 			h.losePower()
 			h.start(seed)
 		}
--- a/internal/daemon/incomplete.go
+++ b/internal/daemon/incomplete.go
@@ -81,6 +81,16 @@
 	maxLoggedCauseBytes = 80
 )
 
+// ending is what is known of the end of an incomplete answer.
+type ending struct {
+	// tried describes the last tries.
+	tried []triedTarget
+	// abandoned is set if this VM ended the present run while its target kept the connection open.
+	abandoned bool
+	// endCause is why the caller gets no whole answer after the present try, if that is known.
+	endCause EndCause
+}
+
 // triedTarget is one try without a whole answer, for the log.
 type triedTarget struct {
 	target relay.TargetID
--- a/internal/daemon/incomplete_test.go
+++ b/internal/daemon/incomplete_test.go
@@ -42,6 +42,18 @@
 	return found
 }
 
+// signallingWriter closes a channel after the first write.
+type signallingWriter struct {
+	*httptest.ResponseRecorder
+	once    sync.Once
+	written chan struct{}
+}
+
+func (w *signallingWriter) Write(p []byte) (int, error) {
+	defer w.once.Do(func() { close(w.written) })
+	return w.ResponseRecorder.Write(p)
+}
+
 // The log lines before that of an incomplete answer may be lost, so it explains the end by itself.
 func TestIncompleteAnswerIsExplainedByOneLine(t *testing.T) {
 	p := newPausing(t)
@@ -61,8 +73,9 @@
 	g, err := daemon.GatewayFor(settings.Settings{}, funcr.New(logs.add, funcr.Options{}), daemon.Platform{Codec: plainCodec{}, Engines: healthyEngines{}, Router: relay.Settings{Seed: 1, Started: time.Now(), Budget: relay.BudgetTerms{Window: 10 * time.Second}}}, document, targets)
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(t.Context())
-	done := serve(ctx, g, httptest.NewRecorder())
-	closed(t, "the stream begins", p.begun)
+	w := &signallingWriter{ResponseRecorder: httptest.NewRecorder(), written: make(chan struct{})}
+	done := serve(ctx, g, w)
+	closed(t, "the caller has an event", w.written)
 	cancel()
 	closed(t, "the call ends", done)
 	lines := logs.containing(`"cause"="caller left"`)
--- a/internal/daemon/repeating.go
+++ b/internal/daemon/repeating.go
@@ -73,10 +73,10 @@
 	return &relay.Refusal{Kind: relay.RefusedNotTaken, RetryAt: retryAt, Denial: d, Reason: "no target took it: " + f.lastCause + "; " + d.String()}
 }
 
-// mayAbandon reports whether the present run may be ended because of some targets on its path. A
-// run that may still go on is ended only once another path is secured. A request that has not begun
-// is given up shortly before its caller leaves, if it may be sent again.
-func (f *forwarding) mayAbandon(culprits ...relay.TargetID) bool {
+// endRun prepares the end of the present run because of some targets on its path, and reports
+// whether it may be ended: once another path is secured, since it may still go on. A request that
+// has not begun is given up shortly before its caller leaves, if it may be sent again.
+func (f *forwarding) endRun(culprits ...relay.TargetID) bool {
 	if f.secure(culprits) {
 		return true
 	}
--- a/internal/daemon/silent.go
+++ b/internal/daemon/silent.go
@@ -126,7 +126,7 @@
 // another one.
 func (w *watcher) connectionSilent() bool {
 	after, known := w.silentAfter()
-	if !known || w.healthyReports < requiredHealthyReports || clock.Since(w.pauseStart()) < after || !w.f.mayAbandon() {
+	if !known || w.healthyReports < requiredHealthyReports || clock.Since(w.pauseStart()) < after || !w.f.endRun() {
 		return false
 	}
 	w.connSilent = true
--- a/internal/daemon/watcher.go
+++ b/internal/daemon/watcher.go
@@ -83,7 +83,7 @@
 	if !w.f.repath(w.ctx, r.silent, "its engines are lost") {
 		// No answer within livenessTimeout doesn't prove a loss, so an answer that could not continue
 		// elsewhere waits.
-		return !w.f.mayAbandon(r.silent...)
+		return !w.f.endRun(r.silent...)
 	}
 	w.culprit = ""
 	w.lastReadAt = clock.Now()
@@ -136,13 +136,14 @@
 }
 
 // replace has another engine take over from the one that the request waits for. It reports
-// whether to keep waiting: for the replacement, or because there is no other path. A silent engine may still continue, or its end may be reported in time.
+// whether to keep waiting: for the replacement, or because there is no other path. A silent engine
+// may still continue, or its end may be reported in time.
 func (w *watcher) replace() bool {
 	if w.ctx.Err() != nil {
 		return false
 	}
 	if !w.f.repath(w.ctx, []relay.TargetID{w.culprit}, "its engine fails") {
-		return !w.f.mayAbandon(w.culprit)
+		return !w.f.endRun(w.culprit)
 	}
 	w.f.g.recordFailure(w.culprit, true)
 	w.culprit = ""
--- a/internal/relay/health.go
+++ b/internal/relay/health.go
@@ -46,8 +46,9 @@
 // RecordMisdirected records that a request met another target, or none that holds its layers, in the
 // place of this one. If that repeats, the target counts as failed.
 func (r *Router) RecordMisdirected(id TargetID, now time.Time) {
-	if r.RecordRefusal(id, now) {
-		r.targets[id].failedAt = now
+	r.RecordRefusal(id, now)
+	if t, ok := r.targets[id]; ok && t.refusalsInRow >= doubtfulRefusals {
+		t.failedAt = now
 	}
 }
 
