--- a/internal/daemon/choosing.go
+++ b/internal/daemon/choosing.go
@@ -14,9 +14,9 @@
 // choose returns the next path. It waits for room where waitsForRoom allows it, or for a
 // permit that is due soon enough.
 func (f *forwarding) choose(ctx context.Context) (relay.Path, *relay.Refusal) {
+	until := f.waitUntil()
 	waiting := false
 	for {
-		until := f.waitUntil()
 		path, refusal := f.g.choose(f, waiting)
 		if refusal == nil {
 			return path, nil
@@ -48,14 +48,12 @@
 
 // waitUntil returns until when a request waits for room, or for a repeat. An answer that has begun
 // waits for all of its time: its caller can't be asked to come back, and ends the wait itself when
-// it has no more patience. It waits no longer than callerEventTimeout, after which other callers
-// abandon a stream without an event, if its route confines it to targets that are lost: its caller
-// may be served elsewhere. A request that can be asked to come back waits for a permit only, for a
-// part of its route's objective.
+// it has no more patience. Targets that are taken for lost are no reason to end it sooner: they may
+// only be silent. Other callers abandon a stream without an event after callerEventTimeout. A
+// request that can be asked to come back waits for a permit only, for a part of its route's
+// objective.
 func (f *forwarding) waitUntil() time.Time {
 	switch {
-	case f.headSent && f.g.onlyLostTargetsAllowed(f.attempts):
-		return f.lastEvent.Add(callerEventTimeout)
 	case f.headSent:
 		return f.deadline
 	case f.waitsForRoom():
@@ -64,12 +62,6 @@
 	return f.call.Arrived.Add(min(f.route.Objective/permitWaitDivisor, callerEventTimeout))
 }
 
-func (g *Gateway) onlyLostTargetsAllowed(a relay.Attempts) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.router.OnlyLostTargetsAllowed(a)
-}
-
 // permitWaitDivisor is the divisor of a route's objective that gives the longest wait for a
 // permit: the rest is for the answer.
 const permitWaitDivisor = 2
--- a/internal/daemon/histories_test.go
+++ b/internal/daemon/histories_test.go
@@ -40,7 +40,7 @@
 )
 
 // history is a random sequence of planned replacements, changes of the document, full engines,
-// suspicions and a return of the VM, beside callers with streams.
+// suspicions, marks of a loss and a return of the VM, beside callers with streams.
 type history struct {
 	t       *testing.T
 	fleet   *fleet
@@ -154,7 +154,7 @@
 
 // step draws the next event.
 func (h *history) step(seed uint64) {
-	switch h.fleet.draw(6) {
+	switch h.fleet.draw(7) {
 	case 0, 1:
 		for range 1 + h.fleet.draw(maxReplaced) {
 			h.replace()
@@ -173,9 +173,35 @@
 			h.losePower()
 			h.start(seed)
 		}
+	case 6:
+		h.markSilent()
 	}
 }
 
+// markSilent has all VMs take the engines of some layers, or all engines, for lost for a while,
+// though they are not.
+func (h *history) markSilent() {
+	layers := h.anyEngine().layers
+	all := h.fleet.draw(2) == 0
+	marks := make(map[relay.TargetKey]relay.Mark)
+	for _, e := range h.fleet.all() {
+		if all || e.layers == layers {
+			marks[e.id.Key()] = relay.MarkSilent
+		}
+	}
+	h.applyMarks(marks)
+	h.pending.Add(1)
+	time.AfterFunc(time.Duration(h.fleet.draw(int(maxCrowdTime))), func() {
+		defer h.pending.Done()
+		h.applyMarks(nil)
+	})
+}
+
+func (h *history) applyMarks(marks map[relay.TargetKey]relay.Mark) {
+	g, _, _ := h.vm()
+	daemon.Execute(g, core.FleetLearned{LeaseUntil: time.Now().Add(time.Hour), VMs: 1, Marks: marks, MarksComplete: true})
+}
+
 func (h *history) anyEngine() *fleetEngine {
 	all := h.fleet.all()
 	return all[h.fleet.draw(len(all))]
--- a/internal/daemon/planned_test.go
+++ b/internal/daemon/planned_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/spoolbank/spoolbank/internal/core"
 	"github.com/spoolbank/spoolbank/internal/core/config"
 	"github.com/spoolbank/spoolbank/internal/daemon"
 	"github.com/spoolbank/spoolbank/internal/relay"
@@ -104,6 +105,21 @@
 	require.Zero(t, daemon.InFlight(g))
 }
 
+// Guards against ending a begun stream because all VMs take for lost the engines that its route
+// confines it to, though these are only silent for a while.
+func TestBegunStreamWaitsForEnginesMarkedLost(t *testing.T) {
+	first := newWorker(t, brokenOff, rejected, rejected, rejected, rejected, rejected, rejected, step{runs: true, text: rest})
+	second := newWorker(t, lost, rejected, rejected, rejected, rejected, rejected, rejected, step{runs: true, text: rest})
+	g := resumableEntry(t, engineAt("i-1", first.address))
+	first.steps[0].beforeAnswer = func() { daemon.TakeTarget(g, engineAt("i-2", second.address)) }
+	second.steps[0].beforeAnswer = func() {
+		marks := map[relay.TargetKey]relay.Mark{relay.TargetID("i-1").Key(): relay.MarkSilent, relay.TargetID("i-2").Key(): relay.MarkSilent}
+		daemon.Execute(g, core.FleetLearned{LeaseUntil: time.Now().Add(time.Hour), VMs: 1, Marks: marks, MarksComplete: true})
+	}
+	require.Equal(t, whole, <-stream(t, g))
+	require.Zero(t, daemon.InFlight(g))
+}
+
 // Guards against ending a begun stream because the one engine with room has failed it before.
 func TestBegunStreamReturnsToEngineThatFailedIt(t *testing.T) {
 	w := newWorker(t, brokenOff, step{runs: true, text: rest})
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -1,9 +1,6 @@
 package relay
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Attempts is the state of a request after the attempts so far.
 type Attempts struct {
@@ -91,16 +88,6 @@
 	return NotDenied
 }
 
-// OnlyLostTargetsAllowed reports whether a request may go on only on targets that all VMs take for
-// lost. One of them may still be alive, and a caller that asks again may be served by any target.
-func (r *Router) OnlyLostTargetsAllowed(a Attempts) bool {
-	allowed := r.AllowedTargets(a)
-	return len(allowed) > 0 && !slices.ContainsFunc(allowed, func(id TargetID) bool {
-		t := r.targets[id]
-		return !t.silent && !t.superseded
-	})
-}
-
 // AllowedTargets returns the targets that a request may still begin on, or nil for any. A request
 // may run on as many targets as its route allows; after that, an answer that has begun
 // continues on targets that have run it. Targets that have signed off since do not count. A
--- a/internal/relay/repeat_test.go
+++ b/internal/relay/repeat_test.go
@@ -104,14 +104,9 @@
 	a.Only = []relay.TargetID{"a-large-0"}
 	require.Equal(t, relay.TargetID("a-large-0"), choose(t, r, a, start).First().Target, "even if the answer broke off there")
 
-	require.False(t, r.OnlyLostTargetsAllowed(ran))
-	r.ApplyMarks(map[relay.TargetKey]relay.Mark{relay.TargetID("a-large-0").Key(): relay.MarkSilent, relay.TargetID("a-large-3").Key(): relay.MarkSilent}, true)
-	require.True(t, r.OnlyLostTargetsAllowed(ran), "to wait for them is of no use")
 	r.ApplyMarks(map[relay.TargetKey]relay.Mark{relay.TargetID("a-large-0").Key(): relay.MarkSilent}, true)
-	require.False(t, r.OnlyLostTargetsAllowed(ran))
 	require.Equal(t, ran.Ran, r.AllowedTargets(ran), "a target that VMs find dead may be live")
 	require.Equal(t, relay.TargetID("a-large-0"), choose(t, r, a, start).First().Target, "and is tried")
 	r.UpdateTargets([]relay.Target{{ID: "a-large-3", Call: 9, Leaving: true, Gone: true}})
 	require.Empty(t, r.AllowedTargets(ran), "a target that has signed off does not count")
-	require.False(t, r.OnlyLostTargetsAllowed(ran), "any other may run it")
 }
