daemon: tests of streams share their gateway and their caller

pausingEntry and the tests of planned work differed in the engines alone, and the stalled stream's test had the caller of stream in it. No check is changed.

--- a/internal/daemon/leaving_test.go
+++ b/internal/daemon/leaving_test.go
@@ -14,8 +14,14 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-// pausingEntry returns a gateway with targets whose streams stall.
+// pausingEntry returns a gateway with targets whose streams stall, and which answer nothing else.
 func pausingEntry(t *testing.T, targets ...relay.Target) *daemon.Gateway {
+	t.Helper()
+	return streamEntry(t, muteEngines{}, targets...)
+}
+
+// streamEntry returns a gateway whose route may resume streams on two targets, for 20 s.
+func streamEntry(t *testing.T, engines daemon.Engines, targets ...relay.Target) *daemon.Gateway {
 	t.Helper()
 	document := &relay.Document{
 		Version:  1,
@@ -26,7 +32,7 @@
 		}},
 	}
 	budget := relay.BudgetTerms{Share: 1, Fixed: 100, Window: 10 * time.Second}
-	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: muteEngines{}, Router: relay.Settings{Seed: 1, Started: time.Now(), Budget: budget}}, document, targets)
+	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: engines, Router: relay.Settings{Seed: 1, Started: time.Now(), Budget: budget}}, document, targets)
 	require.NoError(t, err)
 	return g
 }
--- a/internal/daemon/planned_test.go
+++ b/internal/daemon/planned_test.go
@@ -14,23 +14,6 @@
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-// resumableEntry returns a gateway whose route may resume streams on two targets, for 20 s.
-func resumableEntry(t *testing.T, targets ...relay.Target) *daemon.Gateway {
-	t.Helper()
-	document := &relay.Document{
-		Version:  1,
-		Services: []relay.Service{{Name: "s", MaxConns: 100}},
-		Routes: []relay.Route{{
-			Name: "r", Host: "h", Prefix: "/", Repeat: relay.RepeatResume, Stream: true, Timeout: 20 * time.Second, Objective: time.Second,
-			Pause: 200 * time.Millisecond, MaxTargets: 2, Anonymous: true, Shares: []relay.Share{{Service: "s", Weight: 1}},
-		}},
-	}
-	budget := relay.BudgetTerms{Share: 1, Fixed: 100, Window: 10 * time.Second}
-	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: healthyEngines{}, Router: relay.Settings{Seed: 1, Started: time.Now(), Budget: budget}}, document, targets)
-	require.NoError(t, err)
-	return g
-}
-
 // stream has a gateway serve a stream, and returns a channel with its answer, or "cut".
 func stream(t *testing.T, g *daemon.Gateway) <-chan string {
 	t.Helper()
@@ -74,7 +57,7 @@
 // Guards against ending the run of a suspected engine although no other engine takes work.
 func TestRunOfSuspectedEngineIsKeptWithoutAnotherPath(t *testing.T) {
 	p := newPausing(t)
-	g := resumableEntry(t, engineAt("i-1", p.address), leavingEngine("i-2"))
+	g := streamEntry(t, healthyEngines{}, engineAt("i-1", p.address), leavingEngine("i-2"))
 	answer := stream(t, g)
 	closed(t, "the stream begins", p.begun)
 	daemon.Suspect(g, "i-1")
@@ -92,7 +75,7 @@
 func TestBegunStreamWaitsForRoom(t *testing.T) {
 	first := newWorker(t, brokenOff)
 	second := newWorker(t, rejected, rejected, rejected, rejected, rejected, rejected, step{runs: true, text: rest})
-	g := resumableEntry(t, engineAt("i-1", first.address))
+	g := streamEntry(t, healthyEngines{}, engineAt("i-1", first.address))
 	started := make(chan struct{})
 	first.steps[0].beforeAnswer = func() {
 		daemon.TakeTarget(g, leavingEngine("i-1"))
@@ -110,7 +93,7 @@
 func TestBegunStreamWaitsForEnginesMarkedLost(t *testing.T) {
 	first := newWorker(t, brokenOff, rejected, rejected, rejected, rejected, rejected, rejected, step{runs: true, text: rest})
 	second := newWorker(t, lost, rejected, rejected, rejected, rejected, rejected, rejected, step{runs: true, text: rest})
-	g := resumableEntry(t, engineAt("i-1", first.address))
+	g := streamEntry(t, healthyEngines{}, engineAt("i-1", first.address))
 	first.steps[0].beforeAnswer = func() { daemon.TakeTarget(g, engineAt("i-2", second.address)) }
 	second.steps[0].beforeAnswer = func() {
 		marks := map[relay.TargetKey]relay.Mark{relay.TargetID("i-1").Key(): relay.MarkSilent, relay.TargetID("i-2").Key(): relay.MarkSilent}
@@ -123,7 +106,7 @@
 // Guards against ending a begun stream because the one engine with room has failed it before.
 func TestBegunStreamReturnsToEngineThatFailedIt(t *testing.T) {
 	w := newWorker(t, brokenOff, step{runs: true, text: rest})
-	g := resumableEntry(t, engineAt("i-1", w.address), leavingEngine("i-2"))
+	g := streamEntry(t, healthyEngines{}, engineAt("i-1", w.address), leavingEngine("i-2"))
 	require.Equal(t, whole, <-stream(t, g))
 	require.Zero(t, daemon.InFlight(g))
 }
--- a/internal/daemon/watcher_test.go
+++ b/internal/daemon/watcher_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -84,19 +83,7 @@
 	noRepeats := relay.BudgetTerms{Window: 10 * time.Second}
 	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Engines: muteEngines{}, Router: relay.Settings{Seed: 1, Started: time.Now(), Budget: noRepeats}}, document, []relay.Target{target})
 	require.NoError(t, err)
-	whole := make(chan string, 1)
-	go func() {
-		w := httptest.NewRecorder()
-		defer func() {
-			if recover() != nil {
-				whole <- "cut"
-				return
-			}
-			whole <- w.Body.String()
-		}()
-		now := time.Now()
-		g.Serve(t.Context(), w, &daemon.Call{ID: "a", Arrived: now, Deadline: now.Add(20 * time.Second), Method: http.MethodPost, URI: "/", Path: "/", Host: "h", AnswerTokens: 10})
-	}()
+	answer := stream(t, g)
 	<-p.begun
 	daemon.Suspect(g, target.ID)
 	select {
@@ -104,5 +91,5 @@
 	case <-time.After(time.Second): // four checks of a stalled stream
 	}
 	close(p.resume)
-	require.Equal(t, "id: 1\n\nx: 2\n\n", <-whole)
+	require.Equal(t, whole, <-answer)
 }
