--- a/internal/daemon/histories_test.go
+++ b/internal/daemon/histories_test.go
@@ -163,8 +163,7 @@
 		h.crowd()
 	case 3:
 		h.version++
-		g, _, _ := h.vm()
-		daemon.Execute(g, core.DocumentInForce{Document: fleetDocument(h.version)})
+		h.execute(core.DocumentInForce{Document: fleetDocument(h.version)})
 	case 4:
 		g, _, _ := h.vm()
 		daemon.Suspect(g, h.anyEngine().id)
@@ -198,8 +197,14 @@
 }
 
 func (h *history) applyMarks(marks map[relay.TargetKey]relay.Mark) {
-	g, _, _ := h.vm()
-	daemon.Execute(g, core.FleetLearned{LeaseUntil: time.Now().Add(time.Hour), VMs: 1, Marks: marks, MarksComplete: true})
+	h.execute(core.FleetLearned{LeaseUntil: time.Now().Add(time.Hour), VMs: 1, Marks: marks, MarksComplete: true})
+}
+
+// execute executes an effect of the VM's Node, one at a time as its loop does.
+func (h *history) execute(effect core.Effect) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	daemon.Execute(h.gateway, effect)
 }
 
 func (h *history) anyEngine() *fleetEngine {
