--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,7 +30,8 @@
 }
 
 var scenarios = map[string]scenario{
-	"first-start": {run: playFirstStart},
+	"endless-answer": {run: playEndlessAnswer},
+	"first-start":    {run: playFirstStart},
 }
 
 func main() {
