review: case 3, an acknowledged sign-off dies with one control process

A control process acknowledges a runner's sign-off before any other process has it. If it is killed within the tick, nobody repeats the sign-off: entry processes go on sending requests to the runner after DrainMs, until its heartbeats have been missing for 3 s.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,7 @@
 var scenarios = map[string]scenario{
 	"endless-answer": {run: playEndlessAnswer},
 	"first-start":    {run: playFirstStart},
+	"sign-off":       {run: playSignOff},
 }
 
 func main() {
