--- a/review/standin/endless.go
+++ b/review/standin/endless.go
@@ -19,12 +19,13 @@
 	endlessFrom    = 5 * time.Second
 	// endlessShare is the share of the requests of a faulty runner that it answers so.
 	endlessShare = 0.1
-	// junkPiece is written at a time.
+	// junkBytes is the length of such an answer, and junkPiece is written at a time.
+	junkBytes = 128 << 20
 	junkPiece = 64 << 10
 )
 
-// junk writes bytes that are no answer until the caller closes the connection. All connections of a
-// runner together write no faster than its link.
+// junk writes bytes that are no answer. All connections of a runner together write no faster than its
+// link.
 type junk struct {
 	sent  atomic.Int64
 	began time.Time
@@ -55,7 +56,7 @@
 	defer conn.Close()
 	piece := bytes.Repeat([]byte{'x'}, junkPiece)
 	written := 0
-	for !d.stopping.Load() {
+	for !d.stopping.Load() && written < junkBytes {
 		j.wait()
 		n, err := conn.Write(piece)
 		written += n
