--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # modules of go.mod are on the machine.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-go build -o review/target/standin ./review/standin
+go build -o review/target/standin ./review/platform
