review: the check of case 2 is the rule it claims and no more

It also failed on ends of processes, which is the Fault rule, and could take a replaced connection for a kept one.

--- a/review/platform/client.go
+++ b/review/platform/client.go
@@ -124,11 +124,11 @@
 
 // send sends one attempt and waits for its answer.
 func (c *client) send(method, path string) outcome {
-	kept := c.conn != nil
+	before := c.conn
 	if err := c.connect(); err != nil {
 		return outcome{method: method, err: err, sentAt: time.Now(), endedAt: time.Now()}
 	}
-	kept = kept && c.conn != nil
+	kept := before != nil && c.conn == before
 	o := outcome{id: fmt.Sprintf("%016x", rand.Uint64()), method: method, entry: c.address, kept: kept, sentAt: time.Now()}
 	defer func() {
 		o.endedAt = time.Now()
--- a/review/platform/endless.go
+++ b/review/platform/endless.go
@@ -114,7 +114,7 @@
 		}
 	}
 	d.record.say("%d attempts, %d whole answers; %d requests that the sound runner ran were lost with a kept connection; %d ends of processes, on %d machines three or more", len(all), good, lost, ended, repeatedly)
-	if repeatedly >= 2 || lost > 3 {
+	if lost > 3 {
 		return fmt.Errorf("%w: %d ends of processes, %d requests lost", errBroken, ended, lost)
 	}
 	if good < len(all)/2 {
