--- a/internal/relay/budget_fleet_test.go
+++ b/internal/relay/budget_fleet_test.go
@@ -57,6 +57,12 @@
 	hit    float64
 	hunger int
 	faults budgetFaults
+	// began is when the history begins, and drawStep draws by how many seconds a clock steps, or is
+	// nil. clockSteps holds by how much the time of day of each process has stepped; that of the
+	// leader is under an empty name.
+	began      time.Time
+	drawStep   func(*rand.Rand) int64
+	clockSteps map[string]int64
 }
 
 // budgetFaults are the kinds of events of a history, beside targets that fail.
@@ -85,6 +91,7 @@
 		requests: make([]int, budgetSteps+maxDelaySteps), arrivals: make([]int, budgetSteps+maxDelaySteps+1),
 		counted: make([][]*budgetVM, budgetSteps+maxDelaySteps+1),
 		rate:    float64(2 + r.IntN(60)), burst: 1, hunger: 1, faults: faults,
+		began: start, clockSteps: make(map[string]int64),
 	}
 	for range 2 + r.IntN(40) {
 		w.addVM()
@@ -93,7 +100,31 @@
 	return w
 }
 
-func (w *budgetWorld) now() time.Time { return start.Add(time.Duration(w.step) * budgetStep) }
+func (w *budgetWorld) now() time.Time { return w.began.Add(time.Duration(w.step) * budgetStep) }
+
+// clock returns the time by the clock of a VM, or of the leader under an empty name.
+func (w *budgetWorld) clock(vm string) time.Time {
+	if steps := w.clockSteps[vm]; steps != 0 {
+		return stepped(w.now(), steps)
+	}
+	return w.now()
+}
+
+// stepClocks steps the time of day of the leader, of a VM or of all of them.
+func (w *budgetWorld) stepClocks() {
+	if w.drawStep == nil || w.rand.IntN(12) > 0 {
+		return
+	}
+	kind := w.rand.IntN(4)
+	if kind <= 1 {
+		w.clockSteps[""] += w.drawStep(w.rand)
+	}
+	for _, vm := range w.vms {
+		if kind == 1 || kind == 2 && w.rand.IntN(2) == 0 {
+			w.clockSteps[vm.name] += w.drawStep(w.rand)
+		}
+	}
+}
 
 func (w *budgetWorld) addVM() {
 	vm := &budgetVM{name: fmt.Sprint("vm-", len(w.vms)), renewPhase: w.rand.IntN(renewSteps)}
@@ -105,7 +136,7 @@
 func (w *budgetWorld) startVM(vm *budgetVM) {
 	vm.life++
 	vm.number, vm.leaseUntil = 0, 0
-	vm.router = relay.NewRouter(relay.Settings{Hall: "a", Seed: w.rand.Uint64(), Started: w.now(), Budget: w.terms})
+	vm.router = relay.NewRouter(relay.Settings{Hall: "a", Seed: w.rand.Uint64(), Started: w.clock(vm.name), Budget: w.terms})
 }
 
 func (w *budgetWorld) kill(vm *budgetVM) {
@@ -184,13 +215,14 @@
 func (w *budgetWorld) play() {
 	for w.step = 0; w.step < budgetSteps; w.step++ {
 		w.disturb()
+		w.stepClocks()
 		if w.leader == nil && w.step >= w.nextLeaderStep {
 			w.leader = newBudgetLeader(w)
 		}
 		w.callersSend()
 		for _, vm := range w.counted[w.step] {
 			if w.up(vm) {
-				vm.router.CountRequest(budgetService, w.now())
+				vm.router.CountRequest(budgetService, w.clock(vm.name))
 			}
 		}
 		for _, vm := range w.vms {
@@ -223,7 +255,7 @@
 func (w *budgetWorld) repeat(vm *budgetVM, n int) int {
 	taken := 0
 	for range n {
-		if !vm.router.AllowRepeat(budgetService, w.rand.IntN(2) == 0, w.now()) {
+		if !vm.router.AllowRepeat(budgetService, w.rand.IntN(2) == 0, w.clock(vm.name)) {
 			break
 		}
 		taken++
@@ -261,7 +293,7 @@
 }
 
 func newBudgetLeader(w *budgetWorld) *budgetLeader {
-	l := &budgetLeader{w: w, allocator: relay.NewPermitAllocator[string](w.rand.Uint64(), relay.PermitTTL, w.now())}
+	l := &budgetLeader{w: w, allocator: relay.NewPermitAllocator[string](w.rand.Uint64(), relay.PermitTTL, w.clock(""))}
 	l.allocator.GrantRepeats(w.terms)
 	return l
 }
@@ -271,15 +303,16 @@
 	vm.number++
 	holder := fmt.Sprint(vm.name, ".", vm.life)
 	var permits []relay.Permits
-	for _, request := range vm.router.PermitRequests(l.w.now()) {
-		if p, ok := l.allocator.Request(holder, vm.number, request, l.w.now()); ok {
+	for _, request := range vm.router.PermitRequests(l.w.clock(vm.name)) {
+		if p, ok := l.allocator.Request(holder, vm.number, request, l.w.clock("")); ok {
 			permits = append(permits, p)
 		}
 	}
 	if l.w.faults.leaders && l.w.rand.IntN(10) == 0 {
 		return
 	}
-	vm.router.ApplyGrant(vm.number, permits, l.w.now().Add(relay.PermitTTL), l.w.now())
+	now := l.w.clock(vm.name)
+	vm.router.ApplyGrant(vm.number, permits, now.Add(relay.PermitTTL), now)
 }
 
 // Guards against repeats of all VMs together beyond the bound of their service, in any window,
