relay, clock: accounts of repeats count in instants of the monotonic clock

clock.Instant is a point on the monotonic clock, without a time of day, and can't be compared with a time.Time. Ledger and window take instants only, so that the compiler finds the next one that would mix them. Ruled out: granting less after a detected step, which guesses what a step is.

--- a/internal/relay/budget.go
+++ b/internal/relay/budget.go
@@ -6,6 +6,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/spoolbank/spoolbank/internal/clock"
 )
 
 // This file bounds the repeats of all VMs together, without a message for each repeat.
@@ -114,7 +116,7 @@
 	if !useReserve {
 		usable = unstartedShare
 	}
-	return max(int(math.Floor(b.own.room(usable, now, t.Window))), 0)
+	return max(int(math.Floor(b.own.room(usable, clock.InstantOf(now), t.Window))), 0)
 }
 
 // permitsLeft returns the permits that are left for a request.
@@ -134,7 +136,7 @@
 	}
 	switch {
 	case own > 0:
-		b.own.spend(1, now, t.Window)
+		b.own.spend(1, clock.InstantOf(now), t.Window)
 	case b.permitsLeft(useReserve, now) > 0:
 		b.permits.left--
 	default:
@@ -235,7 +237,7 @@
 	t := r.settings.Budget
 	b := r.budget(service)
 	b.requests.add(arrived, t.Window)
-	b.own.earn(t.Share, arrived, t.Window)
+	b.own.earn(t.Share, clock.InstantOf(arrived), t.Window)
 }
 
 // AllowRepeat reports whether the repeat budget of a service allows one more, and counts it.
--- a/internal/relay/ledger.go
+++ b/internal/relay/ledger.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/spoolbank/spoolbank/internal/clock"
 )
 
 // This file keeps what one process may spend of a bound on a sliding window that many processes
@@ -21,7 +23,7 @@
 // belongs to one process only. A successor has no credit from the window before its start, so that
 // it spends less than the part that the process before it left of the bound.
 //
-// Times are counted in buckets, to the disadvantage of the spender. What is spent may take effect,
+// Instants are counted in buckets, to the disadvantage of the spender. What is spent may take effect,
 // and what is earned may have been counted, up to ledgerLateness later.
 
 const (
@@ -41,8 +43,7 @@
 type ledger struct {
 	earned [ledgerSize]float64
 	spent  [ledgerSize]int
-	// at is the number of the newest bucket, counted from the Unix epoch.
-	at int64
+	buckets
 }
 
 // ledgerLateness returns how long after it was taken from a ledger of a window something may take
@@ -51,23 +52,19 @@
 	return lateBuckets * window / ledgerBuckets
 }
 
-func bucketAt(t time.Time, window time.Duration) int64 {
-	return t.UnixNano() / int64(window/ledgerBuckets)
-}
+func bucketAt(i clock.Instant, window time.Duration) int64 { return i.Interval(window / ledgerBuckets) }
 
 func slot(bucket int64) int64 { return (bucket%ledgerSize + ledgerSize) % ledgerSize }
 
-func (l *ledger) advance(now time.Time, window time.Duration) {
-	at := bucketAt(now, window)
-	for steps := min(at-l.at, ledgerSize); steps > 0; steps-- {
-		l.earned[slot(at-steps+1)] = 0
-		l.spent[slot(at-steps+1)] = 0
+func (l *ledger) advance(now clock.Instant, window time.Duration) {
+	for bucket := range l.buckets.advance(bucketAt(now, window), ledgerSize) {
+		l.earned[slot(bucket)] = 0
+		l.spent[slot(bucket)] = 0
 	}
-	l.at = max(l.at, at)
 }
 
-// earn adds credit that was earned at a time.
-func (l *ledger) earn(credit float64, at time.Time, window time.Duration) {
+// earn adds credit that was earned at an instant.
+func (l *ledger) earn(credit float64, at clock.Instant, window time.Duration) {
 	l.advance(at, window)
 	if bucket := bucketAt(at, window); bucket > l.at-ledgerSize {
 		l.earned[slot(bucket)] += credit
@@ -75,14 +72,14 @@
 }
 
 // earnEvenly adds credit that is earned at an even rate in a span of time that ends now.
-func (l *ledger) earnEvenly(perSecond float64, from, now time.Time, window time.Duration) {
+func (l *ledger) earnEvenly(perSecond float64, from, now clock.Instant, window time.Duration) {
 	step := window / ledgerBuckets
 	if oldest := now.Add(-2 * window); from.Before(oldest) {
 		from = oldest
 	}
 	for from.Before(now) {
-		next := time.Unix(0, (bucketAt(from, window)+1)*int64(step))
-		if next.After(now) {
+		next := clock.IntervalStart(from.Interval(step)+1, step)
+		if now.Before(next) {
 			next = now
 		}
 		l.earn(perSecond*next.Sub(from).Seconds(), from, window)
@@ -91,13 +88,13 @@
 }
 
 // spend records n as spent now.
-func (l *ledger) spend(n int, now time.Time, window time.Duration) {
+func (l *ledger) spend(n int, now clock.Instant, window time.Duration) {
 	l.advance(now, window)
 	l.spent[slot(l.at)] += n
 }
 
 // room returns how much may be spent now, if only a part of the credit is usable.
-func (l *ledger) room(usable float64, now time.Time, window time.Duration) float64 {
+func (l *ledger) room(usable float64, now clock.Instant, window time.Duration) float64 {
 	l.advance(now, window)
 	// sums[i] is what was earned in the i oldest buckets that are kept.
 	var sums [ledgerSize + 1]float64
--- a/internal/relay/lender.go
+++ b/internal/relay/lender.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/spoolbank/spoolbank/internal/clock"
 )
 
 // This file divides the limits of targets among entry VMs.
@@ -310,10 +312,10 @@
 func (l *sharedLimit[Holder]) refillRepeats(now time.Time) {
 	b := l.repeats
 	if now.After(l.refilledAt) {
-		b.earnEvenly(b.terms.Fixed/b.terms.Window.Seconds(), l.refilledAt, now, b.terms.Window)
+		b.earnEvenly(b.terms.Fixed/b.terms.Window.Seconds(), clock.InstantOf(l.refilledAt), clock.InstantOf(now), b.terms.Window)
 		l.refilledAt = now
 	}
-	l.free = b.room(1, now, b.terms.Window) - float64(l.granted)
+	l.free = b.room(1, clock.InstantOf(now), b.terms.Window) - float64(l.granted)
 }
 
 // sweep removes the holders whose permits have all expired, and demand that was reported longer
@@ -337,7 +339,7 @@
 // recordUse records permits for repeats that were used, or may have been.
 func (l *sharedLimit[Holder]) recordUse(permits int, now time.Time) {
 	if l.repeats != nil {
-		l.repeats.spend(permits, now, l.repeats.terms.Window)
+		l.repeats.spend(permits, clock.InstantOf(now), l.repeats.terms.Window)
 	}
 }
 
