--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -68,8 +68,8 @@
 	context context.Context
 	cancel  context.CancelFunc
 	lastID  atomic.Uint64
-	// lastSilentLog is the time of the last log line about a silent connection, in Unix ns.
-	lastSilentLog  atomic.Int64
+	// lastSilentLog is when the last log line about a silent connection was written, or nil.
+	lastSilentLog  atomic.Pointer[clock.Instant]
 	pendingReplies sync.Map
 
 	callerListener net.Listener
--- a/internal/daemon/entrance.go
+++ b/internal/daemon/entrance.go
@@ -5,13 +5,15 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/spoolbank/spoolbank/internal/clock"
 )
 
 // acceptHealth tracks whether callers' connections are accepted: a VM without free file
 // descriptors accepts none, and must not report itself ready. The zero value is healthy.
 type acceptHealth struct {
-	// failingUntil is when to count as healthy again, in Unix nanoseconds.
-	failingUntil atomic.Int64
+	// failingUntil is when to count as healthy again, or nil.
+	failingUntil atomic.Pointer[clock.Instant]
 }
 
 // acceptFailureHold is how long a VM isn't ready after a failed accept. The HTTP server
@@ -19,7 +21,10 @@
 const acceptFailureHold = 1500 * time.Millisecond
 
 // healthy reports whether connections are accepted.
-func (e *acceptHealth) healthy(now time.Time) bool { return now.UnixNano() >= e.failingUntil.Load() }
+func (e *acceptHealth) healthy(now clock.Instant) bool {
+	until := e.failingUntil.Load()
+	return until == nil || !now.Before(*until)
+}
 
 // wrap returns a listener that counts its connections.
 func (e *acceptHealth) wrap(l net.Listener, meter *gatewayMetrics) net.Listener {
@@ -39,7 +44,8 @@
 		return nil, err // the VM is stopping
 	}
 	if err != nil {
-		l.health.failingUntil.Store(time.Now().Add(acceptFailureHold).UnixNano())
+		until := clock.NowInstant().Add(acceptFailureHold)
+		l.health.failingUntil.Store(&until)
 	}
 	l.meter.accepted(err == nil)
 	return conn, err
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -148,7 +148,7 @@
 func (g *Gateway) Ready() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.stopping.Load() && g.router.Document() != nil && clock.SampleNow().Before(g.leaseUntil) && g.acceptHealth.healthy(time.Now())
+	return !g.stopping.Load() && g.router.Document() != nil && clock.SampleNow().Before(g.leaseUntil) && g.acceptHealth.healthy(clock.NowInstant())
 }
 
 // Stopping reports whether a planned stop is in progress.
--- a/internal/daemon/receipts.go
+++ b/internal/daemon/receipts.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcctx"
 
+	"github.com/spoolbank/spoolbank/internal/clock"
 	"github.com/spoolbank/spoolbank/internal/core"
 	"github.com/spoolbank/spoolbank/internal/silence"
 	"github.com/spoolbank/spoolbank/internal/wire"
@@ -260,9 +261,9 @@
 // recordSilentConnection counts a connection that was abandoned as silent, and logs some of them.
 func (d *Daemon) recordSilentConnection(kind, peer string, age, bound time.Duration) {
 	d.metrics.countSilent(context.Background(), kind)
-	now := time.Now().UnixNano()
+	now := clock.NowInstant()
 	last := d.lastSilentLog.Load()
-	if now-last < int64(silentLogInterval) || !d.lastSilentLog.CompareAndSwap(last, now) {
+	if last != nil && now.Sub(*last) < silentLogInterval || !d.lastSilentLog.CompareAndSwap(last, &now) {
 		return
 	}
 	d.log.Info("connection found silent", "kind", kind, "peer", peer, "silent_ms", age.Milliseconds(), "bound_ms", bound.Milliseconds())
