relay, daemon: no later word of a target takes back a possible run

A try had one result, that of its last sending. A request whose reused connection broke was sent again within the try, and 'not run' for the second sending stood for the first as well; two dials that timed out removed a target that may run the request still, and a refusal by the VM of a tunnel looked like one by the target.

relay.Runs is a set to which targets are only added. A try is recorded with the strongest outcome of its sendings (overSendings), in one place instead of three conditions on resent; ambiguousSend is gone, since Runs says as much. A target that has ended stays in the set and isn't counted; its address must have refused two connections in a row, which a lost packet can't do. Lines on tries that failed and on incomplete answers name the targets that may have run the request.

Ruled out: counting sendings instead of targets (a rejection by the same target would use up the route).

--- a/internal/daemon/answer.go
+++ b/internal/daemon/answer.go
@@ -61,7 +61,7 @@
 		f.writeWhole(f.failedAnswer)
 		return
 	}
-	if (f.ambiguousSend || len(f.attempts.Ran) > 0) && refusal.NotRun() {
+	if f.attempts.Ran.Any() && refusal.NotRun() {
 		refusal = &relay.Refusal{Kind: relay.RefusedUnknownRun, Reason: refusal.Reason}
 	}
 	if !refusal.NotRun() && f.count > 0 {
--- a/internal/daemon/choosing.go
+++ b/internal/daemon/choosing.go
@@ -149,11 +149,3 @@
 	}
 	return slices.Concat(f.avoid.all(), f.full)
 }
-
-// withTarget returns ids with id added, without duplicates.
-func withTarget(ids []relay.TargetID, id relay.TargetID) []relay.TargetID {
-	if slices.Contains(ids, id) {
-		return ids
-	}
-	return append(slices.Clone(ids), id)
-}
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -62,9 +62,9 @@
 	maxBufferedAnswerBytes = 256 << 10
 	// streamReadBytes is the read size for streams, in bytes.
 	streamReadBytes = 4 << 10
-	// failedDialThreshold is the number of failed dials in a row after which a target counts as
-	// ended: a single one may be lost when all VMs connect at once.
-	failedDialThreshold = 2
+	// refusedDialThreshold is the number of connections refused in a row after which a target counts
+	// as ended. A dial that gets no answer, or whose connection is reset, shows nothing of the target.
+	refusedDialThreshold = 2
 	// roomRetryInterval is the interval between two checks for room, or for a repeat, with which
 	// an interrupted stream can resume: slots become free every few hundredths of a second.
 	roomRetryInterval = 30 * time.Millisecond
@@ -111,14 +111,11 @@
 	// failedAnswer is an answer with a failure status; it is returned if no other target does
 	// better.
 	failedAnswer *wholeAnswer
-	// failedDials counts the failed dials by target.
-	failedDials map[relay.TargetID]int
+	// refusedDials counts the connections that each target has refused in a row.
+	refusedDials map[relay.TargetID]int
 	// lastCause is the cause of the last try's result, for the log.
 	lastCause string
 	lastPath  relay.Path
-	// ambiguousSend is set if within one try a sending without any response was followed by
-	// another: what the target reports of the second does not apply to the first.
-	ambiguousSend bool
 	// trialSent is set if the request was sent as a trial of what is in quarantine.
 	trialSent bool
 	// leftSilentConn is set if the last try was abandoned because its connection was silent.
@@ -233,8 +230,8 @@
 			f.end(ctx, &relay.Refusal{Kind: relay.RefusedTimeout, Reason: "its time ran out under way"})
 			return
 		}
-		f.g.log.Info("try failed", "request", f.call.ID, "fingerprint", f.fingerprints[0].Fingerprint, "try", f.count, "result", r.String(), "cause", f.lastCause, "path", path.String(), "begun", f.headSent, "read", f.promptProcessed)
 		f.recordAttempt(r, path)
+		f.g.log.Info("try failed", "request", f.call.ID, "fingerprint", f.fingerprints[0].Fingerprint, "try", f.count, "result", r.String(), "cause", f.lastCause, "path", path.String(), "begun", f.headSent, "read", f.promptProcessed, "resent", f.resent, "may_have_run", f.attempts.Ran.String())
 	}
 }
 
@@ -259,7 +256,7 @@
 		f.lastCause = ctx.Err().Error()
 		return resultAborted
 	}
-	return f.try(ctx, path)
+	return f.overSendings(f.try(ctx, path))
 }
 
 // release returns what the try on a path has reserved.
--- a/internal/daemon/incomplete.go
+++ b/internal/daemon/incomplete.go
@@ -182,7 +182,7 @@
 	g.incomplete.add(cause, description)
 	g.log.Info(message, "request", f.call.ID, "cause", string(cause), "begun", f.headSent, "quiet_ms", quiet.Milliseconds(), "left_ms", f.deadline.Sub(now).Milliseconds(),
 		"reason", reason, "shortage", shortage.String(), "document", document, "document_age_ms", age.Milliseconds(), "fingerprint", f.fingerprints[0].Fingerprint,
-		"after", f.lastID, "events", f.events, "after_ms", now.Sub(f.call.Arrived).Milliseconds(), "tries", f.count, "ran", len(f.attempts.Ran), "tried", tried, "path", f.lastPath.String())
+		"after", f.lastID, "events", f.events, "after_ms", now.Sub(f.call.Arrived).Milliseconds(), "tries", f.count, "ran", f.attempts.Ran.Len(), "may_have_run", f.attempts.Ran.String(), "tried", tried, "path", f.lastPath.String())
 }
 
 // recordPanic logs a panic while a request is served, and ends its connection. A call that is cut
--- a/internal/daemon/outcome.go
+++ b/internal/daemon/outcome.go
@@ -11,6 +11,7 @@
 	"github.com/spoolbank/spoolbank/internal/clock"
 	"github.com/spoolbank/spoolbank/internal/relay"
 	"github.com/spoolbank/spoolbank/internal/target"
+	"github.com/spoolbank/spoolbank/internal/wire"
 )
 
 // This file determines the outcome of a try without a whole answer, and which target is
@@ -54,21 +55,18 @@
 	f.avoid = f.avoid.With(culprit, clock.Now())
 	f.recordProvenRun()
 	f.recordBrokenOff(path, watch, err)
-	if errors.Is(err, target.ErrNotSent) && !f.resent {
-		f.recordUnreached(path.First().Target)
+	if errors.Is(err, target.ErrNotSent) {
+		f.recordUnreached(path.First().Target, err)
 		return resultNotSent
 	}
 	return resultBroken
 }
 
 // handleHeldBack handles a request that was not sent because of a notice that its target gave
-// after it was picked. If this was a second sending, the first one may have run.
+// after it was picked.
 func (f *forwarding) handleHeldBack(path relay.Path) result {
 	f.g.meter.heldBack()
 	f.full = append(f.full, path.First().Target)
-	if f.resent {
-		return resultBroken
-	}
 	return resultNotSent
 }
 
@@ -81,7 +79,7 @@
 	}
 	// A request whose second sending failed may have run on the first, over the previous
 	// connection.
-	certain := errors.Is(context.Cause(watch.incarnationCtx), errIncarnationEnded) || notSent && errors.Is(err, syscall.ECONNREFUSED)
+	certain := errors.Is(context.Cause(watch.incarnationCtx), errIncarnationEnded) || notSent && refusedByTarget(err)
 	f.g.recordBrokenRun(path.First(), f.currentRun(), certain)
 }
 
@@ -98,12 +96,23 @@
 	return run{id: f.call.ID, fingerprints: f.fingerprints, began: f.sentAt, started: !f.eventAt.IsZero()}
 }
 
-// recordUnreached records a failed dial to a target.
-func (f *forwarding) recordUnreached(id relay.TargetID) {
-	if f.failedDials == nil {
-		f.failedDials = make(map[relay.TargetID]int)
+// recordUnreached records a dial to a target that failed with err.
+func (f *forwarding) recordUnreached(id relay.TargetID, err error) {
+	if !refusedByTarget(err) {
+		delete(f.refusedDials, id)
+		return
+	}
+	if f.refusedDials == nil {
+		f.refusedDials = make(map[relay.TargetID]int)
 	}
-	f.failedDials[id]++
+	f.refusedDials[id]++
+}
+
+// refusedByTarget reports whether a dial failed because the target's address refuses connections. A VM
+// that was asked for a tunnel may refuse them, too.
+func refusedByTarget(err error) bool {
+	var tunnel *wire.TunnelError
+	return errors.Is(err, syscall.ECONNREFUSED) && !errors.As(err, &tunnel)
 }
 
 // handleNotRun handles an answer that declares that the request has not run. A requested backoff
--- a/internal/daemon/repeating.go
+++ b/internal/daemon/repeating.go
@@ -14,7 +14,7 @@
 // recordAttempt records the outcome of a try.
 func (f *forwarding) recordAttempt(r result, path relay.Path) {
 	if r != resultNotSent {
-		delete(f.failedDials, path.First().Target)
+		delete(f.refusedDials, path.First().Target)
 	}
 	f.attempts = f.attemptsAfter(r, path)
 	f.recordTry(r, path)
@@ -22,23 +22,24 @@
 
 // attemptsAfter returns the attempts with one more that ended with r.
 func (f *forwarding) attemptsAfter(r result, path relay.Path) relay.Attempts {
-	a := f.attempts
-	a.Tried++
-	a.Reached, a.RepeatExpired = r != resultNotSent, f.repeatExpired
-	if a.Reached {
-		a.Sent++
-	}
 	first := path.First().Target
-	switch {
-	case r == resultBroken:
-		a.Ran = withTarget(a.Ran, first)
-	case f.failedDials[first] >= failedDialThreshold:
-		a.Ran = slices.DeleteFunc(slices.Clone(a.Ran), func(id relay.TargetID) bool { return id == first })
-	}
+	a := f.attempts.With(relay.Try{
+		Target: first, Sent: r != resultNotSent, MayHaveRun: r == resultBroken,
+		Ended: f.refusedDials[first] >= refusedDialThreshold, RepeatExpired: f.repeatExpired,
+	})
 	a.Route, a.Service, a.Begun, a.Resumed = f.route, f.service, f.headSent, f.resumed()
 	return a
 }
 
+// overSendings returns the result of a try whose last sending had the result r: what is known of the
+// last one does not hold for the one before it, which may have run.
+func (f *forwarding) overSendings(r result) result {
+	if f.resent && (r == resultNotRun || r == resultNotSent) {
+		return resultBroken
+	}
+	return r
+}
+
 // next returns the path of the next try.
 func (f *forwarding) next(ctx context.Context) (relay.Path, *relay.Refusal) {
 	if f.secured != nil {
@@ -51,7 +52,7 @@
 
 // refusalFor returns the refusal of a request that may not go to another target.
 func (f *forwarding) refusalFor(d relay.Denial) *relay.Refusal {
-	if len(f.attempts.Ran) > 0 {
+	if f.attempts.Ran.Any() {
 		return &relay.Refusal{Kind: relay.RefusedUnknownRun, Denial: d, Reason: "its target broke off: " + f.lastCause + "; " + d.String()}
 	}
 	f.g.mu.Lock()
--- a/internal/daemon/silent.go
+++ b/internal/daemon/silent.go
@@ -84,7 +84,7 @@
 	request.Redial = f.leftSilentConn
 	// After a try that broke off, use no idle connection, which may be silent too: a second copy
 	// is seldom allowed.
-	request.NewConn = request.NewConn || len(f.attempts.Ran) > 0
+	request.NewConn = request.NewConn || f.attempts.Ran.Any()
 	f.leftSilentConn = false
 	sentAt := clock.Now()
 	answer, err := f.g.exchanger.Do(ctx, address, request)
@@ -93,7 +93,7 @@
 		f.recordAnswerTime(sentAt, err)
 		return answer, err
 	}
-	f.ambiguousSend, f.resent = true, true
+	f.resent = true
 	request.NewConn, request.Redial = true, silent
 	resentAt := clock.Now()
 	answer, err = f.g.exchanger.Do(ctx, address, request)
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -15,9 +15,8 @@
 	// Tried counts the targets that were tried without success, and Sent those of them that
 	// any byte of the request was sent to.
 	Tried, Sent int
-	// Ran lists the targets that may have run the request, each once, without those that
-	// were later found to have ended.
-	Ran []TargetID
+	// Ran holds the targets that may have run the request.
+	Ran Runs
 	// Reached is set if the last target tried is counted in Sent.
 	Reached bool
 	// RepeatExpired is set if the repeat that was taken last expired before it was sent.
@@ -78,11 +77,11 @@
 func (r *Router) denial(a Attempts, now time.Time) Denial {
 	most := max(a.Route.MaxTargets, 1)
 	switch {
-	case len(a.Ran) > 0 && a.Route.Repeat == RepeatNever:
+	case a.Ran.Any() && a.Route.Repeat == RepeatNever:
 		return DeniedRunsOnce
 	case a.Tried >= maxTried && !a.Begun:
 		return DeniedAsked
-	case len(a.Ran) >= most && !a.Begun, most == 1 && a.Sent >= 1:
+	case len(a.Ran.Counted()) >= most && !a.Begun, most == 1 && a.Sent >= 1:
 		return DeniedRoute
 	case a.NeedsRepeat() && r.repeatsLeft(a.Service, a.Resumed, now) < 1:
 		return DeniedBudget
@@ -95,11 +94,11 @@
 // continues on targets that have run it. Targets that have signed off since do not count. A
 // target that is silent, or that VMs find failed, may still be live.
 func (r *Router) AllowedTargets(a Attempts) []TargetID {
-	if len(a.Ran) == 0 {
+	if !a.Ran.Any() {
 		return nil
 	}
 	var live []TargetID
-	for _, id := range a.Ran {
+	for _, id := range a.Ran.Counted() {
 		if t, ok := r.targets[id]; ok && !t.Gone {
 			live = append(live, id)
 		}
--- a/internal/relay/repeat_test.go
+++ b/internal/relay/repeat_test.go
@@ -27,8 +27,8 @@
 	once := relay.Route{Repeat: relay.RepeatNever, MaxTargets: 1}
 	never := relay.Route{Repeat: relay.RepeatNever, MaxTargets: 3}
 	resume := relay.Route{Repeat: relay.RepeatResume, MaxTargets: 2}
-	one := []relay.TargetID{"i-1"}
-	twice := []relay.TargetID{"i-1", "i-2"}
+	one := relay.Runs{}.With("i-1")
+	twice := one.With("i-2")
 	tests := []struct {
 		name     string
 		attempts relay.Attempts
@@ -60,7 +60,7 @@
 func TestCouldRepeatTakesNothingFromBudget(t *testing.T) {
 	r, route := newRouter(engines(presentFleet))
 	receiveRequests(r, 20, start.Add(-20*time.Second), start)
-	sent := relay.Attempts{Route: route, Service: "s", Tried: 1, Sent: 1, Ran: []relay.TargetID{"i-1"}, Reached: true, Begun: true, Resumed: true}
+	sent := relay.Attempts{Route: route, Service: "s", Tried: 1, Sent: 1, Ran: relay.Runs{}.With("i-1"), Reached: true, Begun: true, Resumed: true}
 	for range 1000 {
 		require.True(t, r.CanRepeat(sent, start), "the check takes nothing from the budget")
 	}
@@ -69,7 +69,7 @@
 	require.False(t, r.CanRepeat(sent, start))
 	ran := sent
 	ran.Begun = false
-	ran.Tried, ran.Sent, ran.Ran = 2, 2, []relay.TargetID{"i-1", "i-2"}
+	ran.Tried, ran.Sent, ran.Ran = 2, 2, ran.Ran.With("i-2")
 	require.Equal(t, relay.DeniedRoute, r.TryRepeat(ran, start), "its route allows two targets")
 	require.False(t, r.CanRepeat(ran, start))
 }
@@ -111,18 +111,18 @@
 func TestOnlyOnReturnsTargetsThatRanBegunAnswer(t *testing.T) {
 	r, route := newRouter(nil)
 	r.UpdateTargets(replicatedEngines())
-	ran := relay.Attempts{Route: route, Service: "s", Ran: []relay.TargetID{"a-large-0"}, Begun: true}
+	ran := relay.Attempts{Route: route, Service: "s", Ran: relay.Runs{}.With("a-large-0"), Begun: true}
 	require.Empty(t, r.AllowedTargets(ran), "one more target is allowed")
-	ran.Ran = []relay.TargetID{"a-large-0", "a-large-3"}
+	ran.Ran = ran.Ran.With("a-large-3")
 	only := r.AllowedTargets(ran)
-	require.Equal(t, ran.Ran, only)
+	require.Equal(t, ran.Ran.Counted(), only)
 	a := ask(route)
 	a.Avoid = []relay.TargetID{"a-large-0"}
 	a.Only = []relay.TargetID{"a-large-0"}
 	require.Equal(t, relay.TargetID("a-large-0"), choose(t, r, a, start).First().Target, "even if the answer broke off there")
 
 	r.ApplyMarks(map[relay.TargetKey]relay.Mark{relay.TargetID("a-large-0").Key(): relay.MarkSilent}, true)
-	require.Equal(t, ran.Ran, r.AllowedTargets(ran), "a target that VMs find dead may be live")
+	require.Equal(t, ran.Ran.Counted(), r.AllowedTargets(ran), "a target that VMs find dead may be live")
 	require.Equal(t, relay.TargetID("a-large-0"), choose(t, r, a, start).First().Target, "and is tried")
 	r.UpdateTargets([]relay.Target{{ID: "a-large-3", Call: 9, Leaving: true, Gone: true}})
 	require.Empty(t, r.AllowedTargets(ran), "a target that has signed off does not count")
--- a/internal/relay/reroute_test.go
+++ b/internal/relay/reroute_test.go
@@ -12,7 +12,7 @@
 
 // begunOn returns the attempts of a begun stream after its run on a path ends.
 func begunOn(route *relay.Route, p relay.Path) relay.Attempts {
-	return relay.Attempts{Route: route, Service: "s", Begun: true, Resumed: true, Tried: 1, Sent: 1, Reached: true, Ran: []relay.TargetID{p.First().Target}}
+	return relay.Attempts{Route: route, Service: "s", Begun: true, Resumed: true, Tried: 1, Sent: 1, Reached: true, Ran: relay.Runs{}.With(p.First().Target)}
 }
 
 // begun returns the request of a begun stream without some targets.
