target, daemon, platform: bytes that are no answer are bounded wherever they are read

The class: a read whose only bound is a deadline.

Each read before an answer's body counts bytes (maxHeadBytes with the informational answers, maxSurplusBytes for an answer to another request) and fails with ErrNoAnswer; the target counts as failed and the request goes elsewhere. The same cause elsewhere: an event without an end (now 256 KB, in reserved memory), lines of the link to an engine (64 KB), replies (1 MB in place of 64, and a part of one was taken for the whole), heads of engines' reports (64 KB in place of 10 MB), heads of requests for metrics, and a body announced with a rejection that never comes, which held the request until its deadline.

TestHeadWithoutEndIsNoAnswer, TestReplyLineWithoutEndBreaksLink, TestReplyWithoutEndIsNoReply (body, chunks) and TestEventWithoutEndIsNoAnswer fail without the change.

Ruled out: a bound in time on a head; the request's deadline is one, and targets may be slow.

--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 
 	"github.com/spoolbank/spoolbank/internal/clock"
@@ -23,9 +24,39 @@
 	f.g.router.ObserveFirstEvent(clock.Since(f.sentAt))
 }
 
+// maxEventBytes bounds an event, in bytes: a target may send bytes that are no event, without an end.
+const maxEventBytes = maxBufferedAnswerBytes
+
+// errEventTooLong ends an answer with an event of more than maxEventBytes.
+var errEventTooLong = fmt.Errorf("%w: an event has over %d bytes", target.ErrNoAnswer, maxEventBytes)
+
+// partialEvent is the beginning of an event, in memory that is reserved.
+type partialEvent struct {
+	bytes    []byte
+	held     *reservation
+	reserved int64
+}
+
+// set replaces the bytes. Its error is errEventTooLong, or errNoMemory if there is no memory for them.
+func (p *partialEvent) set(ctx context.Context, bytes []byte) error {
+	p.bytes = bytes
+	size := int64(len(bytes))
+	switch {
+	case size > maxEventBytes:
+		return errEventTooLong
+	case size <= p.reserved:
+		return nil
+	case !p.held.awaitReserve(ctx, relay.SideCallers, size):
+		return errNoMemory
+	}
+	p.reserved += size
+	return nil
+}
+
 // stream forwards events as they arrive, only whole ones.
 func (f *forwarding) stream(ctx context.Context, path relay.Path, watch *watcher, answer *target.Answer) result {
-	var pending []byte
+	pending := partialEvent{held: f.g.daemon.outbox.newReservation(), reserved: streamReadBytes}
+	defer pending.held.close()
 	buffer := make([]byte, streamReadBytes)
 	f.caller.setTargetWaits(true)
 	for {
@@ -34,12 +65,17 @@
 			watch.lastReadAt = clock.Now()
 			f.waitedForCaller = false
 			f.recordPromptProcessed()
-			var left error
-			if pending, left = f.forwardEvents(answer, append(pending, buffer[:n]...)); left != nil {
+			rest, left := f.forwardEvents(answer, append(pending.bytes, buffer[:n]...))
+			if left != nil {
 				f.lastCause = "caller left: " + left.Error()
 				f.endCause = EndNotReading
 				return resultAborted
 			}
+			if failed := pending.set(ctx, rest); errors.Is(failed, errNoMemory) {
+				return f.answerWithoutMemory(path)
+			} else if failed != nil {
+				return f.handleBroken(ctx, f.lastPath, watch, failed)
+			}
 			f.excludeCallerStall(watch)
 			f.leaveMovingEngine(ctx)
 			watch.resetMaxPause()
@@ -47,7 +83,7 @@
 		switch {
 		case err == nil:
 			continue
-		case errors.Is(err, io.EOF) && len(pending) == 0 && f.headSent:
+		case errors.Is(err, io.EOF) && len(pending.bytes) == 0 && f.headSent:
 			for _, s := range f.lastPath.Stages {
 				f.g.recordSuccess(s.Target)
 			}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -163,5 +163,8 @@
 	mux.Handle("GET /debug/pprof/heap", pprof.Handler("heap"))
 	mux.Handle("GET /debug/pprof/goroutine", pprof.Handler("goroutine"))
 	mux.Handle("GET /metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
-	return d.serveHTTP(&http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}, d.metricListener)
+	return d.serveHTTP(&http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second, MaxHeaderBytes: maxScrapeHeadBytes}, d.metricListener)
 }
+
+// maxScrapeHeadBytes bounds the head of a request for metrics.
+const maxScrapeHeadBytes = 16 << 10
--- a/internal/daemon/outcome.go
+++ b/internal/daemon/outcome.go
@@ -3,10 +3,10 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/spoolbank/spoolbank/internal/clock"
 	"github.com/spoolbank/spoolbank/internal/relay"
@@ -159,9 +159,12 @@
 	}
 }
 
+// drainTimeout bounds the wait for a body that nobody needs: it usually arrives with its head.
+const drainTimeout = 20 * time.Millisecond
+
 // drain reads a small body to its end, so that the connection can be reused.
 func drain(answer *target.Answer) {
 	if answer.Framed && answer.Length < streamReadBytes {
-		_, _ = io.Copy(io.Discard, io.LimitReader(answer, streamReadBytes)) // a connection that breaks here is closed by Close
+		answer.Discard(streamReadBytes, drainTimeout)
 	}
 }
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -15,8 +15,25 @@
 	"github.com/spoolbank/spoolbank/internal/core"
 )
 
-// maxReplyBytes bounds how much of a reply is read, in bytes.
-const maxReplyBytes = 64 << 20
+const (
+	// maxReplyBytes bounds a reply of an engine or of the platform, in bytes, and maxCallAnswerBytes the
+	// answer to a call of a plain service.
+	maxReplyBytes      = 1 << 20
+	maxCallAnswerBytes = 4 << 20
+)
+
+// errReplyTooLong is the error of replies that are longer than their bound: a part of one must not
+// be taken for the whole.
+var errReplyTooLong = fmt.Errorf("%w: it is too long", ErrNoAnswer)
+
+// readReply reads a reply of up to limit bytes.
+func readReply(body io.Reader, limit int64) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(body, limit+1))
+	if err == nil && int64(len(text)) > limit {
+		err = errReplyTooLong
+	}
+	return text, err
+}
 
 // watchTimeout bounds one watch request to a target, one request for the platform's list, and
 // the release of all engines of a chain.
@@ -35,9 +52,10 @@
 // NewClient returns a Client with a connection pool of its own.
 func NewClient() *Client {
 	kept := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: time.Second}).DialContext,
-		MaxIdleConnsPerHost: 512,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+		MaxIdleConnsPerHost:    512,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	fresh := kept.Clone()
 	fresh.DisableKeepAlives = true
@@ -72,7 +90,7 @@
 		return reply, err
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	text, err := readReply(response.Body, maxReplyBytes)
 	if err != nil {
 		return reply, err
 	}
@@ -230,7 +248,7 @@
 		return ended
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxReplyBytes))
+	body, err := readReply(response.Body, maxCallAnswerBytes)
 	if err != nil {
 		return ended
 	}
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -27,7 +27,9 @@
 // with nothing left to read, and the caller decides about everything else.
 //
 // Invariants: a connection is kept only after a whole answer was read to its
-// framed end; a connection with unexpected bytes is closed, and no more is read from it.
+// framed end; a connection with unexpected bytes is closed, and no more is read from it. A target
+// may send bytes that are no answer, without an end: what is read before the answer's body is
+// bounded in bytes, and ends with the request's context.
 
 // ErrNotSent is wrapped by errors of requests of which no byte was sent.
 var ErrNotSent = errors.New("not sent")
@@ -37,6 +39,10 @@
 // request on one is answered with a reset.
 var ErrStale = errors.New("kept connection is gone")
 
+// ErrNoAnswer is wrapped by errors of answers whose head has no end within maxHeadBytes, or that come
+// after too many bytes that belong to no request.
+var ErrNoAnswer = errors.New("the target's bytes are no answer")
+
 // ErrSilent is wrapped by errors of answers that were abandoned during a pause.
 var ErrSilent = errors.New("target is silent")
 
@@ -55,6 +61,10 @@
 	idleTimeFraction = 0.6
 	// maxIdlePerAddress bounds the idle connections to one address.
 	maxIdlePerAddress = 64
+	// maxHeadBytes bounds the head of an answer, with the informational ones before it.
+	maxHeadBytes = 64 << 10
+	// maxSurplusBytes bounds the body of an answer to another request.
+	maxSurplusBytes = 256 << 10
 	// readBufferBytes holds the usual response head and a few events.
 	readBufferBytes = 4 << 10
 	// InlineBody is the largest body that is written before the answer is read; it
@@ -152,10 +162,39 @@
 	sentAt, lastUsedAt time.Time
 	// notReading is set if the target does not read the request.
 	notReading atomic.Bool
+	// bounded is set while at most remaining more bytes may be read.
+	bounded   bool
+	remaining int
+}
+
+// bound lets at most n more bytes be read, until unbound.
+func (l *link) bound(n int) { l.bounded, l.remaining = true, n }
+
+func (l *link) unbound() { l.bounded = false }
+
+// orNoAnswer returns ErrNoAnswer in place of err if the bound was reached: parsers report what they
+// could not read instead.
+func (l *link) orNoAnswer(err error) error {
+	if l.bounded && l.remaining == 0 {
+		return ErrNoAnswer
+	}
+	return err
 }
 
 // Read reads bytes of the answer. After each pause of MaxPause it calls KeepWaiting.
 func (l *link) Read(p []byte) (int, error) {
+	if !l.bounded {
+		return l.read(p)
+	}
+	if l.remaining == 0 {
+		return 0, ErrNoAnswer
+	}
+	n, err := l.read(p[:min(len(p), l.remaining)])
+	l.remaining -= n
+	return n, err
+}
+
+func (l *link) read(p []byte) (int, error) {
 	for {
 		r := l.request
 		if l.boundsFirstByte() {
@@ -237,8 +276,9 @@
 		if answer.Length < 0 && !answer.Framed {
 			break
 		}
+		l.bound(maxSurplusBytes)
 		if _, err := io.Copy(io.Discard, answer.body); err != nil {
-			return nil, fmt.Errorf("target %s: surplus answer: %w", l.address, err)
+			return nil, fmt.Errorf("target %s: surplus answer: %w", l.address, l.orNoAnswer(err))
 		}
 	}
 	return nil, fmt.Errorf("target %s: the answer belongs to another request", l.address)
@@ -273,10 +313,12 @@
 }
 
 func (l *link) readHead(r *Request) (*Answer, error) {
+	l.bound(maxHeadBytes)
+	defer l.unbound()
 	for {
 		response, err := http.ReadResponse(l.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, err
+			return nil, l.orNoAnswer(err)
 		}
 		if response.StatusCode >= 100 && response.StatusCode < 200 {
 			continue
@@ -303,6 +345,17 @@
 	return n, a.link.orNotReading(err)
 }
 
+// Discard reads up to limit bytes of a body that nobody needs, for at most some time, so that the
+// connection can be kept. The answer can't be read any more.
+func (a *Answer) Discard(limit int64, within time.Duration) {
+	a.link.request = nil // a pause is nobody's concern
+	if a.link.Conn.SetReadDeadline(time.Now().Add(within)) != nil {
+		return
+	}
+	// A body that is longer, late or broken stays incomplete, and Close closes its connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, limit+1))
+}
+
 // OnNewConn reports whether the answer came over a connection to the target that was opened for its
 // request.
 func (a *Answer) OnNewConn() bool { return !a.link.reused && a.link.tunnelVM() == "" }
--- a/internal/target/runlink.go
+++ b/internal/target/runlink.go
@@ -149,16 +149,20 @@
 	if response.StatusCode != http.StatusOK {
 		return
 	}
-	lines := json.NewDecoder(bufio.NewReader(response.Body))
-	for {
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, maxReplyLineBytes)
+	for lines.Scan() {
 		var line ReplyLine
-		if err := lines.Decode(&line); err != nil {
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
 			return
 		}
 		l.deliver(line)
 	}
 }
 
+// maxReplyLineBytes bounds one line of replies: a token and a few numbers.
+const maxReplyLineBytes = 64 << 10
+
 func (l *runLink) deliver(line ReplyLine) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
