daemon, target: each sending states the time that is left then

Targets got more time than was left: the head of a request was made once a try, before the dial, and served for the second sending on a new connection as well. That one leaves after the wait for a silent connection, 0.4 s at least and 1.2 s at most by the standard settings, so that the repeat ended that much after the caller's time; the platform allows 0.5 s. The class: a limit read where it is decided, and not where it takes effect.

The head is made when the request is admitted to an open connection, for each sending. The same cause elsewhere: an order for a run that is repeated on a new link stated its first time-out.

Ruled out: the time between the look and the write of a stopped process, which the target's own clock bounds.

--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -295,16 +295,16 @@
 // try sends the request along a path once.
 func (f *forwarding) try(ctx context.Context, path relay.Path) result {
 	first := path.First()
-	header := f.g.platform.Codec.Head(Hop{
-		Call: f.call, Path: path, Organisation: f.organisation, Deadline: f.deadline, After: f.lastID, Class: f.class,
-	})
 	f.pace, f.sentAt = relay.Pace{}, clock.Now()
 	request := &target.Request{
-		Method: f.call.Method, URI: f.call.URI, Host: f.call.Host, Header: header, Body: f.call.Body,
+		Method: f.call.Method, URI: f.call.URI, Host: f.call.Host, Body: f.call.Body,
 		NewConn: f.route.Repeat == relay.RepeatNever,
-		Admit:   func() error { return f.checkMaySend(first.Target) },
 		Matches: func(h http.Header) bool { return f.g.platform.Codec.Verdict(0, h).ID == f.call.ID },
 	}
+	request.Admit = func() error {
+		request.Header = f.head(path) // it states the time that is left
+		return f.checkMaySend(first.Target)
+	}
 	incarnationCtx, stopFollowing := f.g.exchanges.track(ctx, first.Target)
 	defer stopFollowing()
 	watch := &watcher{f: f, ctx: ctx, incarnationCtx: incarnationCtx, began: clock.Now(), request: request}
@@ -340,3 +340,10 @@
 	}
 	return f.forwardWhole(ctx, path, watch, answer)
 }
+
+// head returns the headers of a request to the first target of a path, as of now.
+func (f *forwarding) head(path relay.Path) http.Header {
+	return f.g.platform.Codec.Head(Hop{
+		Call: f.call, Path: path, Organisation: f.organisation, Deadline: f.deadline, After: f.lastID, Class: f.class,
+	})
+}
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -120,8 +120,8 @@
 	FirstByte FirstByteWait
 	// Redial is set if the request replaces one on a silent connection.
 	Redial bool
-	// Admit is called on an open connection, just before the first byte is sent. If it
-	// returns an error, the request is not sent; a nil Admit admits every request.
+	// Admit is called on an open connection, just before the first byte is sent, and may set
+	// Header. If it returns an error, the request is not sent; a nil Admit admits every request.
 	Admit func() error
 	// tunnelVM is the address of the VM by way of which the request was sent, or empty.
 	tunnelVM string
--- a/internal/target/runlink.go
+++ b/internal/target/runlink.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/spoolbank/spoolbank/internal/clock"
 )
 
 // This file carries runs to engines: one long-lived request per engine, whose
@@ -64,8 +66,10 @@
 // Run sends an order and waits for its reply. If the link is found silent, the order is sent
 // once more over a new one: an engine repeats its reply to an order that it has run already.
 func (l *runLinks) Run(ctx context.Context, address string, order RunOrder) (RunReply, error) {
+	sentAt := clock.Now()
 	reply, err := l.runOnce(ctx, address, order)
 	if errors.Is(err, errLinkSilent) && ctx.Err() == nil {
+		order.TimeoutMillis = max(order.TimeoutMillis-clock.Since(sentAt).Milliseconds(), 1)
 		return l.runOnce(ctx, address, order)
 	}
 	return reply, err
--- a/internal/target/silence_test.go
+++ b/internal/target/silence_test.go
@@ -123,3 +123,31 @@
 	require.Equal(t, 1, found.count("watch"))
 	require.Equal(t, int64(3), answered.Load())
 }
+
+// Guards against a repeated run that states the time that was left at its first sending.
+func TestRepeatedRunStatesTimeLeft(t *testing.T) {
+	const allowed = time.Minute
+	stated := make(chan int64, 4)
+	server := engine(t, func(_ context.Context, o target.RunOrder) target.RunReply {
+		stated <- o.TimeoutMillis
+		return target.RunReply{Result: core.ResultDone, Next: o.Position + 1}
+	})
+	proxy := newProxyFor(t, server)
+	var found silentCounts
+	client := target.NewClient().WithSilence(silenceBound, found.record)
+	run := func() {
+		now := time.Now()
+		ended := client.Run(t.Context(), core.Run{
+			Stream: "s", Chain: []core.Stage{{Target: "e1", Address: proxy.Address()}}, ReplyDeadline: now.Add(allowed), NotAfter: now.Add(allowed),
+		})
+		require.Equal(t, core.ResultDone, ended.Result)
+	}
+	run()
+	require.LessOrEqual(t, <-stated, allowed.Milliseconds())
+	proxy.Silence()
+	began := time.Now()
+	run()
+	require.Equal(t, 1, found.count("runs"))
+	// The link was found silent after a good part of the bound at the least.
+	require.LessOrEqual(t, <-stated, (allowed - silenceBound/4).Milliseconds(), "after %v", time.Since(began))
+}
