target: a call without a body is sent once

A call of a plain service over the product's own interface could run twice, with nobody counting the second run: net/http sends a request again by itself when its kept connection is lost, if the request has an Idempotency-Key and no body, and every call has that header.

TestCallWithoutBodyIsSentOnce: two sendings before, 'done' in place of 'broken'; one now. Other requests by net/http's client: watch requests, reports and lists are GETs that run nothing; orders and runs have a body without GetBody or no such header. The Exchanger of the platform's requests sends nothing by itself.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -220,6 +220,13 @@
 // services.
 const HeaderIdempotencyKey = "Idempotency-Key"
 
+// bodyOnce is a body of a type that net/http can't rewind. It repeats by itself a request with an
+// identity whose kept connection is lost, if its body can be sent again or is known to be empty.
+type bodyOnce struct{ bytes.Reader }
+
+// Close implements io.Closer.
+func (*bodyOnce) Close() error { return nil }
+
 // Dispatch sends a call to a runner, unless the permission to send it has expired.
 func (c *Client) Dispatch(ctx context.Context, d core.Dispatch, call Call) core.DispatchEnded {
 	ended := core.DispatchEnded{Conn: d.Conn, ID: d.ID, Target: d.Target, Result: core.ResultRefused}
@@ -228,12 +235,11 @@
 	}
 	ctx, cancel := clock.WithDeadline(ctx, d.Deadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+d.Address+call.Path, bytes.NewReader(call.Body))
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+d.Address+call.Path, &bodyOnce{Reader: *bytes.NewReader(call.Body)})
 	if err != nil {
 		return ended
 	}
-	// Without GetBody the transport can't rewind a body, so it sends no body twice.
-	request.GetBody = nil
+	request.ContentLength = int64(len(call.Body))
 	request.Header.Set(HeaderIdempotencyKey, string(d.ID))
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -141,3 +141,17 @@
 	ended := target.NewClient().Dispatch(t.Context(), core.Dispatch{Address: address, Deadline: soon, NotAfter: soon}, target.Call{Method: "POST", Path: "/"})
 	require.Equal(t, core.ResultRefused, ended.Result, "nothing listens on the address, so nothing was sent")
 }
+
+// Guards against a call without a body that net/http sent twice: its headers name it as idempotent, and
+// the kept connection was lost after the service had received it.
+func TestCallWithoutBodyIsSentOnce(t *testing.T) {
+	s := newScriptedTarget(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	c := target.NewClient()
+	dispatch := func() core.RunResult {
+		until := time.Now().Add(time.Minute)
+		return c.Dispatch(t.Context(), core.Dispatch{ID: "id", Address: s.address, NotAfter: until, Deadline: until}, target.Call{Method: http.MethodGet, Path: "/"}).Result
+	}
+	require.Equal(t, core.ResultDone, dispatch())
+	require.Equal(t, core.ResultBroken, dispatch())
+	require.EqualValues(t, 1, s.conns.Load(), "it was not sent again on a new connection")
+}
