daemon, clock: lines and metrics that tell the parts of the rule on repeats apart

Nothing told after the fact which part of the rule a repeat broke. Each repeat that is taken leaves a line with the request, its cause, service, try, the targets that may have run it and the time left; repeats are counted by service too; a step of the time of day leaves a line and a count (clock.StepMeter), as do bytes that are no answer.

TestLateRepeatIsTakenAnew looked for the words 'try failed' anywhere in a line, which the cause of a taken repeat has too; it now matches the message. No decision changes.

--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -51,8 +51,10 @@
 	// incompletes counts the answers that ended before they were whole, by cause.
 	incompletes metric.Int64Counter
 	// repeats counts the sendings beyond the first of a request, and what the budget denied, by
-	// cause.
+	// service and cause.
 	repeats metric.Int64Counter
+	// noAnswers counts the tries whose target sent bytes that are no answer.
+	noAnswers metric.Int64Counter
 	// reachChecks counts the checks of whether this VM reaches a service, and isolation is 1 for
 	// each service that it does not reach.
 	reachChecks metric.Int64Counter
@@ -106,6 +108,7 @@
 	g.notices = counter("spoolbank.target.notices")
 	g.incompletes = counter("spoolbank.gateway.incomplete")
 	g.repeats = counter("spoolbank.gateway.repeats")
+	g.noAnswers = counter("spoolbank.target.no_answer")
 	g.tunnelsOpened = counter("spoolbank.tunnels.opened")
 	g.tunnelsCarried = counter("spoolbank.tunnels.carried")
 	g.reachChecks = counter("spoolbank.service.reach_checks")
@@ -154,10 +157,12 @@
 	g.incompletes.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", string(cause)), attribute.Bool("begun", begun)))
 }
 
-func (g *gatewayMetrics) repeated(cause RepeatCause, allowed bool) {
-	g.repeats.Add(context.Background(), 1, metric.WithAttributes(attribute.String("cause", string(cause)), attribute.Bool("allowed", allowed)))
+func (g *gatewayMetrics) repeated(service string, cause RepeatCause, allowed bool) {
+	g.repeats.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("cause", string(cause)), attribute.Bool("allowed", allowed)))
 }
 
+func (g *gatewayMetrics) sentNoAnswer() { g.noAnswers.Add(context.Background(), 1) }
+
 func (g *gatewayMetrics) reachChecked(service string, reached bool) {
 	g.reachChecks.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("reached", reached)))
 }
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -43,11 +43,16 @@
 func (d *Daemon) tickLoop() error {
 	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
+	steps := clock.NewStepMeter(time.Now())
 	for {
 		select {
 		case <-timer.C:
 			timer.Reset(d.nextTick())
-			d.peers.checkLinks(time.Now())
+			now := time.Now()
+			if step := steps.Check(now); step != 0 {
+				d.recordClockStep(step)
+			}
+			d.peers.checkLinks(now)
 			d.post(core.Tick{})
 		case <-d.tomb.Dying():
 			return nil
@@ -55,6 +60,12 @@
 	}
 }
 
+// recordClockStep counts and logs that the time of day of this VM was set.
+func (d *Daemon) recordClockStep(step time.Duration) {
+	d.metrics.clockStepped()
+	d.log.Info("time of day was set", "step_ms", step.Milliseconds())
+}
+
 // outboxLoop maintains the data buffered for callers if no gateway does.
 func (d *Daemon) outboxLoop() error {
 	ticker := time.NewTicker(upkeepInterval)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -20,15 +20,16 @@
 
 // metrics holds the OpenTelemetry instruments. docs/OPERATIONS.md lists their names.
 type metrics struct {
-	registry *prometheus.Registry
-	meter    metric.Meter
-	steps    metric.Float64Histogram
-	messages metric.Int64Counter
-	tokens   metric.Int64Counter
-	answers  metric.Int64Counter
-	silent   metric.Int64Counter
-	byEvent  map[string]metric.MeasurementOption
-	traffic  *traffic
+	registry   *prometheus.Registry
+	meter      metric.Meter
+	steps      metric.Float64Histogram
+	messages   metric.Int64Counter
+	tokens     metric.Int64Counter
+	answers    metric.Int64Counter
+	silent     metric.Int64Counter
+	clockSteps metric.Int64Counter
+	byEvent    map[string]metric.MeasurementOption
+	traffic    *traffic
 }
 
 func newMetrics(d *Daemon) (*metrics, error) {
@@ -57,6 +58,9 @@
 	if m.silent, err = meter.Int64Counter("spoolbank.connections.silent"); err != nil {
 		return nil, err
 	}
+	if m.clockSteps, err = meter.Int64Counter("spoolbank.clock.steps"); err != nil {
+		return nil, err
+	}
 	if err := d.outbox.observe(meter); err != nil {
 		return nil, err
 	}
@@ -168,3 +172,5 @@
 
 // maxScrapeHeadBytes bounds the head of a request for metrics.
 const maxScrapeHeadBytes = 16 << 10
+
+func (m *metrics) clockStepped() { m.clockSteps.Add(context.Background(), 1) }
--- a/internal/daemon/outcome.go
+++ b/internal/daemon/outcome.go
@@ -31,6 +31,9 @@
 // handleBroken handles an exchange that ended without a whole answer.
 func (f *forwarding) handleBroken(ctx context.Context, path relay.Path, watch *watcher, err error) result {
 	f.lastCause = err.Error()
+	if errors.Is(err, target.ErrNoAnswer) {
+		f.g.meter.sentNoAnswer()
+	}
 	if ctx.Err() != nil {
 		return resultAborted
 	}
--- a/internal/daemon/repeat_record.go
+++ b/internal/daemon/repeat_record.go
@@ -56,7 +56,7 @@
 // recordRepeat counts a repeat that was taken or denied. Where few or none are left, it logs the
 // account of the budget and asks the leader for permits at once.
 func (f *forwarding) recordRepeat(cause RepeatCause, denial relay.Denial) {
-	f.g.meter.repeated(cause, denial == relay.NotDenied)
+	f.g.meter.repeated(f.service, cause, denial == relay.NotDenied)
 	f.g.mu.Lock()
 	now := clock.Now()
 	account := f.g.router.RepeatAccount(f.service, now)
@@ -73,6 +73,7 @@
 		f.g.log.Info("repeat denied", "request", f.call.ID, "cause", string(cause), "begun", f.headSent, "service", f.service, "budget", account.String())
 		return
 	}
+	f.logRepeat(cause, f.attempts.Ran)
 	if account.Left < lowRepeats {
 		f.g.log.Info("repeat budget is low", "request", f.call.ID, "cause", string(cause), "begun", f.headSent, "service", f.service, "budget", account.String())
 	}
@@ -80,3 +81,9 @@
 
 // lowRepeats is the number of repeats left below which each use is logged.
 const lowRepeats = 2
+
+// logRepeat logs a repeat that was taken after targets may have run the request.
+func (f *forwarding) logRepeat(cause RepeatCause, ran relay.Runs) {
+	f.g.log.Info("repeat taken", "request", f.call.ID, "cause", string(cause), "service", f.service, "try", f.count, "may_have_run", ran.String(),
+		"left_ms", f.deadline.Sub(clock.Now()).Milliseconds())
+}
--- a/internal/daemon/repeating.go
+++ b/internal/daemon/repeating.go
@@ -97,7 +97,8 @@
 	}
 	f.secured = &path
 	f.repeatUntil = now.Add(f.g.router.RepeatTTL())
-	f.g.meter.repeated(RepeatInsteadOfRun, true)
+	f.g.meter.repeated(f.service, RepeatInsteadOfRun, true)
+	f.logRepeat(RepeatInsteadOfRun, attempts.Ran)
 	return true
 }
 
--- a/internal/daemon/repeating_test.go
+++ b/internal/daemon/repeating_test.go
@@ -43,7 +43,7 @@
 			daemon.LeaveRepeats(g, "s", repeats)
 			before := daemon.UsageOf(g, "s").Repeats
 			ask(t, g)
-			tries := logs.containing("try failed")
+			tries := logs.containing(`"msg"="try failed"`)
 			if len(tries) >= 2 && strings.Contains(tries[0], "not run") && strings.Contains(tries[1], "i/o timeout") {
 				return daemon.UsageOf(g, "s").Repeats - before, tries
 			}
--- a/internal/relay/budget_fleet_test.go
+++ b/internal/relay/budget_fleet_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/spoolbank/spoolbank/internal/clock/clocktest"
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
@@ -105,7 +106,7 @@
 // clock returns the time by the clock of a VM, or of the leader under an empty name.
 func (w *budgetWorld) clock(vm string) time.Time {
 	if steps := w.clockSteps[vm]; steps != 0 {
-		return stepped(w.now(), steps)
+		return clocktest.Stepped(w.now(), steps)
 	}
 	return w.now()
 }
--- a/internal/relay/clock_steps_test.go
+++ b/internal/relay/clock_steps_test.go
@@ -4,22 +4,13 @@
 	"math/rand/v2"
 	"testing"
 	"time"
-	"unsafe"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/spoolbank/spoolbank/internal/clock/clocktest"
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
-// stepped returns t with its time of day stepped by whole seconds. Its monotonic reading stays, as in
-// a process whose clock is set.
-func stepped(t time.Time, seconds int64) time.Time {
-	const nanosecondBits = 30
-	wall := (*uint64)(unsafe.Pointer(&t)) // the time of day of a time with a monotonic reading
-	*wall += uint64(seconds) << nanosecondBits
-	return t
-}
-
 // Guards against more repeats than allowed as the time of day steps: accounts of a window were kept by
 // it, so that each step ahead emptied them, and a step back made them last.
 func TestRepeatsStayWithinBoundWhileClocksStep(t *testing.T) {
@@ -54,7 +45,7 @@
 	taken := func(from time.Duration, seconds int64) int {
 		n := 0
 		for at := from; at < from+20*time.Second; at += 100 * time.Millisecond {
-			now := stepped(began.Add(at), seconds)
+			now := clocktest.Stepped(began.Add(at), seconds)
 			router.CountRequest(budgetService, now)
 			if router.AllowRepeat(budgetService, true, now) {
 				n++
