--- a/cmd/spoolfake/main.go
+++ b/cmd/spoolfake/main.go
@@ -80,6 +80,8 @@
 	flags.DurationVar(&o.Delay, 0, "delay", 5*time.Millisecond, "time of a call")
 	flags.DurationVar(&o.Backoff, 0, "backoff", 0, "what it asks VMs to wait for where it has no room")
 	flags.Float64Var(&o.Limit, 0, "limit", 0, "calls a second that it names with its answers; 0 names none. GET /calls tells the most in 4 s")
+	flags.Float64Var(&o.Faults.Lose, 0, "lose", 0, "share of calls that run and whose connection is closed; they are rejected when they come again")
+	flags.Float64Var(&o.Faults.Endless, 0, "endless", 0, "share of calls that get bytes without an end")
 	return &ff.Command{Name: "service", ShortHelp: "a runner of a plain service", Flags: flags, Exec: func(ctx context.Context, _ []string) error {
 		return serve(ctx, listen, fake.NewService(o).Handler())
 	}}
--- a/internal/fake/service.go
+++ b/internal/fake/service.go
@@ -41,7 +41,8 @@
 	// Backoff is the Retry-After sent when all slots are busy; 0 sends none.
 	Backoff time.Duration
 	// Limit is the rate limit, in calls a second, sent with each answer; 0 sends none.
-	Limit float64
+	Limit  float64
+	Faults ServiceFaults
 }
 
 // Service is a fake runner of a plain service. It counts the runs of each identity, which is
@@ -51,6 +52,8 @@
 	mu      sync.Mutex
 	busy    int
 	runs    map[string]int
+	// lost holds the identities of calls that ran and whose connection was closed.
+	lost    map[string]bool
 	leaving bool
 	// arrivals holds the arrival times of calls in the last rateWindow.
 	arrivals []time.Time
@@ -59,7 +62,7 @@
 
 // NewService returns an idle runner.
 func NewService(options ServiceOptions) *Service {
-	return &Service{options: options, runs: make(map[string]int)}
+	return &Service{options: options, runs: make(map[string]int), lost: make(map[string]bool)}
 }
 
 // serviceAnswer is the body of an answer.
@@ -104,6 +107,10 @@
 		return
 	}
 	s.recordCall(w)
+	id := r.Header.Get(target.HeaderIdempotencyKey)
+	if s.rejectsLost(w, id) {
+		return
+	}
 	run, ok := s.begin(r)
 	if !ok {
 		w.Header().Set(target.HeaderNotRun, "no room")
@@ -115,6 +122,9 @@
 	}
 	defer s.end()
 	pause(context.Background(), s.options.Delay)
+	if s.breakOff(w, id) {
+		return
+	}
 	writeJSON(w, serviceAnswer{Runner: s.options.Name, Method: r.Method, Path: r.URL.RequestURI(), Run: run, Echo: string(body)})
 }
 
--- a/internal/target/client_test.go
+++ b/internal/target/client_test.go
@@ -155,3 +155,23 @@
 	require.Equal(t, core.ResultBroken, dispatch())
 	require.EqualValues(t, 1, s.conns.Load(), "it was not sent again on a new connection")
 }
+
+// A call whose answer is lost, or has no end, may have run. The same call is rejected as it comes again.
+func TestCallsOfFaultyServiceMayHaveRun(t *testing.T) {
+	for name, faults := range map[string]fake.ServiceFaults{"lost": {Lose: 1}, "endless": {Endless: 1}} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(fake.NewService(fake.ServiceOptions{Slots: 4, Faults: faults}).Handler())
+			defer server.Close()
+			c := target.NewClient()
+			dispatch := func() core.RunResult {
+				until := time.Now().Add(time.Minute)
+				d := core.Dispatch{ID: "id", Address: server.Listener.Addr().String(), NotAfter: until, Deadline: until}
+				return c.Dispatch(t.Context(), d, target.Call{Method: http.MethodPost, Path: "/", Body: []byte("x")}).Result
+			}
+			require.Equal(t, core.ResultBroken, dispatch())
+			if faults.Lose > 0 {
+				require.Equal(t, core.ResultRefused, dispatch())
+			}
+		})
+	}
+}
