core: a call that may have run is not refused as not run

A caller of the product's own interface was told 'ran: no' of a lookup that a runner had run and whose answer was lost: the call waited in the queue for another runner, and all of them asked to back off. The refusal of the queue knows nothing of earlier dispatches.

A call keeps that it may have run once a runner has broken off, a stream likewise once an engine has, and every refusal of either passes WithUnknownOutcome. Its text no longer says that nothing was run here.

TestCallThatMayHaveRunIsNotRefusedAsNotRun: 'no' before, 'unknown' now. Ruled out: refusing such calls at once, which gives up what another runner could serve.

--- a/internal/core/backoffs_test.go
+++ b/internal/core/backoffs_test.go
@@ -83,3 +83,29 @@
 	w.advance(time.Second)
 	require.NotNil(t, a.answer, "%v", a.refusal)
 }
+
+// Guards against "ran: no" for a call that a runner ran and whose answer was lost: it waited in the
+// queue for another runner, and all of them asked to back off.
+func TestCallThatMayHaveRunIsNotRefusedAsNotRun(t *testing.T) {
+	w := newWorld(t, 16, 3, 1)
+	w.setUp()
+	w.waitForVoters()
+	w.losesAnswers = true
+	a := w.lookUp("vm4", "look")
+	ran := func() bool {
+		for _, r := range w.runners {
+			if len(r.runs) > 0 {
+				return true
+			}
+		}
+		return false
+	}
+	for !ran() {
+		w.advance(time.Millisecond)
+	}
+	for name := range w.runners {
+		w.backoffs[name] = w.now.Add(time.Minute)
+	}
+	w.until("the call is refused", 20*time.Second, func() bool { return a.refusal != nil })
+	require.Equal(t, core.RanUnknown, a.refusal.Ran, a.refusal)
+}
--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -48,6 +48,8 @@
 	refusal *Refusal
 	// disconnected is set when the caller has disconnected; the call still runs to its end.
 	disconnected bool
+	// mayHaveRun is set once a runner has broken off: what others state later doesn't change that.
+	mayHaveRun bool
 }
 
 // pendingRecord is a record that the control VMs have not acknowledged.
@@ -264,6 +266,7 @@
 		n.retryCall(c, e.Target)
 	default:
 		n.suspect(e.Target)
+		c.mayHaveRun = true
 		if c.repeatable {
 			n.retryCall(c, e.Target)
 			return
@@ -325,6 +328,9 @@
 // run, so the control VMs are first asked for the state of its claim. Without
 // their answer the refusal states that the outcome is unknown.
 func (n *Node) refuseCall(c *call, r Refusal) {
+	if c.mayHaveRun {
+		r = r.WithUnknownOutcome()
+	}
 	unsettled := !c.repeatable && c.request.Returnable && !c.claimed && !c.disconnected
 	if unsettled && r.Ran == RanNo && r.Kind != RefusedConflict {
 		n.peek(c, r)
--- a/internal/core/refusal.go
+++ b/internal/core/refusal.go
@@ -48,14 +48,14 @@
 	return fmt.Sprintf("%s (ran: %s): %s; %s", r.Kind, r.Ran, r.Reason, r.Remedy)
 }
 
-// WithUnknownOutcome returns the refusal for a request that may have been sent to another VM
-// before: this VM has not run it, but another one may have.
+// WithUnknownOutcome returns the refusal for a request that may have run in an earlier attempt, here or
+// by way of another VM.
 func (r Refusal) WithUnknownOutcome() Refusal {
 	if r.Ran != RanNo {
 		return r
 	}
 	r.Ran = RanUnknown
-	r.Reason += "; nothing was run here, but an earlier attempt under this identity could not be ruled out"
+	r.Reason += "; an earlier attempt under this identity could not be ruled out"
 	r.Remedy = "send it again under the same identity"
 	return r
 }
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -224,6 +224,7 @@
 	case ResultRefused:
 		n.stageRefused(s, e.Target)
 	case ResultBroken:
+		s.mayHaveRunBefore = true
 		n.suspect(e.Target)
 		n.repair(s, e.Target)
 	case ResultGap:
--- a/internal/core/world_targets_test.go
+++ b/internal/core/world_targets_test.go
@@ -86,7 +86,7 @@
 			r.runs[d.ID]++
 			ended.Result = core.ResultDone
 			ended.Answer = core.CallAnswer{Status: 200, Body: []byte(d.ID)}
-			if w.chance() {
+			if w.losesAnswers || w.chance() {
 				ended.Result = core.ResultBroken
 			}
 		}
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -48,6 +48,8 @@
 	// sent holds the commands that have been sent before.
 	sent map[string]bool
 	dead map[string]bool
+	// losesAnswers makes runners run calls and break off.
+	losesAnswers bool
 	// slow is the additional time that a submission takes at its runner.
 	slow time.Duration
 	// platform is the platform's list of leaving VMs and targets; leaves holds the
