relay: a begun answer of a plain service stays on the targets that have run it

Targets saw streams of a plain service on three and four targets where the route allows two: once as many have run a begun answer, it may go on at those only (PathRequest.Only), but only the choice of engines looked at that; chooseTarget took any target. The class: a limit that is decided in one place and not applied in another that takes effect.

Ruled out: denying another try to begun answers, which cuts what one of the targets could finish.

--- a/internal/daemon/cut_histories_test.go
+++ b/internal/daemon/cut_histories_test.go
@@ -35,10 +35,13 @@
 	// findings are answers that seemed whole and were not.
 	findings      []string
 	whole, broken atomic.Int64
+	// refuses is set if cuts may refuse connections: a target that does counts as ended, and a request
+	// may run on another one in its place.
+	refuses bool
 }
 
 func playCutHistory(t *testing.T, seed uint64) *cutHistory {
-	h := &cutHistory{fleet: newCutFleet(t, 4), rand: rand.New(rand.NewPCG(seed, 5))}
+	h := &cutHistory{fleet: newCutFleet(t, 4), rand: rand.New(rand.NewPCG(seed, 5)), refuses: seed%2 == 0}
 	ctx, cancel := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for i, vm := range h.fleet.vms {
@@ -61,7 +64,10 @@
 		case h.rand.IntN(10) == 0:
 			vm.stopPeers()
 		default:
-			kinds := []cutKind{cutSilent, cutReset, cutRefused, cutOneWay, cutNew}
+			kinds := []cutKind{cutSilent, cutReset, cutOneWay, cutNew}
+			if h.refuses {
+				kinds = append(kinds, cutRefused)
+			}
 			vm.cut(kinds[h.rand.IntN(len(kinds))])
 			cut[i] = true
 		}
@@ -97,7 +103,7 @@
 	switch {
 	case err != nil || answer.StatusCode != http.StatusOK:
 		h.broken.Add(1)
-		if err == nil && answer.StatusCode == http.StatusServiceUnavailable && h.fleet.ran(id) && path == "/once/" {
+		if err == nil && answer.StatusCode == http.StatusServiceUnavailable && h.fleet.ran(id) {
 			h.find(id + " has run, and its caller was told that it had not")
 		}
 	case h.fleet.whole(id, path, string(body)):
@@ -114,7 +120,7 @@
 }
 
 // Guards against answers that seem whole and are not, requests that run twice though they may run
-// once, and wrong promises, while VMs lose and regain their targets and the VMs of their tunnels.
+// once, or on more targets than their route allows, and wrong promises, while VMs lose and regain their targets and the VMs of their tunnels.
 func TestCutsBreakNoPromise(t *testing.T) {
 	for i := range *cutHistories {
 		seed := *firstCutHistory + uint64(i)
@@ -125,6 +131,9 @@
 			for id, runs := range h.fleet.runs {
 				require.False(t, strings.HasSuffix(id, "/once/") && runs > 1, "%s has run %d times", id, runs)
 			}
+			for id, on := range h.fleet.ranOn {
+				require.False(t, !h.refuses && len(on) > cutMaxTargets, "%s has run on %d targets, %d allowed: %s", id, len(on), cutMaxTargets, strings.Join(h.fleet.logs.containing(id), "\n"))
+			}
 			t.Logf("%d answers whole, %d broken off or refused", h.whole.Load(), h.broken.Load())
 			require.Positive(t, h.whole.Load())
 		})
--- a/internal/daemon/isolation_test.go
+++ b/internal/daemon/isolation_test.go
@@ -16,7 +16,7 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/spoolbank/spoolbank/internal/core"
@@ -243,18 +243,22 @@
 	vms []*cutVM
 	// events is the number of events of a stream.
 	events int
-	// runs counts the runs of each request.
-	mu   sync.Mutex
-	runs map[string]int
+	// runs counts the runs of each request, and ranOn holds the targets that have run it.
+	mu    sync.Mutex
+	runs  map[string]int
+	ranOn map[string]map[string]bool
+	// logs are the lines of all VMs.
+	logs logLines
 }
 
 const (
-	cutTargets = 4
-	cutEvents  = 5
+	cutTargets    = 4
+	cutEvents     = 5
+	cutMaxTargets = 2
 )
 
 func newCutFleet(t *testing.T, vms int) *cutFleet {
-	f := &cutFleet{events: cutEvents, runs: make(map[string]int)}
+	f := &cutFleet{events: cutEvents, runs: make(map[string]int), ranOn: make(map[string]map[string]bool)}
 	services := []string{"streams", "answers", "once"}
 	var targets []*httptest.Server
 	for range cutTargets * len(services) {
@@ -271,7 +275,7 @@
 		}
 		document.Routes = append(document.Routes, relay.Route{
 			Name: name, Host: "h", Prefix: "/" + name + "/", Stream: name == "streams", Repeat: repeat, Timeout: 20 * time.Second,
-			Objective: 500 * time.Millisecond, MaxTargets: 2, Anonymous: true, Shares: []relay.Share{{Service: name, Weight: 1}},
+			Objective: 500 * time.Millisecond, MaxTargets: cutMaxTargets, Anonymous: true, Shares: []relay.Share{{Service: name, Weight: 1}},
 		})
 	}
 	budget := relay.BudgetTerms{Share: 0.2, Fixed: 200, Window: 10 * time.Second}
@@ -284,7 +288,7 @@
 			known = append(known, relay.Target{ID: relay.TargetID(fmt.Sprint("t-", n)), Service: services[n%len(services)], Address: p.address, Hall: "a", Slots: 1000, Call: 1})
 		}
 		platform := daemon.Platform{Codec: resumeCodec{}, Engines: noEngines{}, Router: relay.Settings{Hall: "a", Seed: uint64(i), Started: time.Now().Add(-time.Minute), Budget: budget}}
-		g, err := daemon.GatewayFor(settings.Settings{Name: fmt.Sprint("vm-", i)}, logr.Discard(), platform, document, known)
+		g, err := daemon.GatewayFor(settings.Settings{Name: fmt.Sprint("vm-", i)}, funcr.New(f.logs.add, funcr.Options{}), platform, document, known)
 		require.NoError(t, err)
 		daemon.ReceiveRequests(g)
 		vm.gateway = g
@@ -313,12 +317,20 @@
 	return f
 }
 
+func (f *cutFleet) recordRun(id, target string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.runs[id]++
+	if f.ranOn[id] == nil {
+		f.ranOn[id] = make(map[string]bool)
+	}
+	f.ranOn[id][target] = true
+}
+
 // serve is a target.
 func (f *cutFleet) serve(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("Id")
-	f.mu.Lock()
-	f.runs[id]++
-	f.mu.Unlock()
+	f.recordRun(id, fmt.Sprint(r.Context().Value(http.LocalAddrContextKey)))
 	if strings.HasPrefix(id, "reset") {
 		f.breakOff(w)
 		return
--- a/internal/relay/candidates.go
+++ b/internal/relay/candidates.go
@@ -128,7 +128,7 @@
 		var best *target
 		leastBusy := 0.0
 		for _, t := range r.usable(s.Name, a, now, suspects) {
-			if !r.permitAvailable(t, a, now) || t.ownWork.Requests >= r.connLimit(s) || !r.hasCapacity(t, scarce) {
+			if !a.mayStartOn(t.ID) || !r.permitAvailable(t, a, now) || t.ownWork.Requests >= r.connLimit(s) || !r.hasCapacity(t, scarce) {
 				continue
 			}
 			busy := float64(r.load(t).Requests) + r.rand.Float64()*otherHallLoad
--- a/internal/relay/repeat_test.go
+++ b/internal/relay/repeat_test.go
@@ -127,3 +127,21 @@
 	r.UpdateTargets([]relay.Target{{ID: "a-large-3", Call: 9, Leaving: true, Gone: true}})
 	require.Empty(t, r.AllowedTargets(ran), "a target that has signed off does not count")
 }
+
+// Guards against answers that began at a plain service and ran on more targets than their route allows:
+// only the choice of engines kept to those that had run them.
+func TestPlainTargetIsChosenAmongThoseAllowed(t *testing.T) {
+	document, targets := plainFleet([]relay.TargetID{"i-1", "i-2", "i-3", "i-4"})
+	router := relay.NewRouter(relay.Settings{Hall: "a", Seed: 1, Started: start, Budget: relay.BudgetTerms{Share: 10, Window: 10 * time.Second}})
+	router.SetDocument(document)
+	router.UpdateTargets(targets)
+	request := relay.PathRequest{Route: &document.Routes[0], Service: "s", Begun: true, Only: []relay.TargetID{"i-2", "i-3"}}
+	for range 20 {
+		path, refusal := router.Choose(request, start)
+		require.Nil(t, refusal)
+		require.Contains(t, request.Only, path.First().Target)
+	}
+	request.Only = []relay.TargetID{"i-9"}
+	_, refusal := router.Choose(request, start)
+	require.NotNil(t, refusal, "no other target takes their place")
+}
