daemon: histories of targets include streams

Every second history of TestRequestRunsOnNoMoreTargetsThanAllowed has a route of streams, whose targets also cut them short after some events.

--- a/internal/daemon/targets_of_request_test.go
+++ b/internal/daemon/targets_of_request_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -79,13 +80,15 @@
 	kinds []outcome
 	// seen are the requests that it has run and not answered. It rejects them when they come again.
 	seen map[string]bool
+	// streams is set if it answers with events.
+	streams bool
 }
 
-func newDrawingTarget(t *testing.T, seed uint64, share float64, kinds []outcome, ran *ranOn) *drawingTarget {
+func newDrawingTarget(t *testing.T, seed uint64, share float64, kinds []outcome, ran *ranOn, streams bool) *drawingTarget {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { l.Close() })
-	d := &drawingTarget{address: l.Addr().String(), ran: ran, rand: rand.New(rand.NewPCG(seed, 5)), share: share, kinds: kinds, seen: make(map[string]bool)}
+	d := &drawingTarget{address: l.Addr().String(), ran: ran, rand: rand.New(rand.NewPCG(seed, 5)), share: share, kinds: kinds, seen: make(map[string]bool), streams: streams}
 	go func() {
 		for {
 			conn, err := l.Accept()
@@ -131,12 +134,38 @@
 		if o != outcomeRejected {
 			d.ran.add(id, d.address)
 		}
+		if d.streams && (o == outcomeServed || o == outcomeCutShort) {
+			d.stream(conn, id, request.Header.Get("Last-Event-Id"), o)
+			return
+		}
 		if !d.answer(t, conn, id, o) {
 			return
 		}
 	}
 }
 
+// streamEvents is the number of events of a stream.
+const streamEvents = 6
+
+// stream sends the events after the last one that the caller has, or some of them.
+func (d *drawingTarget) stream(conn net.Conn, id, after string, o outcome) {
+	last, _ := strconv.Atoi(after)
+	end := streamEvents
+	if o == outcomeCutShort {
+		d.mu.Lock()
+		end = min(last+d.rand.IntN(3), streamEvents-1)
+		d.mu.Unlock()
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n", id)
+	for n := last + 1; n <= end; n++ {
+		event := fmt.Sprintf("id: %d\ndata: %s\n\n", n, id)
+		fmt.Fprintf(conn, "%x\r\n%s\r\n", len(event), event)
+	}
+	if o == outcomeServed {
+		fmt.Fprint(conn, "0\r\n\r\n")
+	}
+}
+
 // answer answers a request, and reports whether the connection is kept.
 func (d *drawingTarget) answer(t *testing.T, conn net.Conn, id string, o outcome) bool {
 	switch o {
@@ -171,6 +200,7 @@
 		t.Run(fmt.Sprint("history ", seed), func(t *testing.T) {
 			t.Parallel()
 			random := rand.New(rand.NewPCG(seed, 3))
+			streams := seed%2 == 0
 			most := 1 + random.IntN(3)
 			kinds := []outcome{outcomeLost}
 			for o := outcomeRejected; o < outcomes; o++ {
@@ -181,9 +211,9 @@
 			ran := &ranOn{by: make(map[string][]string)}
 			var addresses []string
 			for range targets {
-				addresses = append(addresses, newDrawingTarget(t, random.Uint64(), 0.2+0.4*random.Float64(), kinds, ran).address)
+				addresses = append(addresses, newDrawingTarget(t, random.Uint64(), 0.2+0.4*random.Float64(), kinds, ran, streams).address)
 			}
-			g := gatewayBefore(t, seed, relay.RepeatAlways, most, addresses)
+			g := gatewayBefore(t, seed, streams, most, addresses)
 			var asking sync.WaitGroup
 			for c := range callers {
 				asking.Go(func() {
@@ -206,13 +236,17 @@
 }
 
 // gatewayBefore returns a gateway before plain targets, with much room for repeats.
-func gatewayBefore(t *testing.T, seed uint64, repeat relay.RepeatPolicy, most int, addresses []string) *daemon.Gateway {
+func gatewayBefore(t *testing.T, seed uint64, streams bool, most int, addresses []string) *daemon.Gateway {
 	t.Helper()
+	repeat := relay.RepeatAlways
+	if streams {
+		repeat = relay.RepeatResume
+	}
 	document := &relay.Document{
 		Version:  1,
 		Services: []relay.Service{{Name: "s", MaxConns: 100}},
 		Routes: []relay.Route{{
-			Name: "r", Host: "h", Prefix: "/", Repeat: repeat, Timeout: 5 * time.Second, Objective: time.Second,
+			Name: "r", Host: "h", Prefix: "/", Repeat: repeat, Stream: streams, Timeout: 5 * time.Second, Objective: time.Second,
 			MaxTargets: most, Anonymous: true, Shares: []relay.Share{{Service: "s", Weight: 1}},
 		}},
 	}
@@ -221,7 +255,7 @@
 		known = append(known, relay.Target{ID: relay.TargetID(address), Service: "s", Address: address, Slots: 100, Call: 1})
 	}
 	budget := relay.BudgetTerms{Share: 10, Window: 10 * time.Second}
-	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: plainCodec{}, Router: relay.Settings{Seed: seed, Started: time.Now(), Budget: budget}}, document, known)
+	g, err := daemon.NewGatewayAlone(daemon.Platform{Codec: resumeCodec{}, Engines: noEngines{}, Router: relay.Settings{Seed: seed, Started: time.Now(), Budget: budget}}, document, known)
 	require.NoError(t, err)
 	return g
 }
@@ -231,6 +265,11 @@
 	t.Helper()
 	w := httptest.NewRecorder()
 	now := time.Now()
+	defer func() {
+		if failed := recover(); failed != nil && failed != http.ErrAbortHandler {
+			panic(failed)
+		}
+	}()
 	g.Serve(t.Context(), w, &daemon.Call{ID: id, Arrived: now, Deadline: now.Add(timeout), Method: http.MethodPost, URI: "/", Path: "/", Host: "h"})
 	return w.Code
 }
