--- a/internal/clock/instant.go
+++ b/internal/clock/instant.go
@@ -4,7 +4,7 @@
 
 // Instant is a point on the monotonic clock of this process, which includes suspensions. Unlike a
 // time.Time, it has no time of day: setting the clock of the VM does not move it, and it has no
-// meaning to another process. Spans of time that are divided or numbered are measured with it.
+// meaning to another process. Windows and their buckets are computed from instants.
 type Instant struct{ sinceOrigin time.Duration }
 
 // origin is the time that instants count from: a full hour by the time of day at the start of the
--- a/internal/relay/runs.go
+++ b/internal/relay/runs.go
@@ -9,7 +9,7 @@
 //
 // Problem: a request is sent more than once, also to the same target: after a try that failed, again on
 // a new connection within one try, or by way of another VM. Each sending has an outcome of its own, and
-// what a target states of a later sending says nothing of an earlier one.
+// the answer to a later sending does not apply to an earlier one.
 //
 // Algorithm: each try is recorded with the strongest outcome of its sendings. A target that may have
 // run the request is added to a set, from which nothing is removed. A target that was found to have
