Review case 4: its stand-in moves out of the earlier review's folder

review/platform is the earlier review's; the stand-in of case 4 now lies in review/4/platform, unchanged but for the name in its first comment.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-go build -o target/review-2/ ./review/platform/second
+go build -o target/review-2/second ./review/4/platform
