core, daemon: lines and metrics for changes that did not arrive

An entry VM dropped a grant whose changes did not follow on its configuration without a line, and a refusal did not say by which version it was made, so that the hypotheses on lost changes could not be told apart.

ConfigStatus carries them to the gateway. No decision changes.

--- /dev/null
+++ b/internal/core/confirmation.go
@@ -0,0 +1,74 @@
+package core
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/spoolbank/spoolbank/internal/core/config"
+)
+
+// ConfigStatus tells the runtime how current the configuration of an entry VM is.
+type ConfigStatus struct {
+	Revision config.Revision
+	// Newest is the newest revision that this VM knows to exist.
+	Newest config.Revision
+	// ConfirmedAt is when this VM sent the renewal that its lease counts from. It has every change
+	// that was acknowledged before.
+	ConfirmedAt time.Time
+}
+
+func (ConfigStatus) isEffect() {}
+
+// confirmation is what an entry VM knows of how current its configuration is.
+type confirmation struct {
+	newest      config.Revision
+	confirmedAt time.Time
+	// missingSince is when a grant first did not follow on the configuration here; it is zero if
+	// the newest one did. unapplied counts such grants.
+	missingSince time.Time
+	unapplied    uint64
+}
+
+func (n *Node) configStatus() ConfigStatus {
+	c := n.entry.confirmation
+	return ConfigStatus{Revision: n.entry.config.Revision, Newest: c.newest, ConfirmedAt: c.confirmedAt}
+}
+
+// recordCurrent records a grant whose changes are in force here.
+func (n *Node) recordCurrent(g Grant) {
+	c := &n.entry.confirmation
+	c.newest = max(c.newest, g.Revision)
+	if n.entry.config.Revision < c.newest || c.missingSince.IsZero() {
+		return
+	}
+	n.note("missing changes have arrived", fmt.Sprintf("revision=%d after=%s", n.entry.config.Revision, n.now.Sub(c.missingSince)))
+	c.missingSince = time.Time{}
+}
+
+// recordConfirmed records that this VM has all changes that were acknowledged before a time.
+func (n *Node) recordConfirmed(at time.Time) {
+	c := &n.entry.confirmation
+	if at.After(c.confirmedAt) {
+		c.confirmedAt = at
+	}
+	n.emit(n.configStatus())
+}
+
+// recordMissing records a grant whose changes don't follow on the configuration here. The line
+// is logged once until the changes arrive.
+func (n *Node) recordMissing(from ReplicaID, g Grant) {
+	c := &n.entry.confirmation
+	c.newest = max(c.newest, g.Revision)
+	c.unapplied++
+	n.emit(n.configStatus())
+	if !c.missingSince.IsZero() {
+		return
+	}
+	c.missingSince = n.now
+	first := config.Revision(0)
+	if len(g.Deltas) > 0 {
+		first = g.Deltas[0].Revision
+	}
+	n.note("grant does not follow on the configuration here", fmt.Sprintf("from=%s revision=%d first=%d newest=%d lease=%s",
+		from.VM, n.entry.config.Revision, first, g.Revision, n.entry.lease.until.Sub(n.now)))
+}
--- a/internal/core/snapshot.go
+++ b/internal/core/snapshot.go
@@ -1,5 +1,7 @@
 package core
 
+import "fmt"
+
 // Snapshot is the control state after the entry at Index.
 type Snapshot struct {
 	Index   Index        `cbor:"index"`
@@ -77,6 +79,7 @@
 		r.applied = i.Snapshot.Index
 		n.machine = i.Snapshot.Machine.clone()
 		n.saveSnapshot(i.Snapshot)
+		n.note("state is replaced by a snapshot of the leader", fmt.Sprintf("index=%d revision=%d", i.Snapshot.Index, n.machine.Config.Revision))
 	}
 	n.sendAfterSync(from.VM, Message{AppendReply: &AppendReply{Term: r.hard.Term, Match: i.Snapshot.Index, Round: i.Round}})
 }
--- a/internal/core/status.go
+++ b/internal/core/status.go
@@ -36,16 +36,22 @@
 	// LeaseBy is the control VM that forwarded or granted the last lease.
 	LeaseBy       VMName          `json:"entry_lease_by"`
 	EntryRevision config.Revision `json:"entry_revision"`
-	EntryTerm     Term            `json:"entry_term"`
-	Streams       int             `json:"streams"`
-	Calls         int             `json:"calls"`
-	Queued        int             `json:"queued"`
-	Kept          int             `json:"kept"`
-	Records       int             `json:"records_pending"`
-	Load          int             `json:"load_thousandths"`
-	View          int             `json:"entry_vms"`
-	Stopping      bool            `json:"stopping"`
-	Violations    int             `json:"violations"`
+	// EntryNewest is the newest revision that the entry VM knows to exist, and EntryConfirmed when
+	// its own was last confirmed to be the newest. GrantsUnapplied counts the grants that did not
+	// follow on its own.
+	EntryNewest     config.Revision `json:"entry_newest_revision"`
+	EntryConfirmed  time.Time       `json:"entry_confirmed_at"`
+	GrantsUnapplied uint64          `json:"grants_unapplied"`
+	EntryTerm       Term            `json:"entry_term"`
+	Streams         int             `json:"streams"`
+	Calls           int             `json:"calls"`
+	Queued          int             `json:"queued"`
+	Kept            int             `json:"kept"`
+	Records         int             `json:"records_pending"`
+	Load            int             `json:"load_thousandths"`
+	View            int             `json:"entry_vms"`
+	Stopping        bool            `json:"stopping"`
+	Violations      int             `json:"violations"`
 	// PlanAnswers and PlanRate are the number of answers in flight and per second that the
 	// layers held by engines can bear, as computed by the leader; 0 on other VMs.
 	PlanAnswers int `json:"plan_answers"`
@@ -65,6 +71,7 @@
 		Revision: n.machine.Config.Revision, Claims: len(n.machine.Claims),
 		Holders: len(n.forwarding.holders), GrantsHeld: len(n.forwarding.deferredGrants), LeaseBy: n.entry.lease.grantedBy,
 		EntryLease: n.entry.lease.until, HasLease: n.hasLease(),
+		EntryNewest: n.entry.confirmation.newest, EntryConfirmed: n.entry.confirmation.confirmedAt, GrantsUnapplied: n.entry.confirmation.unapplied,
 		EntryRevision: n.entry.config.Revision, EntryTerm: n.entry.lease.term,
 		Streams: len(n.entry.streams), Calls: len(n.entry.calls),
 		Kept: len(n.entry.keptRecords), Records: len(n.entry.pendingRecords),
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -49,7 +49,9 @@
 type entry struct {
 	lease  entryLease
 	config config.State
-	keys   map[string]string
+	// confirmation is how current config is known to be.
+	confirmation confirmation
+	keys         map[string]string
 	// decoded is the decoded document, by which requests are routed.
 	decoded documentCache
 	// work is the work of this VM in flight at registered targets.
@@ -363,13 +365,16 @@
 	l.answerBy = time.Time{}
 	before := n.entry.config
 	if !n.applyConfig(g) {
+		n.recordMissing(from, g)
 		return
 	}
+	n.recordCurrent(g)
 	n.applyView(g)
 	until := sent.Add(n.settings.Timing.Shortened(n.settings.Timing.LeaseDuration))
 	if until.After(l.until) {
 		l.until = until
 	}
+	n.recordConfirmed(sent)
 	n.documentReceived()
 	n.applyFleet(g)
 	if n.entry.config.Revision != before.Revision {
--- a/internal/daemon/answer.go
+++ b/internal/daemon/answer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/clock"
+	"github.com/spoolbank/spoolbank/internal/core"
 	"github.com/spoolbank/spoolbank/internal/relay"
 	"github.com/spoolbank/spoolbank/internal/target"
 )
@@ -82,6 +83,25 @@
 	panic(http.ErrAbortHandler)
 }
 
+// currency is how current the document is by which a request is decided: its version, how long ago
+// it was confirmed to be the newest one, and how long the lease on it lasts.
+type currency struct {
+	core.ConfigStatus
+	version      relay.Version
+	confirmedAgo time.Duration
+	lease        time.Duration
+}
+
+func (g *Gateway) currency(now time.Time) currency {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := currency{ConfigStatus: g.configStatus, confirmedAgo: now.Sub(g.configStatus.ConfirmedAt), lease: g.leaseUntil.Sub(now)}
+	if d := g.router.Document(); d != nil {
+		c.version = d.Version
+	}
+	return c
+}
+
 func (g *Gateway) refuse(w http.ResponseWriter, call *Call, r *relay.Refusal, f *forwarding) {
 	now := clock.Now()
 	g.meter.refused(r.Kind)
@@ -89,8 +109,10 @@
 	if f != nil {
 		tries, path, fingerprint, organisation = f.count, f.lastPath.String(), f.fingerprints[0].String(), f.organisation
 	}
+	current := g.currency(now)
 	g.log.Info("request refused", "request", call.ID, "fingerprint", fingerprint, "organisation", organisation, "parts", call.Parts, "kind", r.Kind.String(), "reason", r.Reason, "uri", call.URI,
-		"held_ms", now.Sub(call.Arrived).Milliseconds(), "tries", tries, "path", path)
+		"held_ms", now.Sub(call.Arrived).Milliseconds(), "tries", tries, "path", path,
+		"version", current.version, "revision", current.Revision, "newest_revision", current.Newest, "confirmed_ms", current.confirmedAgo.Milliseconds(), "lease_ms", current.lease.Milliseconds())
 	g.recordPermitRefusal(r)
 	g.platform.Codec.Refuse(w, r, now)
 }
--- a/internal/daemon/effects.go
+++ b/internal/daemon/effects.go
@@ -44,6 +44,10 @@
 		deliverReply(d, e.Conn, e)
 	case core.TargetReportReply:
 		deliverReply(d, e.Conn, e)
+	case core.ConfigStatus:
+		if d.gateway != nil {
+			d.gateway.execute(e)
+		}
 	case core.DocumentInForce, core.TargetsLearned, core.TargetsEnded, core.FleetLearned, core.PermitsGranted, core.QuarantineInForce, core.BackoffsEnded, core.OrderLayers:
 		d.gateway.execute(e)
 	case core.Note:
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -42,6 +42,8 @@
 	router *relay.Router
 	// leaseUntil is when this VM's lease on its document expires.
 	leaseUntil time.Time
+	// configStatus is how current the document is.
+	configStatus core.ConfigStatus
 	// leaseHeld is set if "lease held" was logged last, and not "lease lost".
 	leaseHeld bool
 	// routable is closed when this VM first has a lease and knows targets of all services.
--- a/internal/daemon/learning.go
+++ b/internal/daemon/learning.go
@@ -13,6 +13,8 @@
 	switch e := effect.(type) {
 	case core.DocumentInForce:
 		g.applyDocument(e)
+	case core.ConfigStatus:
+		g.setConfigStatus(e)
 	case core.TargetsLearned:
 		g.applyTargets(e.Targets)
 	case core.TargetsEnded:
@@ -74,6 +76,12 @@
 	g.log.Info("document in force", "version", e.Document.Version, "revision", e.Revision, "routes", len(e.Document.Routes))
 }
 
+func (g *Gateway) setConfigStatus(s core.ConfigStatus) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.configStatus = s
+}
+
 func (g *Gateway) applyFleet(e core.FleetLearned) {
 	g.mu.Lock()
 	regained := !g.leaseHeld
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -82,6 +82,8 @@
 	}
 	for name, value := range map[string]func(core.Status) int64{
 		"spoolbank.config.revision":     func(s core.Status) int64 { return int64(s.EntryRevision) },
+		"spoolbank.config.unapplied":    func(s core.Status) int64 { return int64(s.GrantsUnapplied) },
+		"spoolbank.config.behind":       func(s core.Status) int64 { return int64(max(s.EntryNewest, s.EntryRevision) - s.EntryRevision) },
 		"spoolbank.control.term":        func(s core.Status) int64 { return int64(s.Term) },
 		"spoolbank.control.leads":       func(s core.Status) int64 { return boolToInt(s.HoldsLease) },
 		"spoolbank.control.claims":      func(s core.Status) int64 { return int64(s.Claims) },
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -41,6 +41,8 @@
 	lastCheck time.Time
 	// redialSlots bounds the concurrent dials that replace silent connections.
 	redialSlots chan struct{}
+	// broken limits the log lines about links that broke.
+	broken logLimiter
 }
 
 type peerLink struct {
@@ -148,37 +150,48 @@
 // outdated by then and are dropped.
 func (d *Daemon) serveLink(l *peerLink) {
 	for {
+		var broken error
 		select {
 		case e := <-l.queue:
 			err := d.sendAll(l, e)
 			if errors.Is(err, errLinkSilent) {
 				continue
 			}
-			if err != nil {
-				d.log.V(1).Info("peer link broken", "address", l.currentAddress(), "error", err.Error())
-			}
+			broken = err
 		case <-d.tomb.Dying():
 			return
 		}
 		select {
 		case <-time.After(redialDelay):
-			l.drain()
+			d.peers.recordBroken(l, broken, l.drain())
 		case <-d.tomb.Dying():
 			return
 		}
 	}
 }
 
-func (l *peerLink) drain() {
-	for {
+// drain drops the queued messages and returns how many there were.
+func (l *peerLink) drain() int {
+	for dropped := 0; ; dropped++ {
 		select {
 		case <-l.queue:
 		default:
-			return
+			return dropped
 		}
 	}
 }
 
+// recordBroken counts the messages dropped with a link that broke, and logs the break.
+func (p *peers) recordBroken(l *peerLink, err error, dropped int) {
+	for range dropped {
+		p.daemon.metrics.countDropped()
+	}
+	address := l.currentAddress()
+	if allowed, withheld := p.broken.allow(address, time.Now()); allowed && err != nil {
+		p.daemon.log.Info("peer link broken", "address", address, "error", err.Error(), "dropped", dropped, "withheld", withheld)
+	}
+}
+
 // sendAll sends first and the messages queued after it until the stream breaks.
 func (d *Daemon) sendAll(l *peerLink, first *core.Envelope) error {
 	conn, err := d.dialPeer(l)
