--- a/internal/core/halls_test.go
+++ b/internal/core/halls_test.go
@@ -64,6 +64,9 @@
 	// pass advances time for until: run, or the run of a fleet that simulates more than VMs.
 	pass   func(time.Duration)
 	decode func([]byte) (*relay.Document, error)
+	timing core.Timing
+	// answered receives the answers to operators; nil ignores them.
+	answered func(core.Answer)
 	// orders are the placement orders given to engines.
 	orders []givenOrder
 }
@@ -77,7 +80,11 @@
 // decodeEmpty decodes any text as a document without services.
 func decodeEmpty([]byte) (*relay.Document, error) { return &relay.Document{Version: 1}, nil }
 
-type fleetSize struct{ halls, controls, disks, entries int }
+type fleetSize struct {
+	halls, controls, disks, entries int
+	// timing is core.DefaultTiming unless set.
+	timing core.Timing
+}
 
 // newHallFleet starts the given number of control and entry VMs in each hall. The first control
 // VMs of each hall have disks, and the very first one bootstraps the cluster.
@@ -95,6 +102,10 @@
 		marks:         make(map[core.VMName]map[relay.TargetKey]relay.Mark), kinds: make(map[string]int), decode: decodeEmpty,
 	}
 	f.pass = f.run
+	f.timing = core.DefaultTiming()
+	if size.timing != (core.Timing{}) {
+		f.timing = size.timing
+	}
 	for i := range size.controls {
 		for h := range size.halls {
 			f.add(core.VMName(fmt.Sprintf("c%d-%d", h, i)), h, i < size.disks)
@@ -120,7 +131,7 @@
 	control := vm[0] == 'c'
 	settings := core.Settings{
 		Self: self, Control: control, Entry: !control, ControlVMs: []core.VMName{"c0-0", "c1-0", "c2-0"}, Voters: 3,
-		SnapshotEvery: 100, Timing: core.DefaultTiming(), Seed: f.incarnations * 7919, Volatile: control && !disk,
+		SnapshotEvery: 100, Timing: f.timing, Seed: f.incarnations * 7919, Volatile: control && !disk,
 		Address:        core.EntryAddress{VM: vm, Hall: f.halls[vm], Callers: string(vm), Peers: string(vm)},
 		DecodeDocument: func(text []byte) (*relay.Document, error) { return f.decode(text) },
 	}
@@ -199,6 +210,9 @@
 		case core.BackoffsEnded:
 			f.backoffsEnded[vm] = append(f.backoffsEnded[vm], e.Targets...)
 		case core.Answer:
+			if f.answered != nil {
+				f.answered(e)
+			}
 			if e.Result.Table != nil {
 				f.rows = e.Result.Table.Rows
 			}
