core: a control VM sends no changes with a gap in them

What callers saw: nothing that is known; entry VMs of a hall without a lease for as long as changes follow each other (5 s in the test, which ended then).

The next change is appended behind the gap, and `since` looks for the first change alone, so that an entry VM that lacks a change before the gap is sent changes that it can't apply, the same again with each grant. It applied those before the gap, without what follows from them: keys, quarantine, ended backoffs.

Change: the history holds consecutive revisions, and begins again behind a gap; what it returns ends at the revision of the grant, else the whole state is sent. An entry VM applies all changes of a grant or none.

--- a/internal/core/leading.go
+++ b/internal/core/leading.go
@@ -151,24 +151,31 @@
 }
 
 // deltaHistory keeps the newest changes to the configuration, so that an entry VM is brought
-// up to date without sending the whole configuration.
+// up to date without sending the whole configuration. Their revisions are consecutive.
 type deltaHistory struct{ deltas []Delta }
 
 // maxDeltas bounds the number of deltas kept.
 const maxDeltas = 256
 
 func (d *deltaHistory) add(delta Delta) {
+	if last := len(d.deltas) - 1; last >= 0 && delta.Revision != d.deltas[last].Revision+1 {
+		// A snapshot has replaced the state in between.
+		d.deltas = nil
+	}
 	if len(d.deltas) >= maxDeltas {
 		d.deltas = slices.Clone(d.deltas[maxDeltas/2:])
 	}
 	d.deltas = append(d.deltas, delta)
 }
 
-// since returns the deltas after revision, and whether all of them are kept.
+// since returns the deltas from after revision up to current, and whether all of them are kept.
 func (d *deltaHistory) since(revision, current config.Revision) ([]Delta, bool) {
 	if revision == current {
 		return nil, true
 	}
+	if last := len(d.deltas) - 1; last < 0 || d.deltas[last].Revision != current {
+		return nil, false
+	}
 	i := slices.IndexFunc(d.deltas, func(delta Delta) bool { return delta.Revision == revision+1 })
 	if i < 0 {
 		return nil, false
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -385,24 +385,30 @@
 	}
 }
 
-// applyConfig brings the configuration to the grant's revision and reports whether it succeeded.
+// applyConfig brings the configuration to the grant's revision, or leaves it as it is, and reports
+// whether it succeeded.
 func (n *Node) applyConfig(g Grant) bool {
 	if g.State != nil {
 		n.entry.config = *g.State
 		return true
 	}
+	next := n.entry.config
 	for _, d := range g.Deltas {
-		if d.Revision != n.entry.config.Revision+1 {
+		if d.Revision != next.Revision+1 {
 			continue
 		}
-		next, err := n.entry.config.Apply(d.Revision, d.Changes)
+		applied, err := next.Apply(d.Revision, d.Changes)
 		if err != nil {
 			n.note("accepted change can't be applied: "+err.Error(), string(n.settings.Self.VM))
 			return false
 		}
-		n.entry.config = next
+		next = applied
 	}
-	return n.entry.config.Revision == g.Revision
+	if next.Revision != g.Revision {
+		return false
+	}
+	n.entry.config = next
+	return true
 }
 
 // refreshDerivedConfig recomputes the state derived from the configuration.
