core: an entry VM reports a gap, and lost changes are sent again at once

Cause: a change that was sent to an entry VM counted as in flight for a second after the newest sending, so that a lost one was not sent again while others followed within a second. The entry VM dropped every later grant, since its changes did not follow, and served by the old configuration until its lease ended, 3.9 s later. Class: the sender guesses what only the receiver knows, by a time that other traffic renews.

Change: as Raft's replicate state. Changes are sent once and in order; the entry VM reports a grant that does not follow on its configuration with its revision and the round of the grant (MissingChanges), and the control VM sends all from there. Only a gap in the current round begins another, so that grants in flight behind a lost one cause no further sending. A change that can't be applied asks for the whole state.

TestConfigChangeInFlightIsNotResent expected a second sending after 1 s, which was the fault. It now demands that no time leads to one, that a report of a gap does at once, and that a second report of the same round does not.

--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/spoolbank/spoolbank/internal/core/config"
 	"github.com/spoolbank/spoolbank/internal/relay"
 )
 
@@ -52,12 +51,8 @@
 	renew     Renew
 	renewedAt time.Time
 	// granted is the number of its newest renewal that the leader has granted.
-	granted uint64
-	// revision is the one that it has; sent is the revision up to which changes were last sent
-	// to it, at sentAt.
-	revision config.Revision
-	sent     config.Revision
-	sentAt   time.Time
+	granted  uint64
+	delivery delivery
 	// controlsVersionSent is the value of controlsVersion at the last list of control VMs sent
 	// to it.
 	controlsVersionSent uint64
@@ -194,7 +189,7 @@
 	}
 	h.renew = r
 	h.renewedAt = n.now
-	h.revision = r.Revision
+	h.delivery = h.delivery.WithAcknowledged(r.Revision)
 	return h
 }
 
@@ -405,18 +400,9 @@
 // grant sends a lease with the changes that its holder lacks. The lease has the number of the
 // renewal that it answers, and the holder counts it from when that renewal was sent.
 func (n *Node) grant(h *holder) {
-	c := n.machine.Config
 	fleet := n.fleetState()
-	g := Grant{To: h.id.Incarnation, Term: fleet.term, Leader: fleet.leader, Number: h.granted, Revision: c.Revision, Cluster: n.cluster}
-	base := n.deltaBase(h)
-	if deltas, ok := n.leader.deltas.since(base, c.Revision); ok {
-		g.Deltas = deltas
-	} else {
-		g.State = &c
-	}
-	if base < c.Revision {
-		h.sent, h.sentAt = c.Revision, n.now
-	}
+	g := Grant{To: h.id.Incarnation, Term: fleet.term, Leader: fleet.leader, Number: h.granted, Cluster: n.cluster}
+	n.addChanges(h, &g)
 	fleet.view.addToGrant(h.renew, &g)
 	if n.refreshControls(); h.controlsVersionSent != n.forwarding.controlsVersion {
 		h.controlsVersionSent = n.forwarding.controlsVersion
@@ -428,18 +414,3 @@
 	h.addPermits(&g)
 	n.deliver(h.id.VM, Message{Grant: &g})
 }
-
-// resendAfter is how long changes sent to a holder count as in flight. A large change takes
-// longer to reach all holders than the time between two renewals: sent again with each one, it
-// would fill the leader's link.
-const resendAfter = time.Second
-
-// deltaBase returns the revision from which a holder is brought up to date: its own, or the one
-// up to which changes were sent within resendAfter. If those were lost, the holder can't use
-// the lease, and all is sent again after resendAfter.
-func (n *Node) deltaBase(h *holder) config.Revision {
-	if n.now.Before(h.sentAt.Add(resendAfter)) {
-		return max(h.revision, h.sent)
-	}
-	return h.revision
-}
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -22,31 +22,32 @@
 
 // Message is the union of all messages. Exactly one field is set, apart from Receipt.
 type Message struct {
-	Vote        *Vote             `cbor:"vote,omitempty"`
-	VoteReply   *VoteReply        `cbor:"vote_reply,omitempty"`
-	StartAsk    *StartQuery       `cbor:"start_ask,omitempty"`
-	StartReply  *StartReply       `cbor:"start_reply,omitempty"`
-	Append      *Append           `cbor:"append,omitempty"`
-	AppendReply *AppendReply      `cbor:"append_reply,omitempty"`
-	Install     *Install          `cbor:"install,omitempty"`
-	TimeoutNow  *TimeoutNow       `cbor:"timeout_now,omitempty"`
-	Join        *Join             `cbor:"join,omitempty"`
-	Renew       *Renew            `cbor:"renew,omitempty"`
-	Grant       *Grant            `cbor:"grant,omitempty"`
-	Redirect    *Redirect         `cbor:"redirect,omitempty"`
-	RenewBatch  *RenewBatch       `cbor:"renew_batch,omitempty"`
-	GrantBatch  *GrantBatch       `cbor:"grant_batch,omitempty"`
-	Claim       *ClaimRequest     `cbor:"claim,omitempty"`
-	ClaimReply  *ClaimReply       `cbor:"claim_reply,omitempty"`
-	Record      *RecordRequest    `cbor:"record,omitempty"`
-	RecordReply *RecordReply      `cbor:"record_reply,omitempty"`
-	Keep        *Keep             `cbor:"keep,omitempty"`
-	KeepReply   *KeepReply        `cbor:"keep_reply,omitempty"`
-	Find        *Find             `cbor:"find,omitempty"`
-	FindReply   *FindReply        `cbor:"find_reply,omitempty"`
-	Follow      *Follow           `cbor:"follow,omitempty"`
-	TargetNews  *RegistryUpdate   `cbor:"target_news,omitempty"`
-	Begin       *BootstrapRequest `cbor:"begin,omitempty"`
+	Vote           *Vote             `cbor:"vote,omitempty"`
+	VoteReply      *VoteReply        `cbor:"vote_reply,omitempty"`
+	StartAsk       *StartQuery       `cbor:"start_ask,omitempty"`
+	StartReply     *StartReply       `cbor:"start_reply,omitempty"`
+	Append         *Append           `cbor:"append,omitempty"`
+	AppendReply    *AppendReply      `cbor:"append_reply,omitempty"`
+	Install        *Install          `cbor:"install,omitempty"`
+	TimeoutNow     *TimeoutNow       `cbor:"timeout_now,omitempty"`
+	Join           *Join             `cbor:"join,omitempty"`
+	Renew          *Renew            `cbor:"renew,omitempty"`
+	Grant          *Grant            `cbor:"grant,omitempty"`
+	MissingChanges *MissingChanges   `cbor:"missing,omitempty"`
+	Redirect       *Redirect         `cbor:"redirect,omitempty"`
+	RenewBatch     *RenewBatch       `cbor:"renew_batch,omitempty"`
+	GrantBatch     *GrantBatch       `cbor:"grant_batch,omitempty"`
+	Claim          *ClaimRequest     `cbor:"claim,omitempty"`
+	ClaimReply     *ClaimReply       `cbor:"claim_reply,omitempty"`
+	Record         *RecordRequest    `cbor:"record,omitempty"`
+	RecordReply    *RecordReply      `cbor:"record_reply,omitempty"`
+	Keep           *Keep             `cbor:"keep,omitempty"`
+	KeepReply      *KeepReply        `cbor:"keep_reply,omitempty"`
+	Find           *Find             `cbor:"find,omitempty"`
+	FindReply      *FindReply        `cbor:"find_reply,omitempty"`
+	Follow         *Follow           `cbor:"follow,omitempty"`
+	TargetNews     *RegistryUpdate   `cbor:"target_news,omitempty"`
+	Begin          *BootstrapRequest `cbor:"begin,omitempty"`
 	// Receipt belongs to the runtime. It may be set alone or together with another field.
 	Receipt *Receipt `cbor:"rc,omitempty"`
 }
@@ -331,6 +332,8 @@
 	Revision config.Revision `cbor:"revision"`
 	Deltas   []Delta         `cbor:"deltas,omitempty"`
 	State    *config.State   `cbor:"state,omitempty"`
+	// Round numbers the times that changes were sent to the holder from its own revision on.
+	Round uint64 `cbor:"round,omitempty"`
 	// ViewVersion is the version of the list of entry VMs after View and Removed
 	// are applied, which hold the changes since the holder's version. With
 	// ViewComplete, View is the whole list.
--- a/internal/core/replication.go
+++ b/internal/core/replication.go
@@ -47,6 +47,8 @@
 		n.handleJoin(from, *b.Join)
 	case b.Renew != nil:
 		n.handleRenew(from, *b.Renew)
+	case b.MissingChanges != nil:
+		n.handleMissing(from, *b.MissingChanges)
 	case b.RenewBatch != nil:
 		n.handleRenewBatch(from, *b.RenewBatch)
 	case b.GrantBatch != nil:
--- a/internal/core/spread_test.go
+++ b/internal/core/spread_test.go
@@ -300,7 +300,26 @@
 	const whole = 60 << 10
 	require.Less(t, f.renew("e1", true), whole, "it was pushed when it was accepted and is in flight")
 	f.now = f.now.Add(time.Second)
-	require.Greater(t, f.renew("e1", true), whole, "it may have been lost")
+	require.Less(t, f.renew("e1", true), whole, "the receiver reports a loss, which no time shows")
+	missing := from("e1", core.Message{MissingChanges: &core.MissingChanges{}})
+	require.Greater(t, f.grantBytes(missing), whole, "the receiver lacks it")
+	require.Zero(t, f.grantBytes(missing), "a report of a grant that was sent before")
+	require.Less(t, f.renew("e1", true), whole, "it is in flight again")
+	missing = from("e1", core.Message{MissingChanges: &core.MissingChanges{Round: 1}})
+	require.Greater(t, f.grantBytes(missing), whole, "it was lost again")
+}
+
+// grantBytes returns the size of the grants that an event leads to.
+func (f *fleetOf) grantBytes(event core.Event) int {
+	size := 0
+	for _, effect := range f.node.Step(f.now, event) {
+		if send, ok := effect.(core.Send); ok && send.Envelope.Body.Grant != nil {
+			text, err := wire.Marshal(&send.Envelope)
+			require.NoError(f.t, err)
+			size += len(text)
+		}
+	}
+	return size
 }
 
 // updatesTo returns the updates that a step sends to a VM.
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"math"
 	"slices"
 	"time"
@@ -364,8 +365,9 @@
 	l.failedTries = 0
 	l.answerBy = time.Time{}
 	before := n.entry.config
-	if !n.applyConfig(g) {
+	if err := n.applyConfig(g); err != nil {
 		n.recordMissing(from, g)
+		n.requestMissing(from, g, !errors.Is(err, errMissingChanges))
 		return
 	}
 	n.recordCurrent(g)
@@ -385,12 +387,15 @@
 	}
 }
 
-// applyConfig brings the configuration to the grant's revision, or leaves it as it is, and reports
-// whether it succeeded.
-func (n *Node) applyConfig(g Grant) bool {
+// errMissingChanges is returned for a grant whose changes don't follow on the configuration here.
+var errMissingChanges = errors.New("changes are missing; the control VM sends them again")
+
+// applyConfig brings the configuration to the grant's revision, or leaves it as it is and returns
+// errMissingChanges or why a change can't be applied.
+func (n *Node) applyConfig(g Grant) error {
 	if g.State != nil {
 		n.entry.config = *g.State
-		return true
+		return nil
 	}
 	next := n.entry.config
 	for _, d := range g.Deltas {
@@ -400,15 +405,15 @@
 		applied, err := next.Apply(d.Revision, d.Changes)
 		if err != nil {
 			n.note("accepted change can't be applied: "+err.Error(), string(n.settings.Self.VM))
-			return false
+			return err
 		}
 		next = applied
 	}
 	if next.Revision != g.Revision {
-		return false
+		return errMissingChanges
 	}
 	n.entry.config = next
-	return true
+	return nil
 }
 
 // refreshDerivedConfig recomputes the state derived from the configuration.
