core: changes of the configuration are applied whatever lease they come with

Cause: an entry VM dropped a grant of an earlier term, or with the number of a renewal that is none of the last 16, together with the changes in it, which the control VM counted as sent. Changes are committed before a control VM has them, so that the term of the lease and its number say nothing about them. Class: two matters in one message, and the check of one decides on both.

Change: handleGrant applies the changes first, and then the lease if it accepts that. Grants to an earlier incarnation and of an older revision are dropped as before; such a grant extends no lease, which the test checks.

--- a/internal/core/confirmation.go
+++ b/internal/core/confirmation.go
@@ -34,10 +34,11 @@
 	return ConfigStatus{Revision: n.entry.config.Revision, Newest: c.newest, ConfirmedAt: c.confirmedAt}
 }
 
-// recordCurrent records a grant whose changes are in force here.
-func (n *Node) recordCurrent(g Grant) {
+// recordCurrent records that the configuration here was replaced by a newer one.
+func (n *Node) recordCurrent() {
 	c := &n.entry.confirmation
-	c.newest = max(c.newest, g.Revision)
+	c.newest = max(c.newest, n.entry.config.Revision)
+	n.emit(n.configStatus())
 	if n.entry.config.Revision < c.newest || c.missingSince.IsZero() {
 		return
 	}
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -343,15 +343,40 @@
 	return merged
 }
 
-// handleGrant applies a lease and the configuration that comes with it. It drops a lease with an
-// older revision or term than this VM has, so that nothing is reverted, and one granted to an
+// handleGrant applies the changes of the configuration that come with a lease, and the lease. It
+// drops a grant with an older revision than this VM has, so that nothing is reverted, and one to an
 // earlier incarnation of this VM, whose renewal numbers are unrelated to when this one asked.
+//
+// Changes are committed, so that they hold whatever the lease is worth.
 func (n *Node) handleGrant(from ReplicaID, g Grant) {
-	l := &n.entry.lease
-	sent, ok := l.sentAt[g.Number]
-	if !ok || g.To != n.settings.Self.Incarnation || g.Term < l.term || g.Revision < n.entry.config.Revision {
+	if g.To != n.settings.Self.Incarnation || g.Revision < n.entry.config.Revision {
 		return
 	}
+	before := n.entry.config
+	err := n.applyConfig(g)
+	if err != nil {
+		n.recordMissing(from, g)
+		n.requestMissing(from, g, !errors.Is(err, errMissingChanges))
+	}
+	changed := n.entry.config.Revision != before.Revision
+	if changed {
+		n.configReplaced(before)
+	}
+	if n.acceptsLease(from, g) && err == nil {
+		n.applyLease(g)
+		if changed {
+			n.renew()
+		}
+	}
+}
+
+// acceptsLease reports whether a grant answers a renewal of this VM and is not of an earlier leader.
+// If so, the control VM that sent it is the one that answers.
+func (n *Node) acceptsLease(from ReplicaID, g Grant) bool {
+	l := &n.entry.lease
+	if _, ok := l.sentAt[g.Number]; !ok || g.Term < l.term {
+		return false
+	}
 	l.term = g.Term
 	l.leader = g.Leader
 	if l.grantedBy != from.VM {
@@ -364,27 +389,29 @@
 	}
 	l.failedTries = 0
 	l.answerBy = time.Time{}
-	before := n.entry.config
-	if err := n.applyConfig(g); err != nil {
-		n.recordMissing(from, g)
-		n.requestMissing(from, g, !errors.Is(err, errMissingChanges))
-		return
-	}
-	n.recordCurrent(g)
+	return true
+}
+
+// applyLease extends the lease, which counts from when its renewal was sent.
+func (n *Node) applyLease(g Grant) {
+	l := &n.entry.lease
+	sent := l.sentAt[g.Number]
 	n.applyView(g)
 	until := sent.Add(n.settings.Timing.Shortened(n.settings.Timing.LeaseDuration))
 	if until.After(l.until) {
 		l.until = until
 	}
 	n.recordConfirmed(sent)
-	n.documentReceived()
 	n.applyFleet(g)
-	if n.entry.config.Revision != before.Revision {
-		n.applyQuarantine(before)
-		n.endBackoffs(before)
-		n.refreshDerivedConfig()
-		n.renew()
-	}
+}
+
+// configReplaced puts the new configuration in force.
+func (n *Node) configReplaced(before config.State) {
+	n.recordCurrent()
+	n.documentReceived()
+	n.applyQuarantine(before)
+	n.endBackoffs(before)
+	n.refreshDerivedConfig()
 }
 
 // errMissingChanges is returned for a grant whose changes don't follow on the configuration here.
