core: the reducer's worlds check the users' bound on missing changes

All histories so far bounded the lease alone (4 s). A VM that, like the control VMs, had no fault for 3 s must now have each change 2 s after its acknowledgement; lost and late messages, crashes and suspensions count as faults of both ends.

--- a/internal/core/world_callers_test.go
+++ b/internal/core/world_callers_test.go
@@ -67,6 +67,8 @@
 	if a.Result.Kind == core.ResultAccepted && a.Result.Revision > w.accepted {
 		w.accepted = a.Result.Revision
 		w.acceptedAt = w.now
+		w.forgetAcks()
+		w.acks = append(w.acks, acknowledged{revision: w.accepted, at: w.now})
 	}
 }
 
--- a/internal/core/world_test.go
+++ b/internal/core/world_test.go
@@ -42,6 +42,11 @@
 	// accepted is the newest revision that was acknowledged to an operator, at acceptedAt.
 	accepted   config.Revision
 	acceptedAt time.Time
+	// acks are the changes that were acknowledged and that some VM may lack.
+	acks []acknowledged
+	// faultAt is when a VM or one of its links last had a fault, coreFaultAt when a control VM did.
+	faultAt     map[core.VMName]time.Time
+	coreFaultAt time.Time
 	// minRevisions holds, for each statement, the newest revision that had been
 	// acknowledged when it was sent. The answer may not be older.
 	minRevisions map[core.ConnID]config.Revision
@@ -128,7 +133,7 @@
 		vms: make(map[core.VMName]*vm), engines: make(map[string]*engine), limits: make(map[string]float64), arrivals: make(map[string][]time.Time), backoffs: make(map[string]time.Time), reached: make(map[string]map[core.VMName]int), runners: make(map[string]*runner),
 		cut: make(map[[2]core.VMName]bool), requests: make(map[core.ConnID]*callerRequest), results: make(map[core.ConnID]core.Result),
 		stateByIndex: make(map[core.Index]string), minRevisions: make(map[core.ConnID]config.Revision), sent: make(map[string]bool),
-		dead: make(map[string]bool), leaves: make(map[string]bool),
+		dead: make(map[string]bool), leaves: make(map[string]bool), faultAt: make(map[core.VMName]time.Time),
 	}
 	for i := range controls + entries {
 		name := core.VMName(fmt.Sprintf("vm%d", i+1))
@@ -166,6 +171,7 @@
 // start starts a process on a VM's disk.
 func (w *world) start(name core.VMName) {
 	v := w.vms[name]
+	w.markFault(name)
 	v.starts++
 	v.suspended, v.pending = false, nil
 	v.began = w.now
@@ -310,11 +316,47 @@
 	if late && s.HasLease && w.clock(v).Before(s.EntryLease) {
 		require.GreaterOrEqual(w.t, s.EntryRevision, w.accepted, "%s accepts work at an old revision", v.name)
 	}
+	w.checkChanges(v, s)
 	if v.control {
 		w.checkReplicatedState(v, s)
 	}
 }
 
+// checkChanges verifies that a VM in touch has the changes that were acknowledged.
+func (w *world) checkChanges(v *vm, s core.Status) {
+	for _, a := range w.acks {
+		if a.revision > s.EntryRevision && w.now.Sub(a.at) > applyBound && w.inTouch(v.name) {
+			require.Fail(w.t, "an acknowledged change is missing", "%s has revision %d; %d was acknowledged %s ago\n%s", v.name, s.EntryRevision, a.revision, w.now.Sub(a.at), w.describe())
+		}
+	}
+}
+
+// markFault records a fault of VMs or of links between them.
+func (w *world) markFault(names ...core.VMName) {
+	for _, name := range names {
+		w.faultAt[name] = w.now
+		if v, ok := w.vms[name]; ok && v.control {
+			w.coreFaultAt = w.now
+		}
+	}
+}
+
+func (w *world) inTouch(name core.VMName) bool {
+	return w.now.Sub(w.faultAt[name]) > touchTime && w.now.Sub(w.coreFaultAt) > touchTime
+}
+
+// forgetAcks forgets the acknowledged changes that all VMs have.
+func (w *world) forgetAcks() {
+	w.acks = slices.DeleteFunc(w.acks, func(a acknowledged) bool {
+		for _, v := range w.vms {
+			if v.node == nil || v.node.Status().EntryRevision < a.revision {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func (w *world) holdsLease(v *vm) bool {
 	s := v.node.Status()
 	return s.Role == "leader" && w.clock(v).Before(s.LeaseUntil)
@@ -393,11 +435,16 @@
 
 func (w *world) send(v *vm, e core.Envelope) {
 	to, ok := w.vms[e.To]
-	if !ok || w.cut[[2]core.VMName{v.name, e.To}] || w.chance() {
+	if !ok {
+		return
+	}
+	if w.cut[[2]core.VMName{v.name, e.To}] || w.chance() {
+		w.markFault(v.name, e.To)
 		return
 	}
 	delay := w.latency()
 	if w.chance() {
+		w.markFault(v.name, e.To)
 		delay += time.Duration(w.rand.IntN(2000)) * time.Millisecond
 	}
 	w.push(delivery{at: w.now.Add(delay), to: e.To, starts: to.starts, event: core.Received{Envelope: e}})
@@ -435,6 +482,7 @@
 // crash kills a process; its disk keeps the synced records.
 func (w *world) crash(name core.VMName) {
 	v := w.vms[name]
+	w.markFault(name)
 	v.node = nil
 	v.starts++
 	for conn, a := range w.requests {
@@ -450,11 +498,15 @@
 	w.vms[name].cluster = ""
 }
 
-func (w *world) suspend(name core.VMName) { w.vms[name].suspended = true }
+func (w *world) suspend(name core.VMName) {
+	w.markFault(name)
+	w.vms[name].suspended = true
+}
 
 // resume resumes a suspended process, which receives all events that arrived meanwhile.
 func (w *world) resume(name core.VMName) {
 	v := w.vms[name]
+	w.markFault(name)
 	pending := v.pending
 	v.suspended, v.pending = false, nil
 	for _, event := range pending {
