core, daemon: a configuration that may be outdated refuses nothing for good

What callers saw: 404 for a route that exists, by a VM that had received a lease for a newer revision, which it could not apply. A caller takes a 404 or 401 for final and doesn't come back.

Weighed: holding the request until the change is there (it has a deadline, and the change may not come), a tunnel to another VM (which may lack it too), a lease of 2 s (each election and cut half costs all requests, not the refused ones), and a 503 with a time, which another VM or the next moment serves. What the configuration allows is served for as long as the lease lasts, as before.

A VM that stays with a control VM which confirms nothing was suspected: not found.

Evidence: TestRequestIsNotRefusedForGoodByOutdatedConfig.

--- a/internal/core/call.go
+++ b/internal/core/call.go
@@ -82,7 +82,7 @@
 			n.emit(Refuse{Conn: a.Conn, ID: a.ID, Refusal: r})
 			return
 		}
-		n.emit(Refuse{Conn: a.Conn, ID: a.ID, Refusal: refusal(RefusedService, RanNo, "there is no service of that name", "name one that the operators have declared")})
+		n.emit(Refuse{Conn: a.Conn, ID: a.ID, Refusal: n.disallowed(RefusedService, "there is no service of that name", "name one that the operators have declared")})
 		return
 	}
 	c := &call{request: a, organisation: org.Name, service: service, repeatable: service.IsRepeatable(a.Method, a.Path), phase: phaseQueued}
--- a/internal/core/change_histories_test.go
+++ b/internal/core/change_histories_test.go
@@ -127,20 +127,82 @@
 	}
 }
 
+// Guards against final refusals by a configuration that may be outdated: the caller is asked to
+// come back once the VM knows that it lacks a change, or isn't confirmed to have all of them.
+func TestRequestIsNotRefusedForGoodByOutdatedConfig(t *testing.T) {
+	const vm = core.VMName("e1-0")
+	refusal := func(w *changeWorld) core.Refusal {
+		for _, effect := range w.nodes[vm].Step(w.now, core.StreamAsked{Conn: 9, ID: "r", Key: "unknown"}) {
+			if r, ok := effect.(core.Refuse); ok {
+				return r.Refusal
+			}
+		}
+		return core.Refusal{}
+	}
+	t.Run("confirmed", func(t *testing.T) {
+		w := newChangeWorld(t, smallChangeFleet, 5)
+		require.Equal(t, core.RefusedKey, refusal(w).Kind)
+	})
+	t.Run("a change is missing", func(t *testing.T) {
+		w := newChangeWorld(t, smallChangeFleet, 5)
+		w.losesPush = vm
+		w.change(0)
+		w.until("a change is lost", time.Second, func() bool { return w.lostPush > 0 })
+		require.Equal(t, core.RefusedKey, refusal(w).Kind, "it doesn't know")
+		w.until("a gap", time.Second, func() bool { return w.nodes[vm].Status().GrantsUnapplied > 0 })
+		r := refusal(w)
+		require.Equal(t, core.RefusedOutdated, r.Kind)
+		require.Equal(t, core.RanNo, r.Ran)
+		require.True(t, r.RetryAt.After(w.now))
+		w.until("the change", time.Second, func() bool { return w.nodes[vm].Status().EntryRevision >= w.lostPush })
+		require.Equal(t, core.RefusedKey, refusal(w).Kind)
+	})
+	t.Run("not confirmed", func(t *testing.T) {
+		w := newChangeWorld(t, smallChangeFleet, 5)
+		for _, other := range w.names {
+			w.apart[[2]core.VMName{other, vm}] = true
+		}
+		w.live(time.Second)
+		require.Equal(t, core.RefusedKey, refusal(w).Kind)
+		w.live(time.Second)
+		require.True(t, w.nodes[vm].Status().HasLease)
+		require.Equal(t, core.RefusedOutdated, refusal(w).Kind)
+	})
+}
+
+// Guards against an entry VM that stays with a control VM which delivers changes and confirms no
+// lease: each change counted as an answer to its renewals.
+func TestEntryVMTurnsToControlVMThatConfirms(t *testing.T) {
+	w := newChangeWorld(t, smallChangeFleet, 4)
+	follower := core.VMName("c1-0")
+	if w.leader() == follower {
+		follower = "c2-0"
+	}
+	entry := core.VMName("e" + string(follower[1:]))
+	require.Equal(t, follower, w.nodes[entry].Status().LeaseBy)
+	w.apart[[2]core.VMName{follower, w.leader()}] = true
+	for began := w.now; w.now.Sub(began) < 8*time.Second; {
+		w.change(0)
+		w.live(140 * time.Millisecond)
+		require.True(t, w.nodes[entry].Status().HasLease, "after %s", w.now.Sub(began))
+	}
+}
+
 // An entry VM in touch has each change within the bound, whatever happened more than three
 // seconds before.
 func TestChangesArriveInRandomHistories(t *testing.T) {
-	longest := time.Duration(0)
+	longest, unconfirmed := time.Duration(0), time.Duration(0)
 	for i := range *changeHistories {
 		seed := *firstChangeHistory + uint64(i)
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			h := newChangeHistory(t, seed)
 			h.play()
 			t.Logf("%d control and %d entry VMs: longest %s at %s, %d bytes in %d deliveries for %d changes", h.size.halls*h.size.controls, h.size.halls*h.size.entries, h.longest, h.longestAt, h.grantBytes, h.deliveries, h.commands)
-			longest = max(longest, h.longest)
+			longest, unconfirmed = max(longest, h.longest), max(unconfirmed, h.unconfirmed)
 		})
 	}
-	t.Logf("longest of all: %s", longest)
+	require.Less(t, unconfirmed, platformTiming().ConfirmWithin)
+	t.Logf("longest of all: %s without a change, %s without a confirmation", longest, unconfirmed)
 }
 
 // changeHistory is what is drawn of one seed.
--- a/internal/core/change_world_test.go
+++ b/internal/core/change_world_test.go
@@ -42,6 +42,9 @@
 	// longest is the longest time for which a change was missing at a VM in touch, in the whole run.
 	longest   time.Duration
 	longestAt string
+	// unconfirmed is the longest time for which a VM in touch had no confirmation of its
+	// configuration.
+	unconfirmed time.Duration
 	// losesPush is the entry VM whose next change is lost, and lostPush the revision that was.
 	losesPush core.VMName
 	lostPush  config.Revision
@@ -98,6 +101,7 @@
 		return true
 	}
 	w.pass = w.live
+	w.markFault(w.names...)
 	w.until("all have a lease", 20*time.Second, func() bool { return w.leased(0) })
 	w.live(touchTime)
 	return w
@@ -265,6 +269,7 @@
 			continue
 		}
 		s := w.nodes[vm].Status()
+		w.unconfirmed = max(w.unconfirmed, w.now.Sub(s.EntryConfirmed))
 		missing := time.Duration(0)
 		for _, a := range w.acks {
 			if a.revision > s.EntryRevision {
--- a/internal/core/confirmation.go
+++ b/internal/core/confirmation.go
@@ -13,8 +13,15 @@
 	// Newest is the newest revision that this VM knows to exist.
 	Newest config.Revision
 	// ConfirmedAt is when this VM sent the renewal that its lease counts from. It has every change
-	// that was acknowledged before.
+	// that was acknowledged before. ConfirmBy is when it may lack one that has to be in force.
 	ConfirmedAt time.Time
+	ConfirmBy   time.Time
+}
+
+// IsCurrent reports whether a request that the configuration doesn't allow can be refused for
+// good: no change is known to be missing, and none that has to be in force can be.
+func (s ConfigStatus) IsCurrent(now time.Time) bool {
+	return s.Revision >= s.Newest && now.Before(s.ConfirmBy)
 }
 
 func (ConfigStatus) isEffect() {}
@@ -31,7 +38,20 @@
 
 func (n *Node) configStatus() ConfigStatus {
 	c := n.entry.confirmation
-	return ConfigStatus{Revision: n.entry.config.Revision, Newest: c.newest, ConfirmedAt: c.confirmedAt}
+	return ConfigStatus{
+		Revision: n.entry.config.Revision, Newest: c.newest,
+		ConfirmedAt: c.confirmedAt, ConfirmBy: c.confirmedAt.Add(n.settings.Timing.Shortened(n.settings.Timing.ConfirmWithin)),
+	}
+}
+
+// disallowed returns the refusal of a request that the configuration here doesn't allow. A caller
+// whom a newer one may allow is asked to come back.
+func (n *Node) disallowed(kind RefusalKind, reason, remedy string) Refusal {
+	if n.configStatus().IsCurrent(n.now) {
+		return refusal(kind, RanNo, reason, remedy)
+	}
+	return refusal(RefusedOutdated, RanNo, "this entry VM may lack a change of the configuration, by which it finds: "+reason, "send the request to one of the other addresses, or come back").
+		WithRetryAt(n.now.Add(n.settings.Timing.RenewInterval)).WithOthers(n.otherEntryAddresses())
 }
 
 // recordCurrent records that the configuration here was replaced by a newer one.
--- a/internal/core/refusal.go
+++ b/internal/core/refusal.go
@@ -16,6 +16,7 @@
 	RefusedRequest     RefusalKind = "invalid_request"
 	RefusedTooLarge    RefusalKind = "too_large"
 	RefusedNoLease     RefusalKind = "entry_without_lease"
+	RefusedOutdated    RefusalKind = "configuration_outdated"
 	RefusedLeaving     RefusalKind = "entry_leaving"
 	RefusedLimit       RefusalKind = "organisation_limit"
 	RefusedOverload    RefusalKind = "overloaded"
--- a/internal/core/stream.go
+++ b/internal/core/stream.go
@@ -107,7 +107,7 @@
 	}
 	pipeline, ok := n.entry.config.Pipelines.Get(a.Request.Pipeline)
 	if !ok {
-		n.emit(Refuse{Conn: a.Conn, ID: id, Refusal: refusal(RefusedPipeline, RanNo, "there is no pipeline of that name", "name one that the operators have declared")})
+		n.emit(Refuse{Conn: a.Conn, ID: id, Refusal: n.disallowed(RefusedPipeline, "there is no pipeline of that name", "name one that the operators have declared")})
 		return
 	}
 	s := &stream{id: id, request: a.Request, pipeline: pipeline, conn: a.Conn, emitted: a.After, epoch: Epoch{Holder: holderHash(n.settings.Self)}}
@@ -126,7 +126,7 @@
 		n.emit(Refuse{Conn: conn, ID: id, Refusal: r})
 		return
 	}
-	n.emit(Refuse{Conn: conn, ID: id, Refusal: refusal(RefusedKey, RanNo, "the API key is not known", "send the organisation's key as a bearer token")})
+	n.emit(Refuse{Conn: conn, ID: id, Refusal: n.disallowed(RefusedKey, "the API key is not known", "send the organisation's key as a bearer token")})
 }
 
 // queueStream queues a new stream. It fails when the caller already has tokens of
--- a/internal/core/timing.go
+++ b/internal/core/timing.go
@@ -19,6 +19,8 @@
 	LeaseDuration time.Duration
 	// RenewInterval is the interval between renewals of that lease.
 	RenewInterval time.Duration
+	// ConfirmWithin is how long a configuration counts as the newest after it was confirmed.
+	ConfirmWithin time.Duration
 	// DriftPerMille bounds the relative drift of two clocks, in thousandths.
 	DriftPerMille int
 	// ReplaceAfter is the silence after which a spare replaces a voter.
@@ -54,6 +56,7 @@
 		ElectionMax:          1000 * time.Millisecond,
 		LeaseDuration:        3 * time.Second,
 		RenewInterval:        500 * time.Millisecond,
+		ConfirmWithin:        1500 * time.Millisecond,
 		DriftPerMille:        20,
 		ReplaceAfter:         10 * time.Second,
 		KeepEntries:          5 * time.Second,
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -264,6 +264,7 @@
 	t.ElectionMax = time.Duration(s.ElectionMax)
 	t.LeaseDuration = time.Duration(s.Lease)
 	t.RenewInterval = time.Duration(s.Renew)
+	t.ConfirmWithin = time.Duration(s.Confirm)
 	t.ReplaceAfter = time.Duration(s.ReplaceAfter)
 	t.KeepEntries = time.Duration(s.KeepEntries)
 	t.KeepEntriesAfterLoss = time.Duration(s.KeepEntriesAfterLoss)
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -40,6 +40,7 @@
 	}
 	g.started = time.Time{} // long ago: it waits for no other VM
 	g.leaseUntil = time.Now().Add(time.Hour)
+	g.configStatus.ConfirmBy = g.leaseUntil
 	g.router.SetVMCount(1)
 	g.router.SetDocument(document)
 	g.router.UpdateTargets(targets)
@@ -124,6 +125,7 @@
 	g.router.UpdateTargets(targets)
 	g.router.SetOthersWork(nil, true)
 	g.leaseUntil = time.Now().Add(time.Hour)
+	g.configStatus.ConfirmBy = g.leaseUntil
 	g.leaseHeld = true
 	g.signalRoutable()
 	return g, nil
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -40,6 +40,9 @@
 		return nil, nil, &relay.Refusal{Kind: relay.RefusedNoDocument, RetryAt: now.Add(retryElsewhereDelay), Reason: "this VM is out of touch with the control VMs"}
 	}
 	route, org, refusal := g.router.Admit(call.Host, call.Path, call.Key, now)
+	if !g.configStatus.IsCurrent(now) {
+		refusal = refusal.WithNewerPossible(now.Add(retryElsewhereDelay))
+	}
 	if refusal == nil {
 		refusal = g.refuseOutlasting(call, route, now)
 	}
--- a/internal/relay/refusal.go
+++ b/internal/relay/refusal.go
@@ -37,11 +37,13 @@
 	RefusedQuarantined
 	// RefusedUnreadable: the request could not be read completely.
 	RefusedUnreadable
+	// RefusedOutdated: the configuration doesn't allow the request, and a newer one may.
+	RefusedOutdated
 )
 
 // String returns the name of the kind.
 func (k RefusalKind) String() string {
-	return [...]string{"no document", "no route", "key", "too large", "no room", "not taken", "unknown run", "timeout", "no memory", "crashes its targets", "quarantined", "unreadable"}[k]
+	return [...]string{"no document", "no route", "key", "too large", "no room", "not taken", "unknown run", "timeout", "no memory", "crashes its targets", "quarantined", "unreadable", "outdated"}[k]
 }
 
 // Refusal is a final answer other than the requested one.
@@ -69,6 +71,18 @@
 // Error implements error.
 func (r *Refusal) Error() string { return fmt.Sprintf("%s: %s", r.Kind, r.Reason) }
 
+// WithNewerPossible returns the refusal of a request that the configuration doesn't allow if a newer
+// one may be in force elsewhere, and any other refusal as it is.
+func (r *Refusal) WithNewerPossible(retryAt time.Time) *Refusal {
+	if r == nil || r.Kind != RefusedNoRoute && r.Kind != RefusedKey {
+		return r
+	}
+	outdated := *r
+	outdated.Kind, outdated.RetryAt = RefusedOutdated, retryAt
+	outdated.Reason = "this VM may lack a change of the configuration, by which " + r.Reason
+	return &outdated
+}
+
 // NotRun reports whether the refusal means that the request has not run.
 func (r *Refusal) NotRun() bool {
 	return r.Kind != RefusedUnknownRun && r.Kind != RefusedTimeout && r.Kind != RefusedCrashes
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -89,11 +89,14 @@
 
 // Timing holds the intervals that operators may set; see core.Timing.
 type Timing struct {
-	Heartbeat    Duration `json:"heartbeat"`
-	ElectionMin  Duration `json:"election_min"`
-	ElectionMax  Duration `json:"election_max"`
-	Lease        Duration `json:"lease"`
-	Renew        Duration `json:"renew"`
+	Heartbeat   Duration `json:"heartbeat"`
+	ElectionMin Duration `json:"election_min"`
+	ElectionMax Duration `json:"election_max"`
+	Lease       Duration `json:"lease"`
+	Renew       Duration `json:"renew"`
+	// Confirm is how long an entry VM refuses finally by a configuration that no control VM has
+	// confirmed to be the newest. After that it asks callers to come back.
+	Confirm      Duration `json:"confirm"`
 	ReplaceAfter Duration `json:"replace_after"`
 	KeepEntries  Duration `json:"keep_entries"`
 	// KeepEntriesAfterLoss is how long callers may cache addresses while entry VMs are lost.
@@ -196,6 +199,7 @@
 			ElectionMax:          Duration(1000 * time.Millisecond),
 			Lease:                Duration(3 * time.Second),
 			Renew:                Duration(500 * time.Millisecond),
+			Confirm:              Duration(1500 * time.Millisecond),
 			ReplaceAfter:         Duration(10 * time.Second),
 			KeepEntries:          Duration(5 * time.Second),
 			KeepEntriesAfterLoss: Duration(5 * time.Second),
@@ -327,6 +331,7 @@
 	c.require(t.ElectionMax >= t.ElectionMin+t.ElectionMin/4, "/timing/election_max", "election_max is at least a quarter more than election_min, or replicas stand together")
 	c.require(t.Renew > 0 && t.Lease >= 3*t.Renew, "/timing/lease", "lease is at least three times renew, or a lost message costs it")
 	c.require(t.Lease >= 2*t.ElectionMax, "/timing/lease", "lease is at least twice election_max, or each election stops the entry VMs")
+	c.require(t.Confirm >= 2*t.Renew && t.Confirm <= t.Lease, "/timing/confirm", "confirm is at least twice renew, or a lost message costs it, and at most lease, after which nothing is decided")
 	c.require(t.KeepEntries > 0, "/timing/keep_entries", "keep_entries is more than 0s")
 	c.require(t.KeepEntriesAfterLoss >= t.KeepEntries, "/timing/keep_entries_after_loss", "keep_entries_after_loss is at least keep_entries")
 	c.require(t.StageSilence > 0, "/timing/stage_silence", "stage_silence is more than 0s")
