daemon: changes over broken links between real processes

For this a VM may advertise another address for peers than it listens on (listen.advertise_peers), as behind a forwarder.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -236,7 +236,7 @@
 		DelegatesBootstrap: d.platform != nil && d.platform.DelegatesBootstrap,
 		Self:               self,
 		Cluster:            cluster,
-		Address:            core.EntryAddress{VM: self.VM, Hall: s.Hall, Callers: s.Listen.Callers, Peers: s.Listen.Peers},
+		Address:            core.EntryAddress{VM: self.VM, Hall: s.Hall, Callers: s.Listen.Callers, Peers: s.Listen.PeersForOthers()},
 		Control:            s.HasRole(settings.RoleControl),
 		Entry:              s.HasRole(settings.RoleEntry),
 		ControlVMs:         controlVMs(s.Control),
--- a/internal/daemon/silent_links_test.go
+++ b/internal/daemon/silent_links_test.go
@@ -14,29 +14,38 @@
 	"github.com/spoolbank/spoolbank/internal/fake"
 )
 
-// proxiedDeployment is a deployment whose VMs connect to the control VMs through proxies:
-// three control VMs and an entry VM, each a process.
+// proxiedDeployment is a deployment whose VMs connect to each other through proxies: three control
+// VMs and some entry VMs, each a process.
 type proxiedDeployment struct {
 	*deployment
-	proxies []*fake.Proxy
+	// proxies lead to the control VMs, entryProxies to the entry VMs.
+	proxies      []*fake.Proxy
+	entryProxies []*fake.Proxy
 }
 
 func deployProxied(t *testing.T, silence string) *proxiedDeployment {
+	return deployProxiedEntries(t, silence, 1)
+}
+
+func deployProxiedEntries(t *testing.T, silence string, entries int) *proxiedDeployment {
 	d := &proxiedDeployment{deployment: &deployment{t: t, dir: t.TempDir()}}
 	var control []string
-	for i := range 4 {
+	advertised := make(map[*process]string)
+	for i := range 3 + entries {
 		name := fmt.Sprintf("vm-%d", i+1)
 		p := &process{
 			name: name, control: i < 3, callers: freeAddress(t), peers: freeAddress(t),
 			settings: filepath.Join(d.dir, name+".jsonc"), data: filepath.Join(d.dir, name), log: filepath.Join(d.dir, name+".log"),
 		}
 		d.vms = append(d.vms, p)
-		if !p.control {
-			continue
-		}
 		proxy, err := fake.NewProxy(freeAddress(t), p.peers)
 		require.NoError(t, err)
 		t.Cleanup(proxy.Close)
+		advertised[p] = proxy.Address()
+		if !p.control {
+			d.entryProxies = append(d.entryProxies, proxy)
+			continue
+		}
 		d.proxies = append(d.proxies, proxy)
 		control = append(control, fmt.Sprintf("%q: %q", name, proxy.Address()))
 	}
@@ -47,11 +56,11 @@
 		}
 		text := fmt.Sprintf(`{
   "name": %q, "hall": "hall", "roles": [%q], "data": %q,
-  "listen": {"callers": %q, "peers": %q},
+  "listen": {"callers": %q, "peers": %q, "advertise_peers": %q},
   "control": {"vms": {%s}, "snapshot_every": 100},
   "tls": {"plain_text": true},
   "timing": {"keep_entries": "500ms", "replace_after": "4s", "silence": %q},
-}`, p.name, role, p.data, p.callers, p.peers, strings.Join(control, ", "), silence)
+}`, p.name, role, p.data, p.callers, p.peers, advertised[p], strings.Join(control, ", "), silence)
 		require.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 	}
 	d.bootstrap(d.vms[0])
@@ -59,7 +68,7 @@
 		d.start(p)
 	}
 	t.Cleanup(d.close)
-	d.waitFor("an entry VM with a lease", func() bool { return d.rows("show vms where state = up") == 1 })
+	d.waitFor("entry VMs with a lease", func() bool { return d.rows("show vms where state = up") == entries })
 	d.waitFor("three voters", func() bool { return d.rows("show replicas where vote = true and settled = true") == 3 })
 	return d
 }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -55,8 +56,14 @@
 	Callers string `json:"callers"`
 	Peers   string `json:"peers"`
 	Metrics string `json:"metrics"`
+	// AdvertisePeers is the address at which other VMs reach Peers, if it is another one, as
+	// behind a forwarder.
+	AdvertisePeers string `json:"advertise_peers"`
 }
 
+// PeersForOthers returns the address that other VMs connect to.
+func (l Listen) PeersForOthers() string { return cmp.Or(l.AdvertisePeers, l.Peers) }
+
 // Control describes the group of control VMs.
 type Control struct {
 	// VMs maps the name of each control VM to its peer address.
@@ -259,6 +266,7 @@
 		c.require(r == RoleControl || r == RoleEntry, "/roles", fmt.Sprintf("there is no role %q; use \"control\" or \"entry\"", r))
 	}
 	c.checkAddress(s.Listen.Peers, "/listen/peers", true)
+	c.checkAddress(s.Listen.AdvertisePeers, "/listen/advertise_peers", false)
 	c.checkAddress(s.Listen.Callers, "/listen/callers", s.HasRole(RoleEntry))
 	c.checkAddress(s.Listen.Metrics, "/listen/metrics", false)
 	c.require(s.Data != "" || !s.HasRole(RoleControl), "/data", "a control VM needs a data folder; name one on its disk")
