core: the list of control VMs is sent until it is received

The same cause as of lost changes, found by looking for it: the list counted as received when it was sent, so that an entry VM whose grant was lost did not know new control VMs until the next change of the list, and could not turn to them. Grants name its version, and renewals acknowledge it.

Looked at, and left: updates of the registry are acknowledged, and the time after which they count as lost isn't renewed by later ones, since those wait; the list of entry VMs, work, marks and batches are acknowledged by number; reports of crashes are repeated for 10 s.

Evidence: TestLostListOfControlVMsIsSentAgain, which fails without the change.

--- a/internal/core/change_histories_test.go
+++ b/internal/core/change_histories_test.go
@@ -127,6 +127,32 @@
 	}
 }
 
+// Guards against an entry VM that doesn't know the control VMs: their list was lost on its way, and
+// counted as received when it was sent.
+func TestLostListOfControlVMsIsSentAgain(t *testing.T) {
+	w := newChangeWorld(t, fleetSize{halls: 3, controls: 2, disks: 1, entries: 1}, 6)
+	const vm = core.VMName("e1-0")
+	lost, received := 0, 0
+	transmit := w.loses
+	w.loses = func(e core.Envelope) bool {
+		if e.To == vm && e.Body.Grant != nil && len(e.Body.Grant.ControlVMs) > 0 {
+			if lost == 0 {
+				lost++
+				return true
+			}
+			received++
+		}
+		return transmit(e)
+	}
+	w.kill("c2-1")
+	w.until("a list is lost", 5*time.Second, func() bool { return lost > 0 })
+	w.until("it is sent again", time.Second, func() bool { return received > 0 })
+	w.live(time.Second)
+	sent := received
+	w.live(time.Second)
+	require.Equal(t, sent, received, "it is sent until it is acknowledged")
+}
+
 // Guards against final refusals by a configuration that may be outdated: the caller is asked to
 // come back once the VM knows that it lacks a change, or isn't confirmed to have all of them.
 func TestRequestIsNotRefusedForGoodByOutdatedConfig(t *testing.T) {
--- a/internal/core/fleet.go
+++ b/internal/core/fleet.go
@@ -268,7 +268,7 @@
 // applyFleet applies the fleet state that came with a lease.
 func (n *Node) applyFleet(g Grant) {
 	if len(g.ControlVMs) > 0 {
-		n.entry.controls = g.ControlVMs
+		n.entry.controls, n.entry.controlsSeen = g.ControlVMs, g.ControlsVersion
 		n.preferFirstOfHall()
 	}
 	n.applyPermits(g)
--- a/internal/core/forwarding.go
+++ b/internal/core/forwarding.go
@@ -53,9 +53,6 @@
 	// granted is the number of its newest renewal that the leader has granted.
 	granted  uint64
 	delivery delivery
-	// controlsVersionSent is the value of controlsVersion at the last list of control VMs sent
-	// to it.
-	controlsVersionSent uint64
 	// permits were granted for its renewal permitsNumber and aren't forwarded yet.
 	permits       []relay.Permits
 	permitsNumber uint64
@@ -88,7 +85,7 @@
 	deferredGrants []GrantBatch
 	report         fleetReport
 	// controls are the live control VMs at the last check, and controlsVersion counts the
-	// changes of that list.
+	// changes of that list. Holders acknowledge the version that they have.
 	controls        []ControlVM
 	controlsVersion uint64
 	controlsAt      time.Time
@@ -125,8 +122,9 @@
 
 func (n *Node) startForwarding() {
 	n.forwarding = forwarding{
-		holders: make(map[VMName]*holder),
-		batches: make(map[uint64][]batchedRenewal),
+		holders:         make(map[VMName]*holder),
+		batches:         make(map[uint64][]batchedRenewal),
+		controlsVersion: firstForwarderNumber(n.settings.Seed),
 		report: fleetReport{
 			total:  newChangeFollower[relay.Work](),
 			marked: newChangeFollower[relay.Mark](),
@@ -404,9 +402,8 @@
 	g := Grant{To: h.id.Incarnation, Term: fleet.term, Leader: fleet.leader, Number: h.granted, Cluster: n.cluster}
 	n.addChanges(h, &g)
 	fleet.view.addToGrant(h.renew, &g)
-	if n.refreshControls(); h.controlsVersionSent != n.forwarding.controlsVersion {
-		h.controlsVersionSent = n.forwarding.controlsVersion
-		g.ControlVMs = n.forwarding.controls
+	if n.refreshControls(); h.renew.ControlsSeen != n.forwarding.controlsVersion {
+		g.ControlVMs, g.ControlsVersion = n.forwarding.controls, n.forwarding.controlsVersion
 	}
 	if n.hasRegisteringTargets() {
 		fleet.addToGrant(&g, h.renew)
--- a/internal/core/message.go
+++ b/internal/core/message.go
@@ -181,6 +181,8 @@
 	// ViewVersion is the version of the sender's list of entry VMs, and ViewSum its checksum.
 	ViewVersion uint64 `cbor:"view_version"`
 	ViewSum     uint64 `cbor:"view_sum,omitempty"`
+	// ControlsSeen is the version of the newest list of control VMs that the entry VM has received.
+	ControlsSeen uint64 `cbor:"control_seen,omitempty"`
 	// HallUnreachable is set when no control VM of the sender's hall has answered it.
 	HallUnreachable bool `cbor:"away,omitempty"`
 	// Leaving asks to be left out of the addresses given to callers.
@@ -346,6 +348,9 @@
 	Cluster  string `cbor:"cluster"`
 	// ControlVMs lists the live control VMs.
 	ControlVMs []ControlVM `cbor:"control,omitempty"`
+	// ControlsVersion is the version of that list, which the holder sends as ControlsSeen from
+	// then on.
+	ControlsVersion uint64 `cbor:"control_version,omitempty"`
 	// Leader is the VM that granted the lease.
 	Leader VMName `cbor:"leader,omitempty"`
 	// Others is what all other entry VMs have in flight. VMs counts the entry VMs.
--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -72,9 +72,11 @@
 	// crashes are the crashed runs that this VM reports.
 	crashes crashes
 	// controls are the live control VMs, as last received.
-	controls    []ControlVM
-	view        []EntryView
-	viewVersion uint64
+	controls []ControlVM
+	// controlsSeen is the version of that list.
+	controlsSeen uint64
+	view         []EntryView
+	viewVersion  uint64
 	// viewSum is the checksum of view, and viewNumber the number of the renewal whose grant
 	// brought it.
 	viewSum    uint64
@@ -258,6 +260,7 @@
 		Revision:        n.entry.config.Revision,
 		ViewVersion:     n.entry.viewVersion,
 		ViewSum:         n.entry.viewSum,
+		ControlsSeen:    n.entry.controlsSeen,
 		Leaving:         n.stopping,
 		InProgress:      len(n.entry.streams) + len(n.entry.calls),
 		Load:            n.load(),
