--- a/internal/core/change_histories_test.go
+++ b/internal/core/change_histories_test.go
@@ -239,6 +239,8 @@
 	every time.Duration
 	bytes int
 	steps []historyStep
+	// wiped is set if a control VM loses its disk.
+	wiped bool
 }
 
 type historyStep struct {
@@ -262,6 +264,9 @@
 	case 7:
 		size = fleetSize{halls: 3, controls: 3, disks: 1, entries: 8}
 	}
+	if seed%64 == 0 {
+		size = fleetSize{halls: 5, controls: 1, disks: 1, entries: 12}
+	}
 	h := &changeHistory{changeWorld: newChangeWorld(t, size, seed), size: size}
 	h.every = 50*time.Millisecond + time.Duration(h.random.Int64N(int64(950*time.Millisecond)))
 	if h.random.IntN(4) == 0 {
@@ -299,7 +304,7 @@
 	length := min(h.randomTime(1500*time.Millisecond), faultyTime-begin)
 	vm, other := h.randomVM(0), h.randomVM(0)
 	entry := h.randomVM('e')
-	switch h.random.IntN(9) {
+	switch h.random.IntN(10) {
 	case 0, 1:
 		// A link breaks: what is sent within a moment is lost.
 		h.at(begin, func() { h.link(h.nodes[entry].Status().LeaseBy, entry).losesUntil = h.now.Add(3 * tickEvery) })
@@ -324,6 +329,14 @@
 		h.at(begin+length, func() { h.revive(vm) })
 	case 8:
 		h.at(begin, func() { h.link(vm, other).losesUntil = h.now.Add(length) })
+	case 9:
+		// The process is back without its disk, as another replica, which installs a snapshot.
+		wiped := h.randomVM('c')
+		if _, disk := h.disks[wiped]; disk && wiped != h.names[0] && !h.wiped {
+			h.wiped = true
+			h.at(begin, func() { h.kill(wiped) })
+			h.at(begin+length, func() { h.startEmpty(wiped) })
+		}
 	}
 }
 
@@ -351,6 +364,13 @@
 	h.markFault(vm)
 }
 
+func (h *changeHistory) startEmpty(vm core.VMName) {
+	if h.dead[vm] {
+		h.start(vm, true)
+		h.markFault(vm)
+	}
+}
+
 func (h *changeHistory) play() {
 	end := h.now.Add(faultyTime + observedTime)
 	next := h.now
