--- a/internal/core/confirmation.go
+++ b/internal/core/confirmation.go
@@ -7,7 +7,7 @@
 	"github.com/spoolbank/spoolbank/internal/core/config"
 )
 
-// ConfigStatus tells the runtime how current the configuration of an entry VM is.
+// ConfigStatus is how current the configuration of an entry VM is, for the runtime.
 type ConfigStatus struct {
 	Revision config.Revision
 	// Newest is the newest revision that this VM knows to exist.
