--- a/internal/core/tenure.go
+++ b/internal/core/tenure.go
@@ -365,17 +365,19 @@
 	if changed {
 		n.configReplaced(before)
 	}
-	if n.acceptsLease(from, g) && err == nil {
-		n.applyLease(g)
-		if changed {
-			n.renew()
-		}
+	if !n.acceptLease(from, g) || err != nil {
+		return
+	}
+	n.applyLease(g)
+	if changed {
+		// The control VMs learn which revision is in force here.
+		n.renew()
 	}
 }
 
-// acceptsLease reports whether a grant answers a renewal of this VM and is not of an earlier leader.
-// If so, the control VM that sent it is the one that answers.
-func (n *Node) acceptsLease(from ReplicaID, g Grant) bool {
+// acceptLease reports whether a grant answers a renewal of this VM and is not of an earlier leader.
+// If so, this VM goes on with the control VM that sent it.
+func (n *Node) acceptLease(from ReplicaID, g Grant) bool {
 	l := &n.entry.lease
 	if _, ok := l.sentAt[g.Number]; !ok || g.Term < l.term {
 		return false
