daemon: test of refusals by a document that may be outdated

The gateway's side of configuration_outdated: a route and a key that the document lacks are refused for good only while it is confirmed and no newer one is known; what it allows is served in all cases.

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -355,3 +355,6 @@
 
 // Len returns the number of runs that are kept.
 func (g *GivenUpRuns) Len() int { return len(g.runs.runs) }
+
+// SetConfigStatus sets how current the document of a gateway is.
+func SetConfigStatus(g *Gateway, s core.ConfigStatus) { g.setConfigStatus(s) }
