wire, quota, daemon: incomplete messages of peers are within one account

Cause: drpc keeps a message until it is complete, up to wire.MessageLimit (64 MB) for each connection, whatever has been sent before, and nothing bounded the connections together.

Change: wire.Intake scans what connections to the peer port bring for frames, and closes those with anything else. Beyond a few KB an incomplete message is reserved in an account (package quota) before it is read: one account for peers that have named themselves, a smaller one for all others, which also have to name themselves in time and are bounded in number. A VM names itself with the call that opens its link, so that its first message may be large; earlier releases are identified by their first message. Closed connections have a log line (bounded) and a counter by reason, the accounts have gauges.

Ways weighed: a bound for each connection divided by their number starves a configuration of 8 MB; one account for all classes lets strangers take the memory of consensus.

Ruled out: a receive buffer of a fixed size at the listener. With 256 KB 300 connections a port came to 242 MB (129 without): the kernel's own buffers grow only for connections that are read.

--- a/internal/daemon/caller_conn.go
+++ b/internal/daemon/caller_conn.go
@@ -27,27 +27,11 @@
 		return l
 	}
 	if o.memoryLimit > 0 {
-		o.limitSendBuffers(tcp)
+		limitBuffer(tcp, syscall.SO_SNDBUF, socketBytes, o.log)
 	}
 	return callerListener{TCPListener: tcp, outbox: o}
 }
 
-// limitSendBuffers limits the kernel's send buffer for each answer. Accepted connections inherit
-// the option from their listener.
-func (o *outbox) limitSendBuffers(l *net.TCPListener) {
-	raw, err := l.SyscallConn()
-	if err == nil {
-		err = raw.Control(func(fd uintptr) {
-			if failed := syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_SNDBUF, socketBytes); failed != nil {
-				o.log.Info("can't bound the kernel's socket buffers; they may hold more than is counted", "error", failed.Error())
-			}
-		})
-	}
-	if err != nil {
-		o.log.Info("can't access the listener's socket to bound the kernel's buffers; they may hold more than is counted", "error", err.Error())
-	}
-}
-
 type connKey struct{}
 
 // connectionOf returns the caller's connection, or nil where it is of another type.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -61,6 +61,7 @@
 	callers *callers
 	metrics *metrics
 	outbox  *outbox
+	intake  *intake
 	// platform and gateway are set if an adapter runs this daemon.
 	platform *Platform
 	gateway  *Gateway
@@ -114,6 +115,7 @@
 		platform: p,
 		outbox:   newOutbox(s.Limits, log),
 	}
+	d.intake = newIntake(d, int64(s.Limits.MemoryMB)<<20)
 	d.client = d.client.WithSilence(time.Duration(s.Timing.Silence), d.recordSilentConnection)
 	setMemoryLimit(s.Limits.MemoryMB)
 	d.context, d.cancel = context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/daemon/intake.go
@@ -0,0 +1,99 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/spoolbank/spoolbank/internal/quota"
+	"github.com/spoolbank/spoolbank/internal/wire"
+)
+
+// This file bounds the memory of messages that have not arrived completely. wire/intake.go does so for
+// the peer port, and relay.Holdings for the requests and answers of callers.
+
+// intake holds the accounts of incomplete messages.
+type intake struct {
+	daemon *Daemon
+	peers  *wire.Intake
+	// closed limits the log lines about connections that were closed.
+	closed logLimiter
+}
+
+func newIntake(d *Daemon, memoryLimit int64) *intake {
+	i := &intake{daemon: d}
+	i.peers = wire.NewIntake(memoryLimit, i.recordClosed)
+	return i
+}
+
+// recordClosed counts and logs a connection to the peer port that was closed.
+func (i *intake) recordClosed(reason string, conn net.Conn, err error) {
+	i.daemon.metrics.countIntakeClosed(reason)
+	remote := conn.RemoteAddr().String()
+	host, _, splitErr := net.SplitHostPort(remote)
+	if splitErr != nil {
+		host = remote
+	}
+	if allowed, withheld := i.closed.allow(host, time.Now()); allowed {
+		held, strange := i.peers.Strangers().Usage().Held, i.peers.Strange()
+		i.daemon.log.Info("peer connection closed", "reason", reason, "peer", remote, "error", err.Error(),
+			"strangers", strange, "strangers_bytes", held, "peers_bytes", i.peers.Peers().Usage().Held, "withheld", withheld)
+	}
+}
+
+// limitBuffer limits the kernel's buffer for one direction of each connection. Accepted connections
+// inherit the option from their listener.
+func limitBuffer(l syscall.Conn, option, bytes int, log logr.Logger) {
+	raw, err := l.SyscallConn()
+	if err == nil {
+		var failed error
+		err = raw.Control(func(fd uintptr) { failed = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, option, bytes) })
+		err = errors.Join(err, failed)
+	}
+	if err != nil {
+		log.Info("can't bound the kernel's socket buffers; they may hold more than is counted", "error", err.Error())
+	}
+}
+
+// accounts returns the accounts by class.
+func (i *intake) accounts() map[string]*quota.Account {
+	return map[string]*quota.Account{"peers": i.peers.Peers(), "strangers": i.peers.Strangers()}
+}
+
+// observe exports the accounts at each scrape.
+func (i *intake) observe(meter metric.Meter) error {
+	held, err := meter.Int64ObservableGauge("spoolbank.intake.bytes", metric.WithUnit("By"))
+	if err != nil {
+		return err
+	}
+	share, err := meter.Int64ObservableGauge("spoolbank.intake.share", metric.WithUnit("By"))
+	if err != nil {
+		return err
+	}
+	refused, err := meter.Int64ObservableCounter("spoolbank.intake.refused")
+	if err != nil {
+		return err
+	}
+	strangers, err := meter.Int64ObservableGauge("spoolbank.intake.strangers")
+	if err != nil {
+		return err
+	}
+	_, err = meter.RegisterCallback(func(_ context.Context, to metric.Observer) error {
+		for class, account := range i.accounts() {
+			of := metric.WithAttributes(attribute.String("class", class))
+			usage := account.Usage()
+			to.ObserveInt64(held, usage.Held, of)
+			to.ObserveInt64(share, usage.Share, of)
+			to.ObserveInt64(refused, usage.Refused+usage.Revoked, of)
+		}
+		to.ObserveInt64(strangers, int64(i.peers.Strange()))
+		return nil
+	}, held, share, refused, strangers)
+	return err
+}
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -28,8 +28,10 @@
 	answers    metric.Int64Counter
 	silent     metric.Int64Counter
 	clockSteps metric.Int64Counter
-	byEvent    map[string]metric.MeasurementOption
-	traffic    *traffic
+	// intakeClosed counts the connections to the peer port that were closed, by reason.
+	intakeClosed metric.Int64Counter
+	byEvent      map[string]metric.MeasurementOption
+	traffic      *traffic
 }
 
 func newMetrics(d *Daemon) (*metrics, error) {
@@ -61,6 +63,12 @@
 	if m.clockSteps, err = meter.Int64Counter("spoolbank.clock.steps"); err != nil {
 		return nil, err
 	}
+	if m.intakeClosed, err = meter.Int64Counter("spoolbank.intake.closed"); err != nil {
+		return nil, err
+	}
+	if err := d.intake.observe(meter); err != nil {
+		return nil, err
+	}
 	if err := d.outbox.observe(meter); err != nil {
 		return nil, err
 	}
@@ -143,6 +151,10 @@
 func (m *metrics) countReceived() { m.messages.Add(context.Background(), 1, attrReceived) }
 func (m *metrics) countDropped()  { m.messages.Add(context.Background(), 1, attrDropped) }
 
+func (m *metrics) countIntakeClosed(reason string) {
+	m.intakeClosed.Add(context.Background(), 1, metric.WithAttributes(attribute.String("reason", reason)))
+}
+
 func (m *metrics) countSilent(ctx context.Context, kind string) {
 	m.silent.Add(ctx, 1, metric.WithAttributes(attribute.String("kind", kind)))
 }
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -199,7 +199,7 @@
 		return err
 	}
 	defer conn.Close()
-	stream, err := conn.NewStream(d.context, wire.RPCLink, wire.Encoding{})
+	stream, err := conn.NewStream(wire.WithSenderName(d.context, d.settings.Name), wire.RPCLink, wire.Encoding{})
 	if err != nil {
 		return err
 	}
@@ -240,7 +240,7 @@
 		Log:     func(err error) { d.log.V(1).Info("peer connection", "error", err.Error()) },
 	}
 	server := drpcserver.NewWithOptions(mux, options)
-	return server.Serve(ctx, d.credentials.Listener(d.peerListener))
+	return server.Serve(ctx, d.intake.peers.Listener(d.credentials.Listener(d.peerListener)))
 }
 
 // peerServer implements wire.Server for a daemon.
@@ -250,6 +250,9 @@
 // peer's certificate names.
 func (s *peerServer) Link(stream drpc.Stream) error {
 	name, secure := wire.PeerName(stream.Context())
+	if secure || wire.SenderName(stream.Context()) != "" {
+		wire.Identify(stream.Context())
+	}
 	defer s.daemon.peers.removeInbound(stream)
 	recorded := false
 	for {
@@ -263,6 +266,7 @@
 		}
 		s.daemon.metrics.countReceived()
 		if !recorded {
+			wire.Identify(stream.Context())
 			s.daemon.peers.recordInbound(stream, e.From.VM)
 			recorded = true
 		}
@@ -275,6 +279,7 @@
 
 // Operate implements wire.Server.
 func (s *peerServer) Operate(ctx context.Context, request *wire.OperateRequest) (*wire.OperateReply, error) {
+	wire.Identify(ctx)
 	statement, err := query.Parse(request.Text)
 	if err != nil {
 		return &wire.OperateReply{Result: core.Result{Kind: core.ResultInvalid, Message: err.Error()}}, nil
@@ -311,7 +316,8 @@
 func (d *Daemon) answer(e core.Answer) { deliverReply(d, e.Conn, e.Result) }
 
 // Dump implements wire.Server.
-func (s *peerServer) Dump(context.Context, *wire.DumpRequest) (*wire.DumpReply, error) {
+func (s *peerServer) Dump(ctx context.Context, _ *wire.DumpRequest) (*wire.DumpReply, error) {
+	wire.Identify(ctx)
 	var dump core.Dump
 	s.daemon.inspectNode(func(n *core.Node) { dump = n.Dump() })
 	redactKeys(&dump)
--- a/internal/daemon/tunnels.go
+++ b/internal/daemon/tunnels.go
@@ -189,6 +189,7 @@
 	if err := stream.MsgRecv(&request, wire.Encoding{}); err != nil {
 		return err
 	}
+	wire.Identify(stream.Context())
 	if s.daemon.gateway == nil {
 		return stream.MsgSend(&wire.TunnelReply{Outcome: wire.TunnelDeclined, Reason: "this VM serves no callers"}, wire.Encoding{})
 	}
--- a/internal/wire/dial.go
+++ b/internal/wire/dial.go
@@ -69,6 +69,9 @@
 	if !ok {
 		return "", false
 	}
+	if bounded, ok := transport.(*intakeConn); ok {
+		transport = bounded.Conn
+	}
 	secure, ok := transport.(*tls.Conn)
 	if !ok || len(secure.ConnectionState().PeerCertificates) == 0 {
 		return "", false
