daemon: the limit of the heap leaves room for the program and the kernel

Callers saw: nothing yet; a flood of messages without an end under names of VMs left a process of 256 MB with 208 MB, and the platform counts bytes that have not been read as well.

Cause: the runtime's limit was 0.8 of all memory, which is all that a process is meant to use, and the program file (16 MB) and the kernel's buffers came on top. Garbage of buffers that grow fills it.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -91,15 +91,27 @@
 	return d, d.gateway, nil
 }
 
-// heapFraction is the fraction of the memory limit that is set as the limit of the Go runtime.
-// The rest is for memory that the runtime doesn't count, mostly kernel buffers.
-const heapFraction = 0.8
+const (
+	// memoryTarget is the part of the memory limit that a process may use with all that has arrived for
+	// it, and kernelShare the part of the limit that the kernel's buffers may take of it.
+	memoryTarget = 0.8
+	kernelShare  = 0.1
+	// minHeapShare is the part of the limit that the heap always has.
+	minHeapShare = 0.4
+)
+
+// heapLimit returns the limit of the Go runtime within a memory limit in bytes. The runtime counts
+// neither the program file nor the kernel's buffers.
+func heapLimit(memoryLimit int64) int64 {
+	share := func(part float64) int64 { return int64(part * float64(memoryLimit)) }
+	return max(share(memoryTarget-kernelShare)-programBytes, share(minHeapShare))
+}
 
 // setMemoryLimit makes the runtime collect garbage more often near the memory limit, so
 // that the process is not killed for exceeding it.
 func setMemoryLimit(megabytes int) {
 	if megabytes > 0 {
-		debug.SetMemoryLimit(int64(heapFraction * float64(megabytes) * (1 << 20)))
+		debug.SetMemoryLimit(heapLimit(int64(megabytes) << 20))
 	}
 }
 
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -29,6 +29,7 @@
 // targets, but no control VM.
 func NewGatewayAlone(p Platform, document *relay.Document, targets []relay.Target) (*Gateway, error) {
 	d := &Daemon{log: logr.Discard(), platform: &p, events: make(chan core.Event, eventQueueSize), outbox: newOutbox(settings.Limits{}, logr.Discard())}
+	d.intake = newIntake(d, 0)
 	d.context, d.cancel = context.WithCancel(context.Background())
 	var err error
 	if d.metrics, err = newMetrics(d); err != nil {
@@ -111,6 +112,7 @@
 // GatewayFor returns a gateway that serves by a document at once, without a cluster.
 func GatewayFor(s settings.Settings, log logr.Logger, p Platform, doc *relay.Document, targets []relay.Target) (*Gateway, error) {
 	d := &Daemon{settings: s, log: log, inspect: make(chan func(*core.Node)), outbox: newOutbox(s.Limits, log)}
+	d.intake = newIntake(d, int64(s.Limits.MemoryMB)<<20)
 	d.context, d.cancel = context.WithCancel(context.Background())
 	d.tomb.Kill(nil) // nothing waits for the Node, which does not run
 	var err error
