daemon: large bodies of callers count in an account while they arrive

Cause: a body kept its reservation in relay.Holdings for as long as it did not end, and nothing told bodies that arrive from requests that run. The kernel's receive buffers were not bounded at that port.

Change: beyond 64 KB a body that arrives counts in an account of an eighth of the memory limit as well, where one that pauses for a second may lose its memory to another one. Receive buffers of callers' connections are bounded where memory is. A request without a body reserves nothing for it.

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -203,7 +203,7 @@
 
 // ServeCallers serves callers' requests on an address, until a planned stop.
 func (g *Gateway) ServeCallers(server *http.Server, address string) error {
-	l, err := listenOn(address)
+	l, err := g.daemon.listenForHTTP(address)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/intake.go
+++ b/internal/daemon/intake.go
@@ -19,16 +19,29 @@
 // the peer port, and relay.Holdings for the requests and answers of callers.
 
 // The parts of a memory limit that the bodies of operators and the reports of targets may take while
-// they arrive and are handled.
+// they arrive and are handled, and large bodies of callers while they arrive.
 const (
 	operatorParts = 8
 	reportParts   = 32
+	requestParts  = 8
 )
 
+// The classes of accounts.
+const (
+	classPeers     = "peers"
+	classStrangers = "strangers"
+	classOperators = "operators"
+	classReports   = "reports"
+	classRequests  = "requests"
+)
+
+// requestAllowanceBytes is the size up to which a caller's body counts in its request's reservation alone.
+const requestAllowanceBytes = 64 << 10
+
 const (
 	// bodyStall is how long a body may pause before another one may take its memory.
 	bodyStall = time.Second
-	// bodyTimeout bounds the time in which a body arrives: one of 8 MB takes 3.2 s at 20 Mbit/s.
+	// bodyTimeout is how long a body may pause in any case.
 	bodyTimeout = 10 * time.Second
 	// bodyRoomTimeout is how long a body waits for room: as long as it takes to end one that has paused.
 	bodyRoomTimeout = 200 * time.Millisecond
@@ -36,9 +49,9 @@
 
 // intake holds the accounts of incomplete messages.
 type intake struct {
-	daemon             *Daemon
-	peers              *wire.Intake
-	operators, reports *quota.Account
+	daemon                       *Daemon
+	peers                        *wire.Intake
+	operators, reports, requests *quota.Account
 	// closed limits the log lines about connections that were closed.
 	closed logLimiter
 }
@@ -48,6 +61,7 @@
 		daemon:    d,
 		operators: quota.New(quota.Terms{Share: memoryLimit / operatorParts, Stall: bodyStall}),
 		reports:   quota.New(quota.Terms{Share: memoryLimit / reportParts, Stall: bodyStall}),
+		requests:  quota.New(quota.Terms{Share: memoryLimit / requestParts, Stall: bodyStall}),
 	}
 	i.peers = wire.NewIntake(memoryLimit, i.recordClosed)
 	return i
@@ -89,7 +103,8 @@
 // accounts returns the accounts by class.
 func (i *intake) accounts() map[string]*quota.Account {
 	return map[string]*quota.Account{
-		"peers": i.peers.Peers(), "strangers": i.peers.Strangers(), "operators": i.operators, "reports": i.reports,
+		classPeers: i.peers.Peers(), classStrangers: i.peers.Strangers(),
+		classOperators: i.operators, classReports: i.reports, classRequests: i.requests,
 	}
 }
 
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -69,9 +69,10 @@
 	if !held.reserveKernel() || !g.daemon.outbox.hasRoom(min(r.ContentLength, limit+1)) {
 		return nil, held.close, g.noMemory()
 	}
-	body, err := readBounded(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, func(bytes int64) bool {
-		return held.reserve(relay.SideTargets, bytes)
-	})
+	if r.ContentLength == 0 {
+		return nil, held.close, nil
+	}
+	body, err := g.daemon.intake.readRequest(w, r, limit, func(bytes int64) bool { return held.reserve(relay.SideTargets, bytes) })
 	if errors.Is(err, errNoMemory) {
 		return nil, held.close, g.noMemory()
 	}
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -14,7 +15,7 @@
 	"github.com/spoolbank/spoolbank/internal/quota"
 )
 
-// This file reads the bodies of operators' and targets' messages, within accounts for all of them.
+// This file reads the bodies of operators, targets and callers, within accounts for all of each.
 
 // NoRoomError is the error of a message for which there was no memory, or which did not arrive in time.
 // It was not handled.
@@ -35,38 +36,47 @@
 // ReadConfiguration reads an operator's body of up to limit bytes. The returned function releases its
 // memory and must always be called. Without memory the error is a *NoRoomError.
 func (g *Gateway) ReadConfiguration(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, func(), error) {
-	return g.daemon.intake.readBody(w, r, "operators", g.daemon.intake.operators, limit)
+	return g.daemon.intake.readBody(w, r, classOperators, g.daemon.intake.operators, limit)
 }
 
 // ReadReport reads the body of a target's message, as ReadConfiguration does.
 func (g *Gateway) ReadReport(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, func(), error) {
-	return g.daemon.intake.readBody(w, r, "reports", g.daemon.intake.reports, limit)
+	return g.daemon.intake.readBody(w, r, classReports, g.daemon.intake.reports, limit)
 }
 
 // readBody reads a body within an account. Once it has come it counts until it is released.
 func (i *intake) readBody(w http.ResponseWriter, r *http.Request, class string, account *quota.Account, limit int64) ([]byte, func(), error) {
-	control := http.NewResponseController(w)
-	// A connection without deadlines is one of a test.
-	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-	body := &boundedBody{
-		reader:      http.MaxBytesReader(w, r.Body, limit),
-		reservation: account.Reservation(func() { _ = control.SetReadDeadline(time.Now()) }),
-	}
-	text, err := body.readAll(limit)
+	body := newBoundedBody(w, r, account, limit)
+	text, err := body.readAll(unknownLength, limit, body.reserve)
 	if err != nil {
-		_ = control.SetReadDeadline(time.Now()) // nothing waits for the rest
 		body.reservation.Release()
 		return nil, func() {}, i.bodyError(r, class, account, err)
 	}
-	_ = control.SetReadDeadline(time.Time{})
 	body.reservation.SetWhole()
 	return text, body.reservation.Release, nil
 }
 
+// readRequest reads the body of a caller's request, for which reserve reserves the memory. While it
+// arrives, a large one counts in an account too, so that bodies which never end leave memory for other
+// requests.
+func (i *intake) readRequest(w http.ResponseWriter, r *http.Request, limit int64, reserve func(bytes int64) bool) ([]byte, error) {
+	body := newBoundedBody(w, r, i.requests, limit)
+	defer body.reservation.Release()
+	text, err := body.readAll(r.ContentLength, limit, func(bytes int64) bool {
+		return reserve(bytes) && body.reserveAbove(requestAllowanceBytes, bytes)
+	})
+	if err != nil && !errors.Is(err, errNoMemory) {
+		if refused := i.bodyError(r, classRequests, i.requests, err); errors.As(refused, new(*NoRoomError)) {
+			return nil, errors.Join(errNoMemory, refused)
+		}
+	}
+	return text, err
+}
+
 // bodyError returns the error of a body that was not read, and logs a lack of room.
 func (i *intake) bodyError(r *http.Request, class string, account *quota.Account, err error) error {
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) {
+	late := errors.Is(err, os.ErrDeadlineExceeded)
+	if !late && !errors.Is(err, quota.ErrFull) && !errors.Is(err, quota.ErrRevoked) {
 		return err
 	}
 	i.daemon.metrics.countBodyRefused(class)
@@ -78,36 +88,64 @@
 	return &NoRoomError{RetryAfter: bodyStall, Err: err}
 }
 
+// unknownLength is the length of a body whose announced length is not used: it may never come.
+const unknownLength = -1
+
 // boundedBody is a body that is read within an account.
 type boundedBody struct {
 	reader      io.Reader
+	control     *http.ResponseController
 	reservation *quota.Reservation
-	reserved    int64
-	full        error
+	// bytes is the size of the buffer, of which reserved bytes are in the account.
+	bytes, reserved int64
+	full            error
 }
 
-// readAll reads the body of up to limit bytes. It starts with a small buffer, since a body may be
-// announced and never come.
-func (b *boundedBody) readAll(limit int64) ([]byte, error) {
-	const unknown = -1
-	text, err := readBounded(b, unknown, limit, b.reserve)
+// newBoundedBody returns the body of a request. If its reservation is revoked, a read of it ends.
+func newBoundedBody(w http.ResponseWriter, r *http.Request, account *quota.Account, limit int64) *boundedBody {
+	control := http.NewResponseController(w)
+	return &boundedBody{
+		reader: http.MaxBytesReader(w, r.Body, limit), control: control,
+		// A connection without deadlines is one of a test.
+		reservation: account.Reservation(func() { _ = control.SetReadDeadline(time.Now()) }),
+	}
+}
+
+// readAll reads the body of up to limit bytes.
+func (b *boundedBody) readAll(length, limit int64, reserve func(bytes int64) bool) ([]byte, error) {
+	text, err := readBounded(b, length, limit, reserve)
+	if err == nil {
+		_ = b.control.SetReadDeadline(time.Time{}) // see newBoundedBody
+		return text, nil
+	}
+	_ = b.control.SetReadDeadline(time.Now()) // nothing waits for the rest
 	if b.full != nil {
 		return nil, b.full
 	}
 	return text, err
 }
 
-// Read implements io.Reader.
+// Read implements io.Reader. A body that pauses for too long ends.
 func (b *boundedBody) Read(p []byte) (int, error) {
-	n, err := b.reader.Read(p)
-	if n > 0 && err == nil {
-		err = b.grow(0) // records progress
+	if b.reserved > 0 {
+		if err := b.grow(0); err != nil {
+			return 0, err
+		}
 	}
-	return n, err
+	_ = b.control.SetReadDeadline(time.Now().Add(bodyTimeout)) // see newBoundedBody
+	return b.reader.Read(p)
 }
 
-func (b *boundedBody) reserve(bytes int64) bool {
-	b.full = b.grow(bytes)
+// reserve adds bytes to what the account has of the body, and reports whether there was room.
+func (b *boundedBody) reserve(bytes int64) bool { return b.reserveAbove(0, bytes) }
+
+// reserveAbove is reserve for a body of which the account has only what is above an allowance.
+func (b *boundedBody) reserveAbove(allowance, bytes int64) bool {
+	b.bytes += bytes
+	if b.bytes <= allowance {
+		return true
+	}
+	b.full = b.grow(b.bytes - b.reserved)
 	return b.full == nil
 }
 
