wire: connections that have sent a name and no message are bounded in number

Callers saw: nothing yet.

Cause: a connection that states a name was no longer counted, and a name is no proof.

Change: such connections count until their first whole message; beyond 256 the oldest one is closed.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -251,7 +251,7 @@
 func (s *peerServer) Link(stream drpc.Stream) error {
 	name, secure := wire.PeerName(stream.Context())
 	if secure || wire.SenderName(stream.Context()) != "" {
-		wire.Identify(stream.Context())
+		wire.IdentifyByName(stream.Context())
 	}
 	defer s.daemon.peers.removeInbound(stream)
 	recorded := false
--- a/internal/wire/intake.go
+++ b/internal/wire/intake.go
@@ -21,9 +21,9 @@
 // Problem: drpc keeps a message until it is complete, up to MessageLimit for each connection, whoever
 // sends it. A few connections with bytes that are no message exceed the memory of the process.
 //
-// Algorithm: a connection is a stranger's until a handler identifies it (Identify), which follows the
-// name in its call or its first message. Strangers have to be identified in time, and their number is
-// bounded: the oldest one is closed for a new one. The bytes of each connection are scanned for frames,
+// Algorithm: a connection is a stranger's until a handler identifies it by the name in its call or by its
+// first message. Strangers have to be identified in time, and their number is bounded, as is that of
+// connections that have sent a name and no message: the oldest one is closed for a new one. The bytes of each connection are scanned for frames,
 // so that what is no frame of drpc ends the connection at once. Beyond a small allowance the bytes of an
 // incomplete message are reserved before they are read, those of strangers and of identified peers in
 // accounts of their own. Without room the connection is not read, which holds its sender back.
@@ -53,6 +53,8 @@
 	maxStrangers    = 64
 	maxNewStrangers = 512
 	strangerGrace   = 250 * time.Millisecond
+	// maxUnproven bounds the connections that are identified by a name and have not sent one whole message.
+	maxUnproven = 256
 	// roomTimeout is how long a message of an identified peer waits for room.
 	roomTimeout = 30 * time.Second
 	// messageStall is how long a message may pause before another one may take its memory.
@@ -92,8 +94,9 @@
 	observe          IntakeObserver
 
 	mu sync.Mutex
-	// waiting holds the connections that are not identified, the oldest first.
-	waiting []*intakeConn
+	// waiting holds the connections that are not identified, and unproven those that are identified by a
+	// name alone, the oldest first.
+	waiting, unproven []*intakeConn
 }
 
 // NewIntake returns an Intake for a process with a memory limit in bytes, 0 for none.
@@ -156,11 +159,13 @@
 	return len(i.waiting)
 }
 
-// remove removes a connection from those that are not identified.
+// remove removes a connection from those whose number is bounded.
 func (i *Intake) remove(c *intakeConn) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.waiting = slices.DeleteFunc(i.waiting, func(o *intakeConn) bool { return o == c })
+	same := func(o *intakeConn) bool { return o == c }
+	i.waiting = slices.DeleteFunc(i.waiting, same)
+	i.unproven = slices.DeleteFunc(i.unproven, same)
 }
 
 // The reasons for which an Intake closes connections.
@@ -197,11 +202,47 @@
 	err              error
 }
 
-// Identify marks the connection of a drpc stream as one of a peer or an operator.
+// IdentifyByName marks the connection of a drpc stream as one of a peer that has sent its name alone.
+func IdentifyByName(ctx context.Context) {
+	transport, _ := drpcctx.Transport(ctx)
+	c, ok := transport.(*intakeConn)
+	if !ok || c.identified.Load() {
+		return
+	}
+	c.identify()
+	if oldest := c.intake.addUnproven(c); oldest != nil {
+		c.intake.observe(ReasonTooMany, oldest, errTooMany)
+		oldest.Close()
+	}
+}
+
+// Identify marks the connection of a drpc stream as one of a peer or an operator, by a whole message.
 func Identify(ctx context.Context) {
 	transport, _ := drpcctx.Transport(ctx)
 	c, ok := transport.(*intakeConn)
-	if !ok || c.identified.Swap(true) {
+	if !ok {
+		return
+	}
+	c.identify()
+	c.intake.remove(c)
+}
+
+// addUnproven adds a connection that is identified by a name, and returns the oldest one if there are
+// too many.
+func (i *Intake) addUnproven(c *intakeConn) (oldest *intakeConn) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.unproven = append(i.unproven, c)
+	if len(i.unproven) <= maxUnproven {
+		return nil
+	}
+	oldest = i.unproven[0]
+	i.unproven = i.unproven[1:]
+	return oldest
+}
+
+func (c *intakeConn) identify() {
+	if c.identified.Swap(true) {
 		return
 	}
 	c.intake.remove(c)
