daemon: bodies at the product's own interface count in the account of requests

Cause: the same as at the platform's ports. io.ReadAll with a bound for each body, none for all of them, and 20,000 requests may be open.

Change: these bodies are read as those of the platform's callers are; without memory the answer is "overloaded" with a time, and the request has not run. All of a body still has to come within 30 s. The kernel's receive buffers are bounded there too where memory is.

Not covered: answers of services to calls of this interface, 4 MB each.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -142,13 +141,16 @@
 	}
 }
 
+// requestReadTimeout bounds the time in which a request of a caller arrives.
+const requestReadTimeout = 30 * time.Second
+
 func (d *Daemon) serveCallers() error {
 	limits := d.settings.Limits
 	server := &http.Server{
 		Handler:           d.callers.routes(),
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: 5 * time.Second,
-		ReadTimeout:       30 * time.Second,
+		ReadTimeout:       requestReadTimeout,
 		IdleTimeout:       2 * time.Minute,
 	}
 	return d.serveHTTP(server, d.outbox.callerListener(server, d.callerListener))
@@ -213,13 +215,18 @@
 }
 
 func (c *callers) readBody(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.daemon.settings.Limits.BodyBytes))
+	body, err := c.daemon.intake.readRequest(w, r, c.daemon.settings.Limits.BodyBytes, time.Now().Add(requestReadTimeout), func(int64) bool { return true })
 	var tooLarge *http.MaxBytesError
+	var noRoom *NoRoomError
 	switch {
 	case errors.As(err, &tooLarge):
 		writeRefusal(w, "", core.Refusal{Kind: core.RefusedTooLarge, Ran: core.RanNo,
 			Reason: fmt.Sprintf("the body is over the limit of %d bytes", tooLarge.Limit), Remedy: "send less, or ask the operators for a higher limits.body_bytes"}, 0)
 		return nil, false
+	case errors.As(err, &noRoom) || errors.Is(err, errNoMemory):
+		writeRefusal(w, "", core.Refusal{Kind: core.RefusedOverload, Ran: core.RanNo, Reason: "this entry VM has no memory for the body",
+			Remedy: "come back at the given time, or ask another entry VM", RetryAt: clock.Now().Add(noMemoryRetryDelay)}, 0)
+		return nil, false
 	case err != nil:
 		badRequest(w, fmt.Sprintf("the body can't be read: %v", err))
 		return nil, false
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -196,7 +196,7 @@
 	l := d.settings.Listen
 	// On a platform the adapter listens for callers.
 	if d.platform == nil {
-		d.callerListener, err = listenOn(l.Callers)
+		d.callerListener, err = d.listenForHTTP(l.Callers)
 	}
 	if err != nil {
 		return err
@@ -356,7 +356,7 @@
 // listenForHTTP listens on an address. Where memory is limited, the kernel's receive buffers are too.
 func (d *Daemon) listenForHTTP(address string) (net.Listener, error) {
 	l, err := listenOn(address)
-	if err != nil {
+	if err != nil || l == nil {
 		return nil, err
 	}
 	if tcp, ok := l.(*net.TCPListener); ok && d.settings.Limits.MemoryMB > 0 {
--- a/internal/daemon/deployment_test.go
+++ b/internal/daemon/deployment_test.go
@@ -52,6 +52,8 @@
 	engines []*httptest.Server
 	runners []*fake.Service
 	number  uint64
+	// memoryMB limits the memory of each process, 0 for no limit.
+	memoryMB int
 }
 
 // process is one daemon.
@@ -103,7 +105,12 @@
 
 // deploy starts control VMs that are entry VMs too, and further VMs that are entry VMs only.
 func deploy(t *testing.T, controls, entries int, speed float64) *deployment {
-	d := &deployment{t: t, dir: t.TempDir()}
+	return deployWithin(t, 0, controls, entries, speed)
+}
+
+// deployWithin is deploy with a memory limit for each process.
+func deployWithin(t *testing.T, memoryMB, controls, entries int, speed float64) *deployment {
+	d := &deployment{t: t, dir: t.TempDir(), memoryMB: memoryMB}
 	for i := range controls + entries {
 		name := fmt.Sprintf("vm-%d", i+1)
 		d.vms = append(d.vms, &process{
@@ -140,7 +147,8 @@
   "control": {"vms": {%s}, "snapshot_every": 100},
   "tls": {"plain_text": true},
   "timing": {"keep_entries": "500ms", "replace_after": "4s"},
-}`, p.name, roles, p.data, p.callers, p.peers, strings.Join(control, ", "))
+  "limits": {"memory_mb": %d},
+}`, p.name, roles, p.data, p.callers, p.peers, strings.Join(control, ", "), d.memoryMB)
 	require.NoError(d.t, os.WriteFile(p.settings, []byte(text), 0o600))
 }
 
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -72,7 +72,7 @@
 	if r.ContentLength == 0 {
 		return nil, held.close, nil
 	}
-	body, err := g.daemon.intake.readRequest(w, r, limit, func(bytes int64) bool { return held.reserve(relay.SideTargets, bytes) })
+	body, err := g.daemon.intake.readRequest(w, r, limit, time.Time{}, func(bytes int64) bool { return held.reserve(relay.SideTargets, bytes) })
 	if errors.Is(err, errNoMemory) {
 		return nil, held.close, g.noMemory()
 	}
--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -58,9 +58,10 @@
 
 // readRequest reads the body of a caller's request, for which reserve reserves the memory. While it
 // arrives, a large one counts in an account too, so that bodies which never end leave memory for other
-// requests.
-func (i *intake) readRequest(w http.ResponseWriter, r *http.Request, limit int64, reserve func(bytes int64) bool) ([]byte, error) {
+// requests. It has to come until a time, unless that is zero.
+func (i *intake) readRequest(w http.ResponseWriter, r *http.Request, limit int64, until time.Time, reserve func(bytes int64) bool) ([]byte, error) {
 	body := newBoundedBody(w, r, i.requests, limit)
+	body.until = until
 	defer body.reservation.Release()
 	text, err := body.readAll(r.ContentLength, limit, func(bytes int64) bool {
 		return reserve(bytes) && body.reserveAbove(requestAllowanceBytes, bytes)
@@ -98,7 +99,9 @@
 	reservation *quota.Reservation
 	// bytes is the size of the buffer, of which reserved bytes are in the account.
 	bytes, reserved int64
-	full            error
+	// until is when the whole body has to have come, zero if at any time.
+	until time.Time
+	full  error
 }
 
 // newBoundedBody returns the body of a request. If its reservation is revoked, a read of it ends.
@@ -132,7 +135,11 @@
 			return 0, err
 		}
 	}
-	_ = b.control.SetReadDeadline(time.Now().Add(bodyTimeout)) // see newBoundedBody
+	deadline := time.Now().Add(bodyTimeout)
+	if !b.until.IsZero() && b.until.Before(deadline) {
+		deadline = b.until
+	}
+	_ = b.control.SetReadDeadline(deadline) // see newBoundedBody
 	return b.reader.Read(p)
 }
 
