wire, daemon: peers are identified by a whole message, and send a probe first

Cause: a connection counted as a peer's as soon as its call stated the name of a VM. A name is no proof, and it took a bound on such connections and a smaller limit of messages to bear a flood of them.

Change: a connection is identified by its first whole message, and a VM sends a probe before anything else, which VMs of earlier releases answer too. The metadata, the bound on names and the limit by memory are gone; a message of a peer may have MessageLimit as before.

--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"encoding/json"
@@ -192,30 +193,31 @@
 	}
 }
 
-// sendAll sends first and the messages queued after it until the stream breaks.
+// sendAll sends first and the messages queued after it until the stream breaks. A probe comes before
+// them: a VM takes large messages only over connections that have brought a whole one.
 func (d *Daemon) sendAll(l *peerLink, first *core.Envelope) error {
 	conn, err := d.dialPeer(l)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
-	stream, err := conn.NewStream(wire.WithSenderName(d.context, d.settings.Name), wire.RPCLink, wire.Encoding{})
+	stream, err := conn.NewStream(d.context, wire.RPCLink, wire.Encoding{})
 	if err != nil {
 		return err
 	}
 	silent := d.attachConn(l, conn, stream)
 	defer l.detachConn()
-	for e := first; ; {
-		d.metrics.countSent()
-		e.Body.Receipt = l.nextReceipt(e.Body.Receipt, time.Now())
-		if err := stream.MsgSend(e, measuredEncoding{record: d.metrics.traffic.recordSent}); err != nil {
-			if silent.Load() {
-				return errLinkSilent
-			}
+	for _, e := range []*core.Envelope{d.newProbe(), first} {
+		if err := d.sendOne(l, stream, e, silent); err != nil {
 			return err
 		}
+	}
+	for {
 		select {
-		case e = <-l.queue:
+		case e := <-l.queue:
+			if err := d.sendOne(l, stream, e, silent); err != nil {
+				return err
+			}
 		case <-conn.Closed():
 			if silent.Load() {
 				return errLinkSilent
@@ -227,6 +229,17 @@
 	}
 }
 
+// sendOne sends one message.
+func (d *Daemon) sendOne(l *peerLink, stream drpc.Stream, e *core.Envelope, silent *atomic.Bool) error {
+	d.metrics.countSent()
+	e.Body.Receipt = l.nextReceipt(e.Body.Receipt, time.Now())
+	err := stream.MsgSend(e, measuredEncoding{record: d.metrics.traffic.recordSent})
+	if err != nil && silent.Load() {
+		return errLinkSilent
+	}
+	return err
+}
+
 // servePeers serves other VMs and operators.
 func (d *Daemon) servePeers() error { return d.servePeersUntil(d.tomb.Context(d.context)) }
 
@@ -250,9 +263,6 @@
 // peer's certificate names.
 func (s *peerServer) Link(stream drpc.Stream) error {
 	name, secure := wire.PeerName(stream.Context())
-	if secure || wire.SenderName(stream.Context()) != "" {
-		wire.IdentifyByName(stream.Context())
-	}
 	defer s.daemon.peers.removeInbound(stream)
 	recorded := false
 	for {
--- a/internal/daemon/receipts.go
+++ b/internal/daemon/receipts.go
@@ -186,14 +186,18 @@
 // sendProbe queues a probe. If the queue is full the probe is dropped: the link is stalled
 // then, and its connection is closed unless a receipt arrives.
 func (d *Daemon) sendProbe(l *peerLink) {
-	envelope := &core.Envelope{From: d.self, Body: core.Message{Receipt: &core.Receipt{ReplyNow: true}}}
 	select {
-	case l.queue <- envelope:
+	case l.queue <- d.newProbe():
 	default:
 		d.metrics.countDropped()
 	}
 }
 
+// newProbe returns a message that is answered with a receipt and is not for the Node.
+func (d *Daemon) newProbe() *core.Envelope {
+	return &core.Envelope{From: d.self, Body: core.Message{Receipt: &core.Receipt{ReplyNow: true}}}
+}
+
 // handleReceipt records the receipt of a message received over a stream and answers it if it
 // is a probe. It reports whether the message is for the Node.
 func (p *peers) handleReceipt(stream drpc.Stream, e core.Envelope) bool {
--- a/internal/wire/intake.go
+++ b/internal/wire/intake.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"storj.io/drpc/drpcctx"
-	"storj.io/drpc/drpcmetadata"
 
 	"github.com/spoolbank/spoolbank/internal/quota"
 )
@@ -21,9 +20,9 @@
 // Problem: drpc keeps a message until it is complete, up to MessageLimit for each connection, whoever
 // sends it. A few connections with bytes that are no message exceed the memory of the process.
 //
-// Algorithm: a connection is a stranger's until a handler identifies it by the name in its call or by its
-// first message. Strangers have to be identified in time, and their number is bounded, as is that of
-// connections that have sent a name and no message: the oldest one is closed for a new one. The bytes of each connection are scanned for frames,
+// Algorithm: a connection is a stranger's until a handler identifies it by its first whole message, which
+// VMs keep small. Strangers have to be identified in time, and their number is bounded: the oldest one is
+// closed for a new one. The bytes of each connection are scanned for frames,
 // so that what is no frame of drpc ends the connection at once. Beyond a small allowance the bytes of an
 // incomplete message are reserved before they are read, those of strangers and of identified peers in
 // accounts of their own. Without room the connection is not read, which holds its sender back.
@@ -53,14 +52,12 @@
 	maxStrangers    = 64
 	maxNewStrangers = 512
 	strangerGrace   = 250 * time.Millisecond
-	// maxUnproven bounds the connections that are identified by a name and have not sent one whole message.
-	maxUnproven = 256
 	// roomTimeout is how long a message of an identified peer waits for room.
 	roomTimeout = 30 * time.Second
 	// messageStall is how long a message may pause before another one may take its memory.
 	messageStall = time.Second
 	// strangerMessageLimit is the largest message of a connection that is not identified: a configuration
-	// with its envelope, since VMs of earlier releases are identified by their first message.
+	// with its envelope, since the first message of VMs of earlier releases may be one.
 	strangerMessageLimit = 9 << 20
 )
 
@@ -70,21 +67,6 @@
 	strangerParts = 32
 )
 
-// messageParts is the part of a memory limit that one message may have, so that its buffers and the share
-// of peers take a third of the limit. minMessageLimit is a configuration and the state beside it.
-const (
-	messageParts    = 12
-	minMessageLimit = 16 << 20
-)
-
-// messageLimit returns the size of the largest message within a memory limit.
-func messageLimit(memoryLimit int64) int64 {
-	if memoryLimit <= 0 {
-		return MessageLimit
-	}
-	return min(max(memoryLimit/messageParts, minMessageLimit), MessageLimit)
-}
-
 // IntakeObserver is told of connections that an Intake closes.
 type IntakeObserver func(reason string, conn net.Conn, err error)
 
@@ -94,15 +76,14 @@
 	observe          IntakeObserver
 
 	mu sync.Mutex
-	// waiting holds the connections that are not identified, and unproven those that are identified by a
-	// name alone, the oldest first.
-	waiting, unproven []*intakeConn
+	// waiting holds the connections that are not identified, the oldest first.
+	waiting []*intakeConn
 }
 
 // NewIntake returns an Intake for a process with a memory limit in bytes, 0 for none.
 func NewIntake(memoryLimit int64, observe IntakeObserver) *Intake {
 	return &Intake{
-		peers:     quota.New(quota.Terms{Share: memoryLimit / peerParts, Message: bufferFactor * messageLimit(memoryLimit), Stall: messageStall}),
+		peers:     quota.New(quota.Terms{Share: memoryLimit / peerParts, Message: bufferFactor * MessageLimit, Stall: messageStall}),
 		strangers: quota.New(quota.Terms{Share: memoryLimit / strangerParts, Message: bufferFactor * strangerMessageLimit, Stall: messageStall}),
 		observe:   observe,
 	}
@@ -159,13 +140,11 @@
 	return len(i.waiting)
 }
 
-// remove removes a connection from those whose number is bounded.
+// remove removes a connection from those that are not identified.
 func (i *Intake) remove(c *intakeConn) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	same := func(o *intakeConn) bool { return o == c }
-	i.waiting = slices.DeleteFunc(i.waiting, same)
-	i.unproven = slices.DeleteFunc(i.unproven, same)
+	i.waiting = slices.DeleteFunc(i.waiting, func(o *intakeConn) bool { return o == c })
 }
 
 // The reasons for which an Intake closes connections.
@@ -202,47 +181,11 @@
 	err              error
 }
 
-// IdentifyByName marks the connection of a drpc stream as one of a peer that has sent its name alone.
-func IdentifyByName(ctx context.Context) {
-	transport, _ := drpcctx.Transport(ctx)
-	c, ok := transport.(*intakeConn)
-	if !ok || c.identified.Load() {
-		return
-	}
-	c.identify()
-	if oldest := c.intake.addUnproven(c); oldest != nil {
-		c.intake.observe(ReasonTooMany, oldest, errTooMany)
-		oldest.Close()
-	}
-}
-
 // Identify marks the connection of a drpc stream as one of a peer or an operator, by a whole message.
 func Identify(ctx context.Context) {
 	transport, _ := drpcctx.Transport(ctx)
 	c, ok := transport.(*intakeConn)
-	if !ok {
-		return
-	}
-	c.identify()
-	c.intake.remove(c)
-}
-
-// addUnproven adds a connection that is identified by a name, and returns the oldest one if there are
-// too many.
-func (i *Intake) addUnproven(c *intakeConn) (oldest *intakeConn) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.unproven = append(i.unproven, c)
-	if len(i.unproven) <= maxUnproven {
-		return nil
-	}
-	oldest = i.unproven[0]
-	i.unproven = i.unproven[1:]
-	return oldest
-}
-
-func (c *intakeConn) identify() {
-	if c.identified.Swap(true) {
+	if !ok || c.identified.Swap(true) {
 		return
 	}
 	c.intake.remove(c)
@@ -448,18 +391,3 @@
 	}
 	return length, number == numbers
 }
-
-// metadataSender is the metadata of a call that names the VM which sends it.
-const metadataSender = "vm"
-
-// WithSenderName returns a context for calls of a VM with a name. The VM is identified by the call, so
-// that its first message may be large.
-func WithSenderName(ctx context.Context, vm string) context.Context {
-	return drpcmetadata.AddPairs(ctx, map[string]string{metadataSender: vm})
-}
-
-// SenderName returns the name of the VM that a call states, or "".
-func SenderName(ctx context.Context) string {
-	metadata, _ := drpcmetadata.Get(ctx)
-	return metadata[metadataSender]
-}
