--- a/internal/daemon/messages.go
+++ b/internal/daemon/messages.go
@@ -60,18 +60,52 @@
 // arrives, a large one counts in an account too, so that bodies which never end leave memory for other
 // requests. It has to come until a time, unless that is zero.
 func (i *intake) readRequest(w http.ResponseWriter, r *http.Request, limit int64, until time.Time, reserve func(bytes int64) bool) ([]byte, error) {
+	if r.ContentLength >= 0 && r.ContentLength <= requestAllowanceBytes {
+		return i.readSmall(w, r, limit, until, reserve)
+	}
 	body := newBoundedBody(w, r, i.requests, limit)
 	body.until = until
 	defer body.reservation.Release()
 	text, err := body.readAll(r.ContentLength, limit, func(bytes int64) bool {
 		return reserve(bytes) && body.reserveAbove(requestAllowanceBytes, bytes)
 	})
-	if err != nil && !errors.Is(err, errNoMemory) {
-		if refused := i.bodyError(r, classRequests, i.requests, err); errors.As(refused, new(*NoRoomError)) {
-			return nil, errors.Join(errNoMemory, refused)
-		}
+	if err != nil {
+		return nil, i.requestError(r, err)
 	}
-	return text, err
+	return text, nil
+}
+
+// readSmall reads the body of a request that takes nothing of the account. All of it has to come until a
+// time, or within bodyTimeout. Nearly all requests are small, so this allocates the body alone.
+func (i *intake) readSmall(w http.ResponseWriter, r *http.Request, limit int64, until time.Time, reserve func(bytes int64) bool) ([]byte, error) {
+	if until.IsZero() {
+		until = time.Now().Add(bodyTimeout)
+	}
+	conn, ok := w.(interface{ SetReadDeadline(time.Time) error })
+	if ok {
+		_ = conn.SetReadDeadline(until) // see newBoundedBody
+	}
+	text, err := readBounded(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, limit, reserve)
+	if err != nil {
+		return text, i.requestError(r, err)
+	}
+	if ok {
+		_ = conn.SetReadDeadline(time.Time{}) // as above
+	}
+	return text, nil
+}
+
+// requestError returns the error of a request's body that was not read, which is errNoMemory if there
+// was no room for it.
+func (i *intake) requestError(r *http.Request, err error) error {
+	if errors.Is(err, errNoMemory) {
+		return err
+	}
+	err = i.bodyError(r, classRequests, i.requests, err)
+	if errors.As(err, new(*NoRoomError)) {
+		return errors.Join(errNoMemory, err)
+	}
+	return err
 }
 
 // bodyError returns the error of a body that was not read, and logs a lack of room.
