wire: a message that pauses makes way without a lock held

Callers would see: a peer port that takes no large message any more, and a process whose metrics hang, once a stranger's message has paused for a second while another one needed its memory.

The account revokes a reservation with its lock held, and what records the closed connection reads the account for its log line.

Change: the connection is closed and recorded by a goroutine of its own; so is the oldest one that makes way for a new one, since closing under TLS may block the port. TestPausedMessageOfStrangerMakesWay hung before (120 s, ended) and passes (2 s).

--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -86,7 +86,8 @@
 	revoked        bool
 }
 
-// Reservation returns an empty reservation. onRevoke is called once if it is revoked; it must not block.
+// Reservation returns an empty reservation. onRevoke is called once if it is revoked, with the account
+// locked: it must not block or use the account.
 func (a *Account) Reservation(onRevoke func()) *Reservation {
 	return &Reservation{account: a, onRevoke: onRevoke}
 }
--- a/internal/wire/intake.go
+++ b/internal/wire/intake.go
@@ -22,10 +22,10 @@
 //
 // Algorithm: a connection is a stranger's until a handler identifies it by its first whole message, which
 // VMs keep small. Strangers have to be identified in time, and their number is bounded: the oldest one is
-// closed for a new one. The bytes of each connection are scanned for frames,
-// so that what is no frame of drpc ends the connection at once. Beyond a small allowance the bytes of an
-// incomplete message are reserved before they are read, those of strangers and of identified peers in
-// accounts of their own. Without room the connection is not read, which holds its sender back.
+// closed for a new one. The bytes of each connection are scanned for frames, so that what is no frame of
+// drpc ends the connection at once. Beyond a small allowance the bytes of an incomplete message are
+// reserved before they are read, those of strangers and of identified peers in accounts of their own.
+// Without room the connection is not read, which holds its sender back.
 //
 // Invariants: what connections keep of incomplete messages is within their allowances and the two
 // accounts; strangers take no memory from identified peers.
@@ -127,8 +127,7 @@
 	}
 	i.mu.Unlock()
 	if oldest != nil {
-		i.observe(ReasonTooMany, oldest, errTooMany)
-		oldest.Close()
+		go oldest.closeFor(ReasonTooMany, errTooMany)
 	}
 	return c
 }
@@ -149,11 +148,11 @@
 
 // The reasons for which an Intake closes connections.
 const (
-	ReasonTooMany   = "too many unidentified connections"
-	ReasonNoFrame   = "bytes that are no message"
-	ReasonNoMemory  = "no memory for the message"
-	ReasonLate      = "not identified in time"
-	ReasonTooLittle = "message made no progress"
+	ReasonTooMany  = "too many unidentified connections"
+	ReasonNoFrame  = "bytes that are no message"
+	ReasonNoMemory = "no memory for the message"
+	ReasonLate     = "not identified in time"
+	ReasonStalled  = "message made no progress"
 )
 
 var errTooMany = errors.New("wire: too many connections that are not identified; dial again")
@@ -193,10 +192,15 @@
 	_ = c.Conn.SetReadDeadline(time.Time{}) // an error shows again at the next read
 }
 
-// revoke closes the connection for a message that made no progress.
+// revoke closes the connection for a message that made no progress. The account is locked meanwhile.
 func (c *intakeConn) revoke() {
-	c.intake.observe(ReasonTooLittle, c, quota.ErrRevoked)
-	go c.Close() // closing a TLS connection may block
+	go c.closeFor(ReasonStalled, quota.ErrRevoked)
+}
+
+// closeFor closes the connection, which may block under TLS, and tells the observer.
+func (c *intakeConn) closeFor(reason string, err error) {
+	c.intake.observe(reason, c, err)
+	c.Close()
 }
 
 // Close implements net.Conn.
--- a/internal/wire/intake_test.go
+++ b/internal/wire/intake_test.go
@@ -248,3 +248,36 @@
 	require.Error(t, err)
 	require.NotErrorIs(t, err, net.ErrClosed, "the other side has closed it")
 }
+
+// Guards against a message that pauses and keeps all others out, and against an observer that waits for the
+// account whose lock the one who revokes it holds.
+func TestPausedMessageOfStrangerMakesWay(t *testing.T) {
+	var closed closings
+	var intake *wire.Intake
+	intake = wire.NewIntake(intakeMemory, func(reason string, conn net.Conn, err error) {
+		intake.Strangers().Usage()
+		closed.record(reason, conn, err)
+	})
+	handler := rawHandler{received: make(chan int, 1)}
+	address := serve(t, intake, handler)
+	call := "\x03\x01\x01\x02/x"
+	frame := append([]byte("\x04\x01\x02\x80\x80\x02"), make([]byte, 32<<10)...)
+	paused := append([]byte(call), bytes.Repeat(frame, 1<<20/len(frame))...)
+	for range 3 {
+		_, err := dial(t, address).Write(paused)
+		require.NoError(t, err)
+	}
+	require.Eventually(t, func() bool { return intake.Strangers().Usage().Open == 3 }, time.Minute, time.Millisecond)
+	link := drpcconn.New(dial(t, address))
+	stream, err := link.NewStream(t.Context(), "/x", rawEncoding{})
+	require.NoError(t, err)
+	message := make([]byte, 2<<20)
+	require.NoError(t, stream.MsgSend(&message, rawEncoding{}))
+	select {
+	case n := <-handler.received:
+		require.Equal(t, len(message), n)
+	case <-time.After(time.Minute):
+		require.Fail(t, "the message has not arrived")
+	}
+	require.Positive(t, closed.count(wire.ReasonStalled))
+}
