--- a/internal/wire/intake.go
+++ b/internal/wire/intake.go
@@ -62,7 +62,7 @@
 	strangerParts = 32
 )
 
-// IntakeObserver is told of connections that an Intake closes.
+// IntakeObserver is called for each connection that an Intake closes.
 type IntakeObserver func(reason string, conn net.Conn, err error)
 
 // Intake bounds what all connections to a peer port take.
@@ -192,7 +192,7 @@
 	go c.closeFor(ReasonStalled, quota.ErrRevoked)
 }
 
-// closeFor closes the connection, which may block under TLS, and tells the observer.
+// closeFor reports the connection to the observer and closes it, which may block under TLS.
 func (c *intakeConn) closeFor(reason string, err error) {
 	c.intake.observe(reason, c, err)
 	c.Close()
@@ -241,7 +241,7 @@
 // fail closes the connection.
 func (c *intakeConn) fail(reason string, err error) error {
 	select {
-	case <-c.closed: // by this process, which has said why
+	case <-c.closed: // reported already
 	default:
 		c.intake.observe(reason, c, err)
 	}
