target, wire: an answer whose connection is reset during its upload is not whole

Cause: the kernel reports a reset to one system call. Where the goroutine that writes the body gets it, the read returns 0 bytes, as after an end in order, and the end of an answer without a length was proved by that alone.

Ruled out: answers with a length or in chunks (TestCutAnswerIsNotWhole); an end in order during an upload, which is whole before and after.

Change: connections to targets are dialed by wire.TargetDialer. A read that returns 0 bytes ends the write in progress, waits for it, and is an end only if no write has met a broken connection. EPIPE is not such an error: the kernel gives it where the other end had closed in order before. TCP_INFO was weighed and doesn't tell an answer that ended and was reset afterwards from one that was reset.

--- a/internal/target/body.go
+++ b/internal/target/body.go
@@ -77,11 +77,11 @@
 // allAcknowledged reports whether all bytes that were sent have been acknowledged. It returns
 // false where the kernel can't report it.
 func (l *link) allAcknowledged() bool {
-	tcp, ok := l.Conn.(*net.TCPConn)
+	socket, ok := l.Conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/spoolbank/spoolbank/internal/clock"
 	"github.com/spoolbank/spoolbank/internal/core"
+	"github.com/spoolbank/spoolbank/internal/wire"
 )
 
 const (
@@ -52,7 +53,7 @@
 // NewClient returns a Client with a connection pool of its own.
 func NewClient() *Client {
 	kept := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: time.Second}).DialContext,
+		DialContext:            wire.TargetDialer(net.Dialer{Timeout: time.Second}),
 		MaxIdleConnsPerHost:    512,
 		IdleConnTimeout:        time.Minute,
 		MaxResponseHeaderBytes: maxHeadBytes,
--- a/internal/target/pool.go
+++ b/internal/target/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/spoolbank/spoolbank/internal/clock"
+	"github.com/spoolbank/spoolbank/internal/wire"
 )
 
 // This file keeps idle connections to targets for reuse, and dials new ones.
@@ -30,7 +31,7 @@
 		l.Conn.Close()
 	}
 	conn, err := x.Dial(ctx, func(ctx context.Context, address string) (net.Conn, error) {
-		return x.dialer.DialContext(ctx, "tcp", address)
+		return wire.TargetDialer(x.dialer)(ctx, "tcp", address)
 	}, address)
 	if err != nil {
 		return nil, err
@@ -63,11 +64,11 @@
 	if l.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := l.Conn.(*net.TCPConn)
+	socket, ok := l.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := socket.SyscallConn()
 	if err != nil {
 		return false
 	}
