wire, daemon: a tunnel reports an end only of a connection that ended in order

Callers saw: through a tunnel, a part of an answer without a length as a whole one; and no answer where a whole one had arrived.

It also stopped as soon as a write failed, before it had sent what it had received.

Change: the connection comes from wire.TargetDialer, and CopyTunnel goes on sending what the connection receives when it can't be written to.

--- a/internal/daemon/tunnels.go
+++ b/internal/daemon/tunnels.go
@@ -265,7 +265,7 @@
 	if left := g.backoffLeft(to); left > 0 {
 		return nil, wire.TunnelReply{Outcome: wire.TunnelDeclined, Reason: "target " + string(to) + " has asked this VM to back off", BackoffFor: left}
 	}
-	conn, err := net.DialTimeout("tcp", target.Address, tunnelDialTimeout)
+	conn, err := wire.TargetDialer(net.Dialer{Timeout: tunnelDialTimeout})(g.daemon.context, "tcp", target.Address)
 	if err != nil {
 		g.recordUnreached(to)
 		return nil, wire.TunnelReply{Outcome: wire.TunnelRefused, Reason: err.Error()}
--- a/internal/wire/tunnel.go
+++ b/internal/wire/tunnel.go
@@ -197,7 +197,8 @@
 }
 
 // CopyTunnel copies bytes between a stream and a connection until one of them ends, or a request is not
-// admitted, and closes the connection.
+// admitted, and closes the connection. Where the connection can't be written to, what it has received is
+// still sent: the answer may be whole although its request could not be.
 func CopyTunnel(stream drpc.Stream, conn net.Conn, hooks TunnelHooks) {
 	defer conn.Close()
 	var answered atomic.Bool
@@ -206,6 +207,7 @@
 		sendTunnel(stream, conn, &answered)
 		_ = stream.CloseSend() // the other side may be gone
 	}()
+	writable := true
 	for {
 		var part TunnelData
 		if err := stream.MsgRecv(&part, Encoding{}); err != nil {
@@ -220,8 +222,9 @@
 		if answered.Swap(false) && hooks.AdmitRequest != nil && !hooks.AdmitRequest() {
 			return
 		}
-		if _, err := conn.Write(part.Data); err != nil {
-			return
+		if writable {
+			_, err := conn.Write(part.Data)
+			writable = err == nil
 		}
 	}
 }
