target: an answer whose status is not one of HTTP is no answer

Callers saw: a connection that ended without an answer (status 000, 099, +20), an answer with status 600 or 999, or what a target sent after it had switched protocols (101).

Cause: http.ReadResponse accepts any number of three characters, and nothing checked it. Writing a status below 100 panics.

Change: each head read from a target is checked at one place. An invalid status is an outcome like a lost connection: repeated where the route allows it, else 502. The counter spoolbank.target.no_answer has the fault as an attribute, and so has bytes that can't be parsed, which weren't counted.

Weighed: passing 600 and 999 on, as 5xx. RFC 9110 calls them invalid, and callers' libraries differ in what they make of them.

--- /dev/null
+++ b/internal/daemon/broken_heads_test.go
@@ -0,0 +1,154 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr/funcr"
+	"github.com/stretchr/testify/require"
+
+	"github.com/spoolbank/spoolbank/internal/daemon"
+	"github.com/spoolbank/spoolbank/internal/relay"
+	"github.com/spoolbank/spoolbank/settings"
+)
+
+// brokenEntry returns an entry VM before some targets, with a route for each way to repeat requests, and its log.
+func brokenEntry(t *testing.T, targets ...*worker) (*httptest.Server, *logLines) {
+	document := &relay.Document{Version: 1, Services: []relay.Service{{Name: "s", MaxConns: 100}}}
+	for name, repeat := range map[string]relay.RepeatPolicy{"streams": relay.RepeatResume, "answers": relay.RepeatAlways, "once": relay.RepeatNever} {
+		document.Routes = append(document.Routes, relay.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Stream: name == "streams", Repeat: repeat, Timeout: 20 * time.Second,
+			Objective: time.Second, MaxTargets: 2, Anonymous: true, Shares: []relay.Share{{Service: "s", Weight: 1}},
+		})
+	}
+	var known []relay.Target
+	for _, w := range targets {
+		known = append(known, relay.Target{ID: relay.TargetID(w.address), Service: "s", Address: w.address, Slots: 10, Call: 1})
+	}
+	budget := relay.BudgetTerms{Share: 1, Fixed: 100, Window: 10 * time.Second}
+	platform := daemon.Platform{Codec: resumeCodec{}, Engines: noEngines{}, Router: relay.Settings{Seed: 1, Started: time.Now().Add(-time.Minute), Budget: budget}}
+	logs := new(logLines)
+	g, err := daemon.GatewayFor(settings.Settings{Name: "vm"}, funcr.New(logs.add, funcr.Options{}), platform, document, known)
+	require.NoError(t, err)
+	daemon.ReceiveRequests(g)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serveVM(g, w, r) }))
+	t.Cleanup(server.Close)
+	return server, logs
+}
+
+// framings are the ways in which the bodies of answers end.
+var framings = map[string]func(head, body string) string{
+	"length": func(head, body string) string {
+		return fmt.Sprintf("%s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	},
+	"chunks": func(head, body string) string {
+		return fmt.Sprintf("%s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+	},
+	"connection": func(head, body string) string { return head + "\r\n\r\n" + body },
+}
+
+// answerScript answers requests with one text after another, at several targets.
+type answerScript struct {
+	texts    []string
+	answered atomic.Int32
+}
+
+// listen adds a target.
+func (s *answerScript) listen(t *testing.T) *worker {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.answer(conn)
+		}
+	}()
+	return &worker{address: l.Addr().String()}
+}
+
+// answer answers the first request of a connection and closes it.
+func (s *answerScript) answer(conn net.Conn) {
+	defer conn.Close()
+	request, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, request.Body)
+	n := int(s.answered.Add(1))
+	_, _ = io.WriteString(conn, s.texts[min(n, len(s.texts))-1]) // the other end may have closed
+}
+
+// answerBody returns the body of a whole answer on a route.
+func answerBody(route string) string {
+	if route == "streams" {
+		return "id: 1\n\nid: 2\n\n"
+	}
+	return "answer"
+}
+
+// requireTrueAnswer sends a request whose first target, or all of whose targets, answer with a broken text, and
+// requires that its caller gets a whole answer or 502.
+func requireTrueAnswer(t *testing.T, route, text string, all bool) {
+	t.Helper()
+	body := answerBody(route)
+	texts := []string{text, text}
+	if !all {
+		texts[1] = framings["length"]("HTTP/1.1 200 OK\r\nId: a", body)
+	}
+	script := &answerScript{texts: texts}
+	entry, logs := brokenEntry(t, script.listen(t), script.listen(t))
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, entry.URL+"/"+route+"/", strings.NewReader("question"))
+	require.NoError(t, err)
+	request.Header.Set("Id", "a")
+	answer, err := entry.Client().Do(request)
+	require.NoError(t, err, "the caller's connection ends without an answer")
+	defer answer.Body.Close()
+	got, err := io.ReadAll(answer.Body)
+	require.NoError(t, err)
+	if all || route == "once" {
+		require.Equal(t, http.StatusBadGateway, answer.StatusCode)
+	} else {
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		require.Equal(t, body, string(got))
+	}
+	want := int32(2)
+	if route == "once" {
+		want = 1
+	}
+	require.Equal(t, want, script.answered.Load(), "sendings of the request")
+	require.NotEmpty(t, logs.containing("are no answer"), "a line names what was wrong")
+}
+
+// requireTrueAnswers does so for each route and framing, with one broken target and with all.
+func requireTrueAnswers(t *testing.T, head string) {
+	t.Helper()
+	for framing, frame := range framings {
+		for _, route := range []string{"streams", "answers", "once"} {
+			for _, all := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/%v", framing, route, all), func(t *testing.T) {
+					requireTrueAnswer(t, route, frame(head, answerBody(route)), all)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a caller whose connection ends without an answer, and against an answer that no target has
+// given: a status outside those of HTTP was written to the caller, which panics below 100.
+func TestAnswerWithInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "101", "600", "999"} {
+		t.Run(status, func(t *testing.T) { requireTrueAnswers(t, "HTTP/1.1 "+status+" X\r\nId: a") })
+	}
+}
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -28,7 +28,7 @@
 const maxEventBytes = maxBufferedAnswerBytes
 
 // errEventTooLong ends an answer with an event of more than maxEventBytes.
-var errEventTooLong = fmt.Errorf("%w: an event has over %d bytes", target.ErrNoAnswer, maxEventBytes)
+var errEventTooLong = &target.NoAnswerError{Fault: target.FaultEndless, Detail: fmt.Sprintf("an event has over %d bytes", maxEventBytes)}
 
 // partialEvent is the beginning of an event, in memory that is reserved.
 type partialEvent struct {
--- a/internal/daemon/gateway_metrics.go
+++ b/internal/daemon/gateway_metrics.go
@@ -10,6 +10,7 @@
 	"github.com/spoolbank/spoolbank/internal/clock"
 	"github.com/spoolbank/spoolbank/internal/core"
 	"github.com/spoolbank/spoolbank/internal/relay"
+	"github.com/spoolbank/spoolbank/internal/target"
 	"github.com/spoolbank/spoolbank/internal/wire"
 )
 
@@ -161,7 +162,9 @@
 	g.repeats.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.String("cause", string(cause)), attribute.Bool("allowed", allowed)))
 }
 
-func (g *gatewayMetrics) sentNoAnswer() { g.noAnswers.Add(context.Background(), 1) }
+func (g *gatewayMetrics) sentNoAnswer(fault target.Fault) {
+	g.noAnswers.Add(context.Background(), 1, metric.WithAttributes(attribute.String("fault", string(fault))))
+}
 
 func (g *gatewayMetrics) reachChecked(service string, reached bool) {
 	g.reachChecks.Add(context.Background(), 1, metric.WithAttributes(attribute.String("service", service), attribute.Bool("reached", reached)))
--- a/internal/daemon/outcome.go
+++ b/internal/daemon/outcome.go
@@ -32,7 +32,7 @@
 func (f *forwarding) handleBroken(ctx context.Context, path relay.Path, watch *watcher, err error) result {
 	f.lastCause = err.Error()
 	if errors.Is(err, target.ErrNoAnswer) {
-		f.g.meter.sentNoAnswer()
+		f.g.meter.sentNoAnswer(target.FaultOf(err))
 	}
 	if ctx.Err() != nil {
 		f.recordGivenUp(path, err)
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -25,7 +25,7 @@
 
 // errReplyTooLong is the error of replies that are longer than their bound: a part of one must not
 // be taken for the whole.
-var errReplyTooLong = fmt.Errorf("%w: it is too long", ErrNoAnswer)
+var errReplyTooLong = &NoAnswerError{Fault: FaultEndless, Detail: "a reply is too long"}
 
 // readReply reads a reply of up to limit bytes.
 func readReply(body io.Reader, limit int64) ([]byte, error) {
@@ -60,8 +60,8 @@
 	}
 	fresh := kept.Clone()
 	fresh.DisableKeepAlives = true
-	client := &http.Client{Transport: kept}
-	return &Client{http: client, runs: newRunLinks(client, silenceDetection{}), unpooled: &http.Client{Transport: fresh}}
+	client := &http.Client{Transport: CheckAnswers(kept)}
+	return &Client{http: client, runs: newRunLinks(client, silenceDetection{}), unpooled: &http.Client{Transport: CheckAnswers(fresh)}}
 }
 
 // RunOrder sends an order over the engine's link and waits for its reply.
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -39,8 +39,7 @@
 // request on one is answered with a reset.
 var ErrStale = errors.New("kept connection is gone")
 
-// ErrNoAnswer is wrapped by errors of answers whose head has no end within maxHeadBytes, or that come
-// after too many bytes that belong to no request.
+// ErrNoAnswer is wrapped by errors of bytes that are no answer; FaultOf names what is wrong with them.
 var ErrNoAnswer = errors.New("the target's bytes are no answer")
 
 // ErrSilent is wrapped by errors of answers that were abandoned during a pause.
@@ -162,6 +161,8 @@
 	sentAt, lastUsedAt time.Time
 	// notReading is set if the target does not read the request.
 	notReading atomic.Bool
+	// readErr is the error of the last read that failed.
+	readErr error
 	// bounded is set while at most remaining more bytes may be read.
 	bounded   bool
 	remaining int
@@ -172,25 +173,32 @@
 
 func (l *link) unbound() { l.bounded = false }
 
-// orNoAnswer returns ErrNoAnswer in place of err if the bound was reached: parsers report what they
-// could not read instead.
+// orNoAnswer returns a NoAnswerError in place of the error of a parser, unless it is due to the connection.
 func (l *link) orNoAnswer(err error) error {
-	if l.bounded && l.remaining == 0 {
-		return ErrNoAnswer
+	switch {
+	case l.bounded && l.remaining == 0:
+		return errEndless
+	case err == nil || l.readErr != nil:
+		return err
 	}
-	return err
+	return &NoAnswerError{Fault: FaultSyntax, Detail: err.Error()}
 }
 
 // Read reads bytes of the answer. After each pause of MaxPause it calls KeepWaiting.
 func (l *link) Read(p []byte) (int, error) {
-	if !l.bounded {
-		return l.read(p)
+	if l.bounded && l.remaining == 0 {
+		return 0, errEndless
+	}
+	if l.bounded {
+		p = p[:min(len(p), l.remaining)]
 	}
-	if l.remaining == 0 {
-		return 0, ErrNoAnswer
+	n, err := l.read(p)
+	if l.bounded {
+		l.remaining -= n
+	}
+	if err != nil {
+		l.readErr = err
 	}
-	n, err := l.read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
 	return n, err
 }
 
@@ -233,7 +241,7 @@
 	}
 	l.request = r
 	r.tunnelVM = l.tunnelVM()
-	l.answered = false
+	l.answered, l.readErr = false, nil
 	l.sentAt = clock.Now()
 	stop := context.AfterFunc(ctx, func() { l.Conn.Close() })
 	answer, err := l.exchange(r)
@@ -320,7 +328,10 @@
 		if err != nil {
 			return nil, l.orNoAnswer(err)
 		}
-		if response.StatusCode >= 100 && response.StatusCode < 200 {
+		if err := checkHead(response); err != nil {
+			return nil, err
+		}
+		if response.StatusCode < http.StatusOK {
 			continue
 		}
 		chunked := len(response.TransferEncoding) > 0
@@ -341,8 +352,9 @@
 	n, err := a.body.Read(p)
 	if errors.Is(err, io.EOF) {
 		a.complete = true
+		return n, err
 	}
-	return n, a.link.orNotReading(err)
+	return n, a.link.orNotReading(a.link.orNoAnswer(err))
 }
 
 // Discard reads up to limit bytes of a body that nobody needs, for at most some time, so that the
--- /dev/null
+++ b/internal/target/head.go
@@ -0,0 +1,92 @@
+package target
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// This file checks the heads of answers, for all readers of targets' answers.
+//
+// Problem: http.ReadResponse is lenient. It accepts any three digits as a status, and ignores what it doesn't
+// understand. A caller would get an answer that its target has not given, or none.
+//
+// Algorithm: what http.ReadResponse accepts is checked against RFC 9110 and 9112. An answer that
+// fails is an outcome of the try like a lost connection.
+
+// Fault is what is wrong with bytes that are no answer.
+type Fault string
+
+// The faults.
+const (
+	// FaultSyntax: they can't be parsed.
+	FaultSyntax Fault = "syntax"
+	// FaultEndless: a head, an event or a reply has no end within its bound.
+	FaultEndless Fault = "endless"
+	// FaultStatus: the status is not one of HTTP, or switches protocols, which no request asks for.
+	FaultStatus Fault = "status"
+)
+
+// NoAnswerError is the error of bytes of a target that are no answer. It wraps ErrNoAnswer.
+type NoAnswerError struct {
+	Fault  Fault
+	Detail string
+}
+
+// errEndless is the error of an answer that has more bytes than its bound.
+var errEndless = &NoAnswerError{Fault: FaultEndless, Detail: "it has no end within its bound"}
+
+// Error implements error.
+func (e *NoAnswerError) Error() string {
+	return fmt.Sprintf("%v (%s: %s); check that it speaks HTTP/1.1", ErrNoAnswer, e.Fault, e.Detail)
+}
+
+// Unwrap returns ErrNoAnswer.
+func (e *NoAnswerError) Unwrap() error { return ErrNoAnswer }
+
+// FaultOf returns the fault that an error names, or "" if it names none.
+func FaultOf(err error) Fault {
+	var broken *NoAnswerError
+	if errors.As(err, &broken) {
+		return broken.Fault
+	}
+	return ""
+}
+
+// minStatus and maxStatus bound the statuses of HTTP (RFC 9110, section 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// checkHead returns a NoAnswerError if a parsed head is not one of HTTP/1.
+func checkHead(r *http.Response) error {
+	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
+		return &NoAnswerError{Fault: FaultStatus, Detail: fmt.Sprintf("%q", r.Status)}
+	}
+	return nil
+}
+
+// CheckAnswers returns a transport that rejects answers whose head is not one of HTTP/1.
+func CheckAnswers(next http.RoundTripper) http.RoundTripper { return answerChecker{next: next} }
+
+type answerChecker struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (c answerChecker) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := c.next.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkHead(response); err != nil {
+		return nil, errors.Join(err, response.Body.Close())
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the idle connections of the transport, as http.Client asks for.
+func (c answerChecker) CloseIdleConnections() {
+	if closer, ok := c.next.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
