target: an answer with a blank in the name of a field is no answer

Callers saw: a success without the line, or with a body that was not the target's, as a length or chunks were not seen.

Cause: http.ReadResponse accepts blanks in names.

Evidence: TestAnswerWithInvalidFieldNameIsNoAnswer fails on the parent for the four lines with a blank, 72 of 72 cases: 48 callers got 200 in place of 502, and 24 requests that could be repeated were not. Calls of the product's own interface: with a blank in a name and behind it 200; with a framing that was not seen they waited for their deadline, as the target kept its connection. The other 10 lines (control bytes, tabs, 128, parentheses, no name, no colon, a carriage return or 0 in a value) passed before; they stay as tests.

Change: checkHead rejects such names, for all readers of targets' answers.

--- a/internal/daemon/broken_heads_test.go
+++ b/internal/daemon/broken_heads_test.go
@@ -152,3 +152,11 @@
 		t.Run(status, func(t *testing.T) { requireTrueAnswers(t, "HTTP/1.1 "+status+" X\r\nId: a") })
 	}
 }
+
+// Guards against an answer with a line that its target has not sent, and against a body that is not the
+// target's: a field whose name has a blank was passed on, dropped, or a length or chunks that were not seen.
+func TestAnswerWithInvalidFieldNameIsNoAnswer(t *testing.T) {
+	for _, line := range []string{"A B: c", "A : c", "Content-Length : 3", "Transfer-Encoding : chunked", "A\x01: c", "A\x00: c", "A\x7f: c", "A\x80: c", "A\t: c", ": c", "abc", "A(b): c", "A: b\rc", "A: b\x00c"} {
+		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { requireTrueAnswers(t, "HTTP/1.1 200 OK\r\nId: a\r\n"+line) })
+	}
+}
--- a/internal/target/head.go
+++ b/internal/target/head.go
@@ -4,12 +4,14 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"strings"
 )
 
 // This file checks the heads of answers, for all readers of targets' answers.
 //
-// Problem: http.ReadResponse is lenient. It accepts any three digits as a status, and ignores what it doesn't
-// understand. A caller would get an answer that its target has not given, or none.
+// Problem: http.ReadResponse is lenient. It accepts any three digits as a status, and fields whose name has a
+// blank; with "Content-Length : 3" it takes the end of the connection for that of the body. A caller
+// would get an answer that its target has not given, or none.
 //
 // Algorithm: what http.ReadResponse accepts is checked against RFC 9110 and 9112. An answer that
 // fails is an outcome of the try like a lost connection.
@@ -23,6 +25,8 @@
 	FaultSyntax Fault = "syntax"
 	// FaultEndless: a head, an event or a reply has no end within its bound.
 	FaultEndless Fault = "endless"
+	// FaultFieldName: the name of a field has a blank.
+	FaultFieldName Fault = "field name"
 	// FaultStatus: the status is not one of HTTP, or switches protocols, which no request asks for.
 	FaultStatus Fault = "status"
 )
@@ -64,6 +68,11 @@
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return &NoAnswerError{Fault: FaultStatus, Detail: fmt.Sprintf("%q", r.Status)}
 	}
+	for name := range r.Header {
+		if strings.Contains(name, " ") { // the parser rejects all other bytes that no name may have
+			return &NoAnswerError{Fault: FaultFieldName, Detail: fmt.Sprintf("%q", name)}
+		}
+	}
 	return nil
 }
 
