target: an answer with ambiguous framing is no answer, also to calls

Callers saw: the sizes of chunks within an answer (chunks in HTTP/1.0), an answer cut at a length beside its chunks, and answers of versions that we don't speak, all as successes. Calls of the product's own interface were sent on to any address that a service named in a redirection.

Cause: http.ReadResponse ignores a transfer encoding in HTTP/1.0 and prefers chunks to a length, and removes both fields, so that nothing behind it could check them. Calls were sent by net/http, which hides the same and follows redirections.

Evidence: TestAnswerWithAmbiguousFramingIsNoAnswer fails on the parent in its 30 cases: callers got "6\r", "6\r\nanswer\r\n0\r\n\r\n" and other bytes that were not the answer. 6 cases of the heads in TestBrokenHeadOfCallIsNoAnswer failed, and TestCallIsNotRedirected.

Change: the text of a head is recorded while it is parsed, and its framing and version are checked.

--- a/internal/daemon/broken_heads_test.go
+++ b/internal/daemon/broken_heads_test.go
@@ -160,3 +160,23 @@
 		t.Run(fmt.Sprintf("%q", line), func(t *testing.T) { requireTrueAnswers(t, "HTTP/1.1 200 OK\r\nId: a\r\n"+line) })
 	}
 }
+
+// Guards against a body that is not the target's: chunks of HTTP/1.0, which has none, were passed on with their
+// sizes, or cut at a length beside them. Other versions of HTTP have no such heads.
+func TestAnswerWithAmbiguousFramingIsNoAnswer(t *testing.T) {
+	for name, c := range map[string]struct{ framing, head string }{
+		"chunks in HTTP/1.0":              {"chunks", "HTTP/1.0 200 OK\r\nId: a"},
+		"chunks and a length in HTTP/1.0": {"chunks", "HTTP/1.0 200 OK\r\nId: a\r\nContent-Length: 2"},
+		"a length beside chunks":          {"chunks", "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 2"},
+		"HTTP/2.0":                        {"connection", "HTTP/2.0 200 OK\r\nId: a"},
+		"HTTP/0.9":                        {"connection", "HTTP/0.9 200 OK\r\nId: a"},
+	} {
+		for _, route := range []string{"streams", "answers", "once"} {
+			for _, all := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%s/%v", name, route, all), func(t *testing.T) {
+					requireTrueAnswer(t, route, framings[c.framing](c.head, answerBody(route)), all)
+				})
+			}
+		}
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -318,7 +318,7 @@
 	d.tomb.Go(d.servePeers)
 	if d.callerListener != nil && d.settings.HasRole(settings.RoleEntry) {
 		d.tomb.Go(d.serveCallers)
-		d.tomb.Go(d.outboxLoop)
+		d.tomb.Go(d.upkeepLoop)
 	}
 	if d.metricListener != nil {
 		d.tomb.Go(d.serveMetrics)
--- a/internal/daemon/loop.go
+++ b/internal/daemon/loop.go
@@ -66,14 +66,16 @@
 	d.log.Info("time of day was set", "step_ms", step.Milliseconds())
 }
 
-// outboxLoop maintains the data buffered for callers if no gateway does.
-func (d *Daemon) outboxLoop() error {
+// upkeepLoop maintains the data buffered for callers, and the idle connections for calls, if there is no
+// gateway.
+func (d *Daemon) upkeepLoop() error {
 	ticker := time.NewTicker(upkeepInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case now := <-ticker.C:
 			d.outbox.upkeep(now)
+			d.client.CloseExpired(clock.SampleNow())
 		case <-d.tomb.Dying():
 			return nil
 		}
--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -44,6 +44,8 @@
 type Client struct {
 	http *http.Client
 	runs *runLinks
+	// calls sends calls to plain services, each at most once.
+	calls *Exchanger
 	// unpooled dials a new connection for each request.
 	unpooled *http.Client
 	// silence configures the detection of silent connections; see WithSilence.
@@ -61,7 +63,7 @@
 	fresh := kept.Clone()
 	fresh.DisableKeepAlives = true
 	client := &http.Client{Transport: CheckAnswers(kept)}
-	return &Client{http: client, runs: newRunLinks(client, silenceDetection{}), unpooled: &http.Client{Transport: CheckAnswers(fresh)}}
+	return &Client{http: client, runs: newRunLinks(client, silenceDetection{}), calls: NewExchanger(func() {}), unpooled: &http.Client{Transport: CheckAnswers(fresh)}}
 }
 
 // RunOrder sends an order over the engine's link and waits for its reply.
@@ -101,12 +103,6 @@
 	return reply, json.Unmarshal(text, &reply)
 }
 
-// NotSent reports whether err shows that a request never reached its server.
-func NotSent(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // Run sends an order for a run and waits for its reply.
 func (c *Client) Run(ctx context.Context, r core.Run) core.RunEnded {
 	ended := core.RunEnded{Stream: r.Stream, Epoch: r.Epoch, Position: r.Position}
@@ -221,12 +217,8 @@
 // services.
 const HeaderIdempotencyKey = "Idempotency-Key"
 
-// bodyOnce is a body of a type that net/http can't rewind. It repeats by itself a request with an
-// identity whose kept connection is lost, if its body can be sent again or is known to be empty.
-type bodyOnce struct{ bytes.Reader }
-
-// Close implements io.Closer.
-func (*bodyOnce) Close() error { return nil }
+// CloseExpired closes the idle connections to plain services that have expired.
+func (c *Client) CloseExpired(now time.Time) { c.calls.CloseExpired(now) }
 
 // Dispatch sends a call to a runner, unless the permission to send it has expired.
 func (c *Client) Dispatch(ctx context.Context, d core.Dispatch, call Call) core.DispatchEnded {
@@ -236,40 +228,39 @@
 	}
 	ctx, cancel := clock.WithDeadline(ctx, d.Deadline)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+d.Address+call.Path, &bodyOnce{Reader: *bytes.NewReader(call.Body)})
-	if err != nil {
-		return ended
+	request := &Request{
+		Method: call.Method, URI: call.Path, Host: d.Address, Body: call.Body, Header: http.Header{},
+		Matches: func(http.Header) bool { return true },
 	}
-	request.ContentLength = int64(len(call.Body))
 	request.Header.Set(HeaderIdempotencyKey, string(d.ID))
 	if call.ContentType != "" {
 		request.Header.Set("Content-Type", call.ContentType)
 	}
 	sentAt := clock.Now()
-	response, err := c.http.Do(request)
-	if NotSent(err) {
+	answer, err := c.calls.Do(ctx, d.Address, request)
+	if errors.Is(err, ErrNotSent) {
 		return ended
 	}
 	ended.Result = core.ResultBroken
 	if err != nil {
 		return ended
 	}
-	defer response.Body.Close()
-	body, err := readReply(response.Body, maxCallAnswerBytes)
+	defer answer.Close()
+	body, err := readReply(answer, maxCallAnswerBytes)
 	if err != nil {
 		return ended
 	}
-	ended.Limit.PerSecond, ended.Limit.Limited, err = ParseRateLimit(response.Header.Values(HeaderRateLimit))
+	ended.Limit.PerSecond, ended.Limit.Limited, err = ParseRateLimit(answer.Header.Values(HeaderRateLimit))
 	if err == nil || ended.Limit.Limited { // an unreadable header proves nothing about a limit
 		ended.Limit.SentAt, ended.Limit.ReceivedAt = sentAt, clock.Now()
 	}
-	ended.BackoffUntil, _ = ParseBackoff(response.StatusCode, response.Header, clock.Now()) // an unreadable header requests no backoff
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(HeaderNotRun) != "" {
+	ended.BackoffUntil, _ = ParseBackoff(answer.Status, answer.Header, clock.Now()) // an unreadable header requests no backoff
+	if answer.Status == http.StatusServiceUnavailable && answer.Header.Get(HeaderNotRun) != "" {
 		ended.Result = core.ResultRefused
 		return ended
 	}
 	ended.Result = core.ResultDone
-	ended.Answer = core.CallAnswer{Status: response.StatusCode, ContentType: response.Header.Get("Content-Type"), Body: body}
+	ended.Answer = core.CallAnswer{Status: answer.Status, ContentType: answer.Header.Get("Content-Type"), Body: body}
 	return ended
 }
 
--- a/internal/target/exchange.go
+++ b/internal/target/exchange.go
@@ -163,6 +163,8 @@
 	notReading atomic.Bool
 	// readErr is the error of the last read that failed.
 	readErr error
+	// head is the text of the head that is being read, or nil.
+	head *bytes.Buffer
 	// bounded is set while at most remaining more bytes may be read.
 	bounded   bool
 	remaining int
@@ -196,6 +198,9 @@
 	if l.bounded {
 		l.remaining -= n
 	}
+	if l.head != nil {
+		l.head.Write(p[:n])
+	}
 	if err != nil {
 		l.readErr = err
 	}
@@ -324,11 +329,8 @@
 	l.bound(maxHeadBytes)
 	defer l.unbound()
 	for {
-		response, err := http.ReadResponse(l.reader, &http.Request{Method: r.Method})
+		response, err := l.readResponse(r.Method)
 		if err != nil {
-			return nil, l.orNoAnswer(err)
-		}
-		if err := checkHead(response); err != nil {
 			return nil, err
 		}
 		if response.StatusCode < http.StatusOK {
@@ -347,6 +349,19 @@
 	}
 }
 
+// readResponse reads a head, also an informational one, and checks it.
+func (l *link) readResponse(method string) (*http.Response, error) {
+	if err := l.recordHead(); err != nil {
+		return nil, err
+	}
+	defer l.endHead()
+	response, err := http.ReadResponse(l.reader, &http.Request{Method: method})
+	if err != nil {
+		return nil, l.orNoAnswer(err)
+	}
+	return response, errors.Join(checkHead(response), checkFraming(l.headText(), response))
+}
+
 // Read reads the body. It returns io.EOF only at the body's end.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
--- a/internal/target/head.go
+++ b/internal/target/head.go
@@ -1,10 +1,12 @@
 package target
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 )
 
 // This file checks the heads of answers, for all readers of targets' answers.
@@ -14,7 +16,11 @@
 // would get an answer that its target has not given, or none.
 //
 // Algorithm: what http.ReadResponse accepts is checked against RFC 9110 and 9112. An answer that
-// fails is an outcome of the try like a lost connection.
+// fails is an outcome of the try like a lost connection. The parser removes the fields that frame a body,
+// so the bytes of a head are recorded while it reads them.
+//
+// Limits: framing is checked for requests and calls. The replies of engines and of the platform are JSON, and
+// are read by net/http.
 
 // Fault is what is wrong with bytes that are no answer.
 type Fault string
@@ -25,6 +31,10 @@
 	FaultSyntax Fault = "syntax"
 	// FaultEndless: a head, an event or a reply has no end within its bound.
 	FaultEndless Fault = "endless"
+	// FaultVersion: the version is not HTTP/1.
+	FaultVersion Fault = "version"
+	// FaultFraming: it is ambiguous where the body ends.
+	FaultFraming Fault = "framing"
 	// FaultFieldName: the name of a field has a blank.
 	FaultFieldName Fault = "field name"
 	// FaultStatus: the status is not one of HTTP, or switches protocols, which no request asks for.
@@ -68,6 +78,9 @@
 	if r.StatusCode < minStatus || r.StatusCode > maxStatus || r.StatusCode == http.StatusSwitchingProtocols {
 		return &NoAnswerError{Fault: FaultStatus, Detail: fmt.Sprintf("%q", r.Status)}
 	}
+	if r.ProtoMajor != 1 {
+		return &NoAnswerError{Fault: FaultVersion, Detail: fmt.Sprintf("%q", r.Proto)}
+	}
 	for name := range r.Header {
 		if strings.Contains(name, " ") { // the parser rejects all other bytes that no name may have
 			return &NoAnswerError{Fault: FaultFieldName, Detail: fmt.Sprintf("%q", name)}
@@ -76,6 +89,62 @@
 	return nil
 }
 
+// checkFraming returns a NoAnswerError if the text of a head frames its body in two ways, or in one that its
+// version does not have.
+func checkFraming(text []byte, r *http.Response) error {
+	switch {
+	case !hasField(text, "Transfer-Encoding"):
+		return nil
+	case !r.ProtoAtLeast(1, 1):
+		return &NoAnswerError{Fault: FaultFraming, Detail: "a transfer encoding in " + r.Proto}
+	case hasField(text, "Content-Length"):
+		return &NoAnswerError{Fault: FaultFraming, Detail: "a length beside a transfer encoding"}
+	}
+	return nil
+}
+
+// hasField reports whether the text of a head has a field.
+func hasField(text []byte, name string) bool {
+	for len(text) > 0 {
+		line := text
+		if end := bytes.IndexByte(text, '\n'); end >= 0 {
+			line = text[:end]
+		}
+		if len(line) > len(name) && line[len(name)] == ':' && bytes.EqualFold(line[:len(name)], []byte(name)) {
+			return true
+		}
+		text = text[min(len(line)+1, len(text)):]
+	}
+	return false
+}
+
+// headBuffers holds buffers for the texts of heads.
+var headBuffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// recordHead makes Read record the text of a head.
+func (l *link) recordHead() error {
+	buffered, err := l.reader.Peek(l.reader.Buffered())
+	if err != nil {
+		return err
+	}
+	l.head = headBuffers.Get().(*bytes.Buffer)
+	l.head.Reset()
+	l.head.Write(buffered)
+	return nil
+}
+
+// headText returns the text of the head that was read since recordHead. The reader may have buffered a part
+// of the body behind it.
+func (l *link) headText() []byte { return l.head.Bytes()[:l.head.Len()-l.reader.Buffered()] }
+
+// endHead ends the recording.
+func (l *link) endHead() {
+	if l.head.Cap() <= readBufferBytes {
+		headBuffers.Put(l.head)
+	}
+	l.head = nil
+}
+
 // CheckAnswers returns a transport that rejects answers whose head is not one of HTTP/1.
 func CheckAnswers(next http.RoundTripper) http.RoundTripper { return answerChecker{next: next} }
 
--- a/internal/target/head_test.go
+++ b/internal/target/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -36,6 +37,19 @@
 	{"folded first line", "HTTP/1.1 200 OK\r\n Id: 1\r\nContent-Length: 2\r\n\r\nok", target.FaultSyntax},
 	{"byte 0 in a value", "HTTP/1.1 200 OK\r\nId: 1\r\nA: b\x00c\r\nContent-Length: 2\r\n\r\nok", target.FaultSyntax},
 	{"carriage return in a value", "HTTP/1.1 200 OK\r\nId: 1\r\nA: b\rc\r\nContent-Length: 2\r\n\r\nok", target.FaultSyntax},
+	{"blank in a name of early hints", "HTTP/1.1 103 X\r\nA B: c\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", target.FaultFieldName},
+	{"chunks in HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", target.FaultFraming},
+	{"chunks and a length in HTTP/1.0", "HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", target.FaultFraming},
+	{"a length beside chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", target.FaultFraming},
+	{"chunks beside a length", "HTTP/1.1 200 OK\r\nId: 1\r\ntransfer-encoding: chunked\r\ncontent-length: 2\r\n\r\n2\r\nok\r\n0\r\n\r\n", target.FaultFraming},
+	{"two lengths", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", target.FaultSyntax},
+	{"a length with a sign", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: +2\r\n\r\nok", target.FaultSyntax},
+	{"an empty length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length:\r\n\r\nok", target.FaultSyntax},
+	{"another transfer encoding", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", target.FaultSyntax},
+	{"HTTP/2.0", "HTTP/2.0 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", target.FaultVersion},
+	{"HTTP/0.9", "HTTP/0.9 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", target.FaultVersion},
+	{"no version", "http/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", target.FaultSyntax},
+	{"empty line before the answer", "\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", target.FaultSyntax},
 	{"switched protocols", "HTTP/1.1 101 X\r\nId: 1\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", target.FaultStatus},
 }
 
@@ -51,6 +65,38 @@
 	}
 }
 
+// soundHeads are unusual answers of HTTP/1.1 with the body "ok".
+var soundHeads = map[string]string{
+	"HTTP/1.0":              "HTTP/1.0 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok",
+	"HTTP/1.0, no length":   "HTTP/1.0 200 OK\r\nId: 1\r\n\r\nok",
+	"HTTP/1.2":              "HTTP/1.2 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok",
+	"no reason":             "HTTP/1.1 200\r\nId: 1\r\nContent-Length: 2\r\n\r\nok",
+	"folded line":           "HTTP/1.1 200 OK\r\nId: 1\r\nA: b\r\n c\r\nContent-Length: 2\r\n\r\nok",
+	"folded line like TE":   "HTTP/1.1 200 OK\r\nId: 1\r\nA: b\r\n Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\nok",
+	"the same length twice": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\nContent-Length: 2\r\n\r\nok",
+	"bytes from 128 on":     "HTTP/1.1 200 OK\r\nId: 1\r\nA: b\x80c\r\nContent-Length: 2\r\n\r\nok",
+	"early hints":           "HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok",
+	"chunk extension":       "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nok\r\n0\r\n\r\n",
+	"trailer":               "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nContent-Length: 7\r\n\r\n",
+	"long head":             "HTTP/1.1 200 OK\r\nId: 1\r\nA: " + strings.Repeat("x", 20<<10) + "\r\nContent-Length: 2\r\n\r\nok",
+}
+
+// Guards against checks that reject answers which RFC 9112 allows.
+func TestUnusualHeadIsAnswer(t *testing.T) {
+	for name, text := range soundHeads {
+		t.Run(name, func(t *testing.T) {
+			s := newCuttingTarget(t, 0, text, text, cutByClose)
+			body, err := cutExchange(target.NewExchanger(func() {}), s.address, http.MethodPost, longPause)
+			require.NoError(t, err)
+			require.Equal(t, "ok", body)
+			deadline := time.Now().Add(longPause)
+			ended := target.NewClient().Dispatch(t.Context(), core.Dispatch{ID: "a", Address: s.address, Deadline: deadline, NotAfter: deadline}, target.Call{Method: http.MethodPost, Path: "/"})
+			require.Equal(t, core.ResultDone, ended.Result)
+			require.Equal(t, "ok", string(ended.Answer.Body))
+		})
+	}
+}
+
 // Guards the same for calls of the product's own interface.
 func TestBrokenHeadOfCallIsNoAnswer(t *testing.T) {
 	for _, c := range brokenHeads {
@@ -62,3 +108,36 @@
 		})
 	}
 }
+
+// Guards against a call that is sent on to an address that its service names in a redirection: the caller gets the
+// service's answer.
+func TestCallIsNotRedirected(t *testing.T) {
+	other := newScriptedTarget(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother")
+	s := newScriptedTarget(t, "HTTP/1.1 302 Found\r\nLocation: http://"+other.address+"/\r\nContent-Length: 2\r\n\r\nok")
+	deadline := time.Now().Add(longPause)
+	ended := target.NewClient().Dispatch(t.Context(), core.Dispatch{ID: "a", Address: s.address, Deadline: deadline, NotAfter: deadline}, target.Call{Method: http.MethodGet, Path: "/"})
+	require.Equal(t, core.ResultDone, ended.Result)
+	require.Equal(t, http.StatusFound, ended.Answer.Status)
+	require.Zero(t, other.conns.Load())
+}
+
+// Guards against bytes behind an answer without a body that are taken for the next answer.
+func TestBodyOfAnswerWithoutBodyIsNoAnswer(t *testing.T) {
+	smuggled := answerTo("1", "no")
+	for name, text := range map[string]string{
+		"204 with a length": "HTTP/1.1 204 X\r\nId: 1\r\nContent-Length: 48\r\n\r\n" + smuggled,
+		"204 with chunks":   "HTTP/1.1 204 X\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n" + smuggled,
+		"304 with a length": "HTTP/1.1 304 X\r\nId: 1\r\nContent-Length: 48\r\n\r\n" + smuggled,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScriptedTarget(t, text, answerTo("1", "ok"))
+			x := target.NewExchanger(func() {})
+			body, err := exchange(t, x, s.address, false)
+			require.NoError(t, err)
+			require.Empty(t, body)
+			body, err = exchange(t, x, s.address, false)
+			require.NoError(t, err)
+			require.Equal(t, "ok", body)
+		})
+	}
+}
