--- a/internal/daemon/broken_heads_test.go
+++ b/internal/daemon/broken_heads_test.go
@@ -23,9 +23,9 @@
 // brokenEntry returns an entry VM before some targets, with a route for each way to repeat requests, and its log.
 func brokenEntry(t *testing.T, targets ...*worker) (*httptest.Server, *logLines) {
 	document := &relay.Document{Version: 1, Services: []relay.Service{{Name: "s", MaxConns: 100}}}
-	for name, repeat := range map[string]relay.RepeatPolicy{"streams": relay.RepeatResume, "answers": relay.RepeatAlways, "once": relay.RepeatNever} {
+	for name, repeat := range map[string]relay.RepeatPolicy{"streams": relay.RepeatResume, "streams-once": relay.RepeatNever, "answers": relay.RepeatAlways, "once": relay.RepeatNever} {
 		document.Routes = append(document.Routes, relay.Route{
-			Name: name, Host: "h", Prefix: "/" + name + "/", Stream: name == "streams", Repeat: repeat, Timeout: 20 * time.Second,
+			Name: name, Host: "h", Prefix: "/" + name + "/", Stream: strings.HasPrefix(name, "streams"), Repeat: repeat, Timeout: 20 * time.Second,
 			Objective: time.Second, MaxTargets: 2, Anonymous: true, Shares: []relay.Share{{Service: "s", Weight: 1}},
 		})
 	}
