daemon: requests that come late in a planned stop get an answer

Callers saw: no answer to requests that a stopping VM had taken and sent to a target, also to requests that may run once (LOST).

Cause: whether an answer would outlast the VM was asked of streams alone, and as the head of the request came, not as its body had come, nor before a repeat. At the end of the grace time all connections were closed under what was in flight.

Change: before each sending of a request whose answer has not begun, the observed time of the service's answers is compared with what is left of the grace time, and the request is refused as not run if it can't end. 150 ms before the end, requests without an answer so far get theirs: 502 if they were sent, else 503. Streams that have begun are cut at the end, as before.

Weighed: refusing all requests after a time, and comparing deadlines, which would refuse most requests that end in time.

--- a/internal/daemon/answer.go
+++ b/internal/daemon/answer.go
@@ -160,12 +160,14 @@
 
 // forwardLong forwards an answer that is too long to be buffered.
 func (f *forwarding) forwardLong(answer *target.Answer, head []byte) result {
+	if !f.beginAnswer() {
+		return resultAborted
+	}
 	copyHeader(f.w.Header(), answer.Header)
 	if answer.Length >= 0 {
 		f.w.Header().Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	f.w.WriteHeader(answer.Status)
-	f.headSent = true
 	f.caller.setTargetWaits(true)
 	body := &failingReader{Reader: answer}
 	if _, err := io.Copy(f.w, io.MultiReader(bytes.NewReader(head), body)); err != nil {
--- a/internal/daemon/choosing.go
+++ b/internal/daemon/choosing.go
@@ -114,6 +114,11 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !f.headSent {
+		if refusal := g.refuseOutlasting(f.call, f.route, f.service, now); refusal != nil {
+			return relay.Path{}, refusal
+		}
+	}
 	request := f.pathRequest(f.attempts, waiting)
 	if f.count > 0 {
 		f.attempts.Waiting = now.Before(f.repeatWantedUntil)
--- a/internal/daemon/events.go
+++ b/internal/daemon/events.go
@@ -66,6 +66,9 @@
 			f.waitedForCaller = false
 			f.recordPromptProcessed()
 			rest, left := f.forwardEvents(answer, append(pending.bytes, buffer[:n]...))
+			if errors.Is(left, errGraceEnded) {
+				return f.handleBroken(ctx, f.lastPath, watch, left)
+			}
 			if left != nil {
 				f.lastCause = "caller left: " + left.Error()
 				f.endCause = EndNotReading
@@ -107,7 +110,7 @@
 var eventEnd = []byte("\n\n")
 
 // forwardEvents writes the whole events of data to the caller, and returns the rest. Its error
-// means that the caller has disconnected or was ended.
+// means that the caller has disconnected or was ended, or is errGraceEnded.
 func (f *forwarding) forwardEvents(answer *target.Answer, data []byte) ([]byte, error) {
 	end := bytes.LastIndex(data, eventEnd)
 	if end < 0 {
@@ -115,9 +118,11 @@
 	}
 	whole := data[:end+len(eventEnd)]
 	if !f.headSent {
+		if !f.beginAnswer() {
+			return nil, errGraceEnded
+		}
 		copyHeader(f.w.Header(), answer.Header)
 		f.w.WriteHeader(answer.Status)
-		f.headSent = true
 		f.firstEventAt = clock.Now()
 		f.g.meter.firstEvent(f.call.Arrived)
 	}
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -360,3 +360,6 @@
 
 // SetConfigStatus sets how current the document of a gateway is.
 func SetConfigStatus(g *Gateway, s core.ConfigStatus) { g.setConfigStatus(s) }
+
+// StopGateway begins the planned stop of a gateway.
+func StopGateway(g *Gateway) { g.stop() }
--- a/internal/daemon/forward.go
+++ b/internal/daemon/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -135,6 +136,8 @@
 	pace relay.Pace
 	// replaceAt is the earliest time at which a stage's replacement may be sought again.
 	replaceAt map[relay.TargetID]time.Time
+	// sent is set if a byte of the request was sent.
+	sent bool
 	// resent is set if the request was sent a second time: its target may have run the first
 	// sending, even where the second one failed to connect.
 	resent bool
@@ -152,7 +155,9 @@
 	// caller is the caller's connection, or nil where it is of another type.
 	caller *callerConn
 	// headSent is set if the caller has received the head of an answer.
-	headSent     bool
+	headSent bool
+	// keepPastStop keeps a planned stop from ending the request, and reports false if it has.
+	keepPastStop func() bool
 	firstEventAt time.Time
 	// lastID is the id of the last event that the caller has received.
 	lastID string
@@ -196,6 +201,8 @@
 	}
 	ctx, cancel := clock.WithDeadline(ctx, f.deadline)
 	defer cancel()
+	ctx, release := f.endAtStop(ctx)
+	defer release()
 	defer f.recordPanic()
 	f.run(ctx)
 }
@@ -227,7 +234,7 @@
 			return
 		}
 		if ctx.Err() != nil {
-			f.end(ctx, &relay.Refusal{Kind: relay.RefusedTimeout, Reason: "its time ran out under way"})
+			f.end(ctx, f.refusalAtEnd(ctx))
 			return
 		}
 		f.recordAttempt(r, path)
@@ -241,7 +248,7 @@
 	f.lastPath = path
 	f.promptProcessed = false
 	f.eventAt, f.ranWell = time.Time{}, false
-	f.resent = false
+	f.sent, f.resent = false, false
 	f.abandoned = false
 	f.permitReserved = path.HasPermit()
 	defer func() { f.release(path) }()
@@ -319,6 +326,7 @@
 	sent := sync.OnceFunc(sending)
 	defer sent()
 	answer, err := f.exchange(incarnationCtx, first.Address, request)
+	f.sent = !errors.Is(err, target.ErrNotSent)
 	sent()
 	if err != nil {
 		return f.handleBroken(ctx, path, watch, err)
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -54,8 +54,11 @@
 	suspended time.Duration
 	// limitsLogged are the limits of targets as last logged.
 	limitsLogged []loggedLimit
-	// plannedStop is the planned stop of this VM, if there is one.
+	// plannedStop is the planned stop of this VM, if there is one. endRequests ends stopEnding shortly
+	// before its end.
 	plannedStop relay.PlannedStop
+	stopEnding  context.Context
+	endRequests context.CancelFunc
 	// documentAt is when the document came into force here.
 	documentAt time.Time
 
@@ -71,6 +74,7 @@
 		return nil, err
 	}
 	g := &Gateway{daemon: d, log: d.log, platform: p, meter: meter, policy: p.Router.Policy, router: relay.NewRouter(p.Router), routable: make(chan struct{}), started: clock.Now()}
+	g.stopEnding, g.endRequests = context.WithCancel(context.Background())
 	g.exchanger = target.NewExchanger(meter.dialled)
 	g.exchanger.Dial = g.dialTarget
 	g.tunnels.init(g.otherEntryVMs)
@@ -176,6 +180,7 @@
 	g.mu.Lock()
 	g.plannedStop = g.plannedStop.WithEnd(clock.Now().Add(g.platform.Grace))
 	g.mu.Unlock()
+	time.AfterFunc(g.platform.Grace-stopAnswerTime, g.endRequests)
 	g.daemon.tomb.Go(func() error {
 		began := clock.Now()
 		g.pause(g.platform.AcceptTime)
--- a/internal/daemon/silent.go
+++ b/internal/daemon/silent.go
@@ -69,6 +69,13 @@
 	return typical
 }
 
+// usual returns the usual time to a plain answer of a service, or 0 if none is known.
+func (a *answerTimes) usual(service string) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.byService[service].Usual()
+}
+
 func (g *Gateway) silenceBound() time.Duration {
 	return time.Duration(g.daemon.settings.Timing.Silence)
 }
--- a/internal/daemon/start.go
+++ b/internal/daemon/start.go
@@ -44,7 +44,7 @@
 		refusal = refusal.WithNewerPossible(now.Add(retryElsewhereDelay))
 	}
 	if refusal == nil {
-		refusal = g.refuseOutlasting(call, route, now)
+		refusal = g.refuseOutlasting(call, route, "", now)
 	}
 	return route, org, refusal
 }
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -2,15 +2,15 @@
 
 import "time"
 
-// This file decides which streams a VM accepts while it stops.
+// This file decides which requests a VM accepts, and sends on, while it stops.
 //
 // Problem: callers that have cached the VM's address still come for some seconds after a stop was
 // requested, and what is in flight at its end is cut. An answer may take longer than the time
 // that is left.
 //
-// Algorithm: a stream whose answer is likely to outlast the VM is refused at once, before
-// anything is sent, and its caller comes back to another VM. The estimate of its length is the
-// caller's own, which is right in the median. Shortly after a reload, which must cut nothing, the
+// Algorithm: a request whose answer is likely to outlast the VM is refused at once, before
+// anything is sent, and its caller comes back to another VM. For a plain service the time that its answers
+// usually take is observed. For a stream, the estimate of its length is the caller's own, which is right in the median. Shortly after a reload, which must cut nothing, the
 // bound is one that 99 answers in 100 keep.
 
 const (
--- a/internal/silence/link.go
+++ b/internal/silence/link.go
@@ -54,6 +54,9 @@
 	return RTT{mean: t.mean + meanGain*(value-t.mean), deviation: t.deviation + deviationGain*(deviation-t.deviation)}
 }
 
+// Usual returns the time of a usual round trip: the mean and one deviation, or 0 without samples.
+func (t RTT) Usual() time.Duration { return time.Duration(t.mean + t.deviation) }
+
 // Timeout returns the time within which nearly all round trips end, clamped to two bounds.
 func (t RTT) Timeout(least, most time.Duration) time.Duration {
 	return min(max(time.Duration(t.mean+deviationFactor*t.deviation), least), most)
