daemon: requests in flight as the process ends get a true answer

Callers of the product's own interface saw: an empty 200, or a stream that ended in order behind its last token, from a process that ended.

Cause: the handlers returned without an answer once the daemon ended, and net/http writes 200 for a handler that does.

Change: 502 with an unknown run, an error event in a stream that has begun, and 503 to callers that ask for addresses.

--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -121,7 +121,7 @@
 }
 
 // take returns the effects in the mailbox, and waits until there are some. It returns nil when
-// the caller disconnects or the process stops.
+// the caller disconnects or the process stops; then the final answer is refusedByEnd.
 func (c *callers) take(r *http.Request, box *mailbox) []core.Effect {
 	for {
 		box.mu.Lock()
@@ -141,6 +141,13 @@
 	}
 }
 
+// refusedByEnd is the answer to a request that is in flight as the process ends: a handler that returns
+// without one would send an empty success.
+var refusedByEnd = core.Refusal{
+	Kind: core.RefusedUnknown, Ran: core.RanUnknown, Reason: "this entry VM ends, and the answer is not known",
+	Remedy: "ask another entry VM for it, with the same identity",
+}
+
 // requestReadTimeout bounds the time in which a request of a caller arrives.
 const requestReadTimeout = 30 * time.Second
 
@@ -249,7 +256,12 @@
 	conn, box := c.attach(target.Call{})
 	defer c.detach(conn)
 	c.daemon.post(core.EntriesAsked{Conn: conn, Hall: r.URL.Query().Get("hall")})
-	for _, effect := range c.take(r, box) {
+	effects := c.take(r, box)
+	if effects == nil {
+		writeRefusal(w, "", core.Refusal{Kind: core.RefusedLeaving, Ran: core.RanNo, Reason: "this entry VM ends", Remedy: "ask another entry VM"}, 0)
+		return
+	}
+	for _, effect := range effects {
 		if e, ok := effect.(core.Entries); ok {
 			seconds := int(clock.Until(e.KeepUntil).Seconds())
 			w.Header().Set("Cache-Control", fmt.Sprintf("max-age=%d", max(seconds, 0)))
@@ -281,7 +293,12 @@
 	})
 	connectionOf(r.Context()).startRequest(string(id))
 	w.Header().Set(target.HeaderIdempotencyKey, string(id))
-	for _, effect := range c.take(r, box) {
+	effects := c.take(r, box)
+	if effects == nil {
+		writeRefusal(w, id, refusedByEnd, 0)
+		return
+	}
+	for _, effect := range effects {
 		switch e := effect.(type) {
 		case core.Refuse:
 			writeRefusal(w, id, e.Refusal, 0)
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -363,3 +363,16 @@
 
 // StopGateway begins the planned stop of a gateway.
 func StopGateway(g *Gateway) { g.stop() }
+
+// CallersAlone returns the product's own interface of a daemon whose Node does not run, and a function that ends the
+// daemon.
+func CallersAlone(s settings.Settings) (http.Handler, func(), error) {
+	d := &Daemon{settings: s, log: logr.Discard(), events: make(chan core.Event, eventQueueSize), outbox: newOutbox(s.Limits, logr.Discard())}
+	d.intake = newIntake(d, 0)
+	var err error
+	if d.metrics, err = newMetrics(d); err != nil {
+		return nil, nil, err
+	}
+	d.callers = newCallers(d)
+	return d.callers.routes(), d.Kill, nil
+}
--- a/internal/daemon/openai.go
+++ b/internal/daemon/openai.go
@@ -201,6 +201,7 @@
 	for {
 		effects := c.take(r, box)
 		if effects == nil {
+			a.refuse(refusedByEnd)
 			return
 		}
 		for _, effect := range effects {
@@ -298,6 +299,7 @@
 	for {
 		effects := c.take(r, box)
 		if effects == nil {
+			writeRefusal(a.w, a.id, refusedByEnd, 0)
 			return
 		}
 		for _, effect := range effects {
