daemon: a long failure is no part of a stream that has begun

Callers saw: behind the events of a stream the body of another target's failure, and an end in order, so that the answer looked whole.

Cause: an answer of over 256 KB is forwarded while it is read, also where the caller had the head of a stream: the stream had broken off and was resumed at a target that failed.

Evidence: TestLongFailureIsNoPartOfBegunStream fails on the parent with 500 and with 404.

Change: such an answer breaks the try, as a short one does.

--- a/internal/daemon/answer.go
+++ b/internal/daemon/answer.go
@@ -128,7 +128,7 @@
 	if err != nil {
 		return f.handleBroken(ctx, path, watch, err)
 	}
-	if len(body) > maxBufferedAnswerBytes {
+	if len(body) > maxBufferedAnswerBytes && !f.headSent {
 		return f.forwardLong(answer, body)
 	}
 	if answer.Status < http.StatusMultipleChoices {
--- a/internal/daemon/broken_heads_test.go
+++ b/internal/daemon/broken_heads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -180,3 +181,28 @@
 		}
 	}
 }
+
+// Guards against a stream whose caller gets the long answer of another target behind its events: the
+// stream broke off, and the target that it was resumed at answered with a failure of over 256 KB.
+func TestLongFailureIsNoPartOfBegunStream(t *testing.T) {
+	for _, status := range []string{"500 Failed", "404 Not Found"} {
+		t.Run(status, func(t *testing.T) {
+			script := &answerScript{texts: []string{
+				"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 1000\r\n\r\nid: 1\n\n",
+				framings["length"]("HTTP/1.1 "+status+"\r\nId: a", strings.Repeat("x", 300<<10)),
+			}}
+			entry, _ := brokenEntry(t, script.listen(t), script.listen(t))
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, entry.URL+"/streams/", strings.NewReader("question"))
+			require.NoError(t, err)
+			request.Header.Set("Id", "a")
+			answer, err := entry.Client().Do(request)
+			require.NoError(t, err)
+			defer answer.Body.Close()
+			got, err := io.ReadAll(answer.Body)
+			require.Error(t, err, "a stream that is cut must not look whole")
+			require.Equal(t, "id: 1\n\n", string(got))
+		})
+	}
+}
