--- a/internal/target/endless_test.go
+++ b/internal/target/endless_test.go
@@ -130,3 +130,18 @@
 	answer.Close()
 	require.NoError(t, ctx.Err())
 }
+
+// Guards against a body without an end that is read although nobody takes it.
+func TestBodyWithoutEndIsReadAsItIsTaken(t *testing.T) {
+	e := newEndlessTarget(t, "HTTP/1.1 200 OK\r\nId: a\r\n\r\n", "x")
+	x := target.NewExchanger(func() {})
+	answer, err := x.Do(t.Context(), e.address, &target.Request{
+		Method: http.MethodPost, URI: "/", Host: "h", Header: http.Header{},
+		Matches: func(h http.Header) bool { return h.Get("Id") == "a" },
+	})
+	require.NoError(t, err)
+	_, err = io.CopyN(io.Discard, answer, 1<<20)
+	require.NoError(t, err)
+	answer.Close()
+	e.requireBounded(t)
+}
