target, platform: redirections of targets are not followed

An engine that answered an order or a question for its report with a redirection had it sent to any address that it named, and the other answer was taken for its own.

Cause: http.Client follows redirections.

Change: one constructor makes the HTTP clients for targets, which check heads and return redirections as they are.

--- a/internal/target/client.go
+++ b/internal/target/client.go
@@ -62,8 +62,8 @@
 	}
 	fresh := kept.Clone()
 	fresh.DisableKeepAlives = true
-	client := &http.Client{Transport: CheckAnswers(kept)}
-	return &Client{http: client, runs: newRunLinks(client, silenceDetection{}), calls: NewExchanger(func() {}), unpooled: &http.Client{Transport: CheckAnswers(fresh)}}
+	client := NewHTTPClient(kept)
+	return &Client{http: client, runs: newRunLinks(client, silenceDetection{}), calls: NewExchanger(func() {}), unpooled: NewHTTPClient(fresh)}
 }
 
 // RunOrder sends an order over the engine's link and waits for its reply.
--- a/internal/target/head.go
+++ b/internal/target/head.go
@@ -145,9 +145,16 @@
 	l.head = nil
 }
 
-// CheckAnswers returns a transport that rejects answers whose head is not one of HTTP/1.
-func CheckAnswers(next http.RoundTripper) http.RoundTripper { return answerChecker{next: next} }
+// NewHTTPClient returns a client for targets. It rejects answers whose head is not one of HTTP/1, and returns
+// redirections as they are: what a target may be sent is not for another one.
+func NewHTTPClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     answerChecker{next: transport},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
 
+// answerChecker is a transport that rejects answers whose head is not one of HTTP/1.
 type answerChecker struct{ next http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
