daemon: the answer to HEAD keeps the length that its target has given

Callers saw: Content-Length: 0 in each answer to HEAD.

Cause: the length of the body that was read, none, took the place of the field.

Evidence: TestAnswerToHeadKeepsItsLength fails on the parent with 0 where the target said 800.

Change: in an answer to HEAD the field of the target is passed on.

--- a/internal/daemon/answer.go
+++ b/internal/daemon/answer.go
@@ -197,7 +197,12 @@
 func (f *forwarding) writeWhole(a *wholeAnswer) {
 	f.caller.setTargetWaits(false)
 	copyHeader(f.w.Header(), a.header)
-	f.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	switch length, given := a.header["Content-Length"]; {
+	case f.call.Method != http.MethodHead:
+		f.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	case given: // that of the body which the answer to GET would have
+		f.w.Header()["Content-Length"] = length
+	}
 	f.w.WriteHeader(a.status)
 	if _, err := f.w.Write(a.body); err != nil {
 		f.g.log.V(1).Info("caller disconnected before its answer was written", "request", f.call.ID, "error", err.Error())
--- a/internal/daemon/broken_heads_test.go
+++ b/internal/daemon/broken_heads_test.go
@@ -206,3 +206,23 @@
 		})
 	}
 }
+
+// Guards against the answer to HEAD whose length is not the one that its target has given.
+func TestAnswerToHeadKeepsItsLength(t *testing.T) {
+	for text, want := range map[string]string{
+		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 800\r\n\r\n": "800",
+		"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 0\r\n\r\n":   "0",
+		"HTTP/1.1 200 OK\r\nId: a\r\n\r\n":                        "",
+	} {
+		script := &answerScript{texts: []string{text}}
+		entry, _ := brokenEntry(t, script.listen(t))
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodHead, entry.URL+"/once/", nil)
+		require.NoError(t, err)
+		request.Header.Set("Id", "a")
+		answer, err := entry.Client().Do(request)
+		require.NoError(t, err)
+		defer answer.Body.Close()
+		require.Equal(t, http.StatusOK, answer.StatusCode)
+		require.Equal(t, want, answer.Header.Get("Content-Length"))
+	}
+}
