--- a/internal/daemon/callers.go
+++ b/internal/daemon/callers.go
@@ -121,7 +121,7 @@
 }
 
 // take returns the effects in the mailbox, and waits until there are some. It returns nil when
-// the caller disconnects or the process stops; then the final answer is refusedByEnd.
+// the caller disconnects or the process stops; then the final answer is that of refusalByEnd.
 func (c *callers) take(r *http.Request, box *mailbox) []core.Effect {
 	for {
 		box.mu.Lock()
@@ -141,11 +141,16 @@
 	}
 }
 
-// refusedByEnd is the answer to a request that is in flight as the process ends: a handler that returns
+// refusalByEnd returns the answer to a request that is in flight as the process ends: a handler that returns
 // without one would send an empty success.
-var refusedByEnd = core.Refusal{
-	Kind: core.RefusedUnknown, Ran: core.RanUnknown, Reason: "this entry VM ends, and the answer is not known",
-	Remedy: "ask another entry VM for it, with the same identity",
+func (c *callers) refusalByEnd(r *http.Request, id core.RequestID) core.Refusal {
+	if r.Context().Err() == nil { // otherwise the caller has disconnected
+		c.daemon.log.Info("request ended with the process", "request", string(id), "uri", r.RequestURI)
+	}
+	return core.Refusal{
+		Kind: core.RefusedUnknown, Ran: core.RanUnknown, Reason: "this entry VM ends, and the answer is not known",
+		Remedy: "ask another entry VM for it, with the same identity",
+	}
 }
 
 // requestReadTimeout bounds the time in which a request of a caller arrives.
@@ -295,7 +300,7 @@
 	w.Header().Set(target.HeaderIdempotencyKey, string(id))
 	effects := c.take(r, box)
 	if effects == nil {
-		writeRefusal(w, id, refusedByEnd, 0)
+		writeRefusal(w, id, c.refusalByEnd(r, id), 0)
 		return
 	}
 	for _, effect := range effects {
--- a/internal/daemon/openai.go
+++ b/internal/daemon/openai.go
@@ -201,7 +201,7 @@
 	for {
 		effects := c.take(r, box)
 		if effects == nil {
-			a.refuse(refusedByEnd)
+			a.refuse(c.refusalByEnd(r, a.id))
 			return
 		}
 		for _, effect := range effects {
@@ -299,7 +299,7 @@
 	for {
 		effects := c.take(r, box)
 		if effects == nil {
-			writeRefusal(a.w, a.id, refusedByEnd, 0)
+			writeRefusal(a.w, a.id, c.refusalByEnd(r, a.id), 0)
 			return
 		}
 		for _, effect := range effects {
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -10,8 +10,8 @@
 //
 // Algorithm: a request whose answer is likely to outlast the VM is refused at once, before
 // anything is sent, and its caller comes back to another VM. For a plain service the time that its answers
-// usually take is observed. For a stream, the estimate of its length is the caller's own, which is right in the median. Shortly after a reload, which must cut nothing, the
-// bound is one that 99 answers in 100 keep.
+// usually take is observed. For a stream, the estimate of its length is the caller's own, which is right in
+// the median. Shortly after a reload, which must cut nothing, the bound is one that 99 answers in 100 keep.
 
 const (
 	// estimateMargin is the multiple of a caller's estimate that 99 answers in 100 stay within
