daemon: a planned stop waits for the requests in tunnels that it carries

Callers of other VMs saw: 502, or a repeat, as a VM stopped by way of which their VM reached a target.

Cause: the stop waited for the VM's own callers alone and ended with the tunnels, long before its grace time was over.

Change: the stop waits until the VM carries no tunnel, at most for its grace time. Tunnels that were open before carry no other request, so that busy ones end too; new ones were declined already.

--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -376,3 +376,6 @@
 	d.callers = newCallers(d)
 	return d.callers.routes(), d.Kill, nil
 }
+
+// SetLog sets the log of a gateway.
+func SetLog(g *Gateway, log logr.Logger) { g.log = log }
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -193,6 +193,7 @@
 				return errors.Join(errStopped, g.callerServer.Close())
 			}
 			g.daemon.outbox.awaitDrained(ctx)
+			g.awaitTunnels(ctx)
 		}
 		g.log.Info("planned stop is complete", "took", clock.Since(began).String())
 		return errStopped
--- a/internal/daemon/reset_test.go
+++ b/internal/daemon/reset_test.go
@@ -14,14 +14,12 @@
 	"testing"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/stretchr/testify/require"
 
 	"github.com/spoolbank/spoolbank/internal/daemon"
 	"github.com/spoolbank/spoolbank/internal/relay"
 	"github.com/spoolbank/spoolbank/internal/target"
 	"github.com/spoolbank/spoolbank/internal/wire"
-	"github.com/spoolbank/spoolbank/settings"
 )
 
 var resetAnswers = flag.Int("reset-answers", 20, "the answers of each case of the tests of answers that are reset")
@@ -58,18 +56,29 @@
 	return l.Addr().String()
 }
 
-// tunnelExchanger returns an Exchanger whose connections lead to a target by way of a VM.
-func tunnelExchanger(t *testing.T, address string) *target.Exchanger {
+// carrier returns a VM that carries tunnels to a target, and its peer address.
+func carrier(t *testing.T, address string) (*daemon.Gateway, string) {
 	document := &relay.Document{Version: 1, Services: []relay.Service{{Name: "s", MaxConns: 1000}}}
-	platform := daemon.Platform{Codec: plainCodec{}, Engines: noEngines{}, Router: relay.Settings{Hall: "a", Started: time.Now().Add(-time.Minute)}}
-	g, err := daemon.GatewayFor(settings.Settings{Name: "vm"}, logr.Discard(), platform, document, []relay.Target{{ID: "t", Service: "s", Address: address, Hall: "a", Slots: 1000, Call: 1}})
+	platform := daemon.Platform{Codec: plainCodec{}, Engines: noEngines{}, Grace: time.Minute, Router: relay.Settings{Hall: "a", Started: time.Now().Add(-time.Minute), Budget: relay.BudgetTerms{Share: 1, Fixed: 100, Window: 10 * time.Second}}}
+	g, err := daemon.NewGatewayAlone(platform, document, []relay.Target{{ID: "t", Service: "s", Address: address, Hall: "a", Slots: 1000, Call: 1}})
 	require.NoError(t, err)
 	peers, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	go func() { _ = daemon.ServePeers(t.Context(), g, peers) }() // it ends with the test
+	return g, peers.Addr().String()
+}
+
+// tunnelExchanger returns an Exchanger whose connections lead to a target by way of a VM.
+func tunnelExchanger(t *testing.T, address string) *target.Exchanger {
+	_, peers := carrier(t, address)
+	return exchangerBy(peers)
+}
+
+// exchangerBy returns an Exchanger whose connections lead to the target "t" by way of the VM with a peer address.
+func exchangerBy(peers string) *target.Exchanger {
 	x := target.NewExchanger(func() {})
 	x.Dial = func(ctx context.Context, _ func(context.Context, string) (net.Conn, error), _ string) (net.Conn, error) {
-		return wire.Credentials{}.DialTunnel(ctx, peers.Addr().String(), "t")
+		return wire.Credentials{}.DialTunnel(ctx, peers, "t")
 	}
 	return x
 }
--- a/internal/daemon/tunnels.go
+++ b/internal/daemon/tunnels.go
@@ -32,6 +32,9 @@
 // A target that asks for a backoff sees the VM in between: both VMs back off from it, whichever of them
 // has the answer that asked.
 //
+// A VM that stops opens no tunnel for others, and lets none of them carry another request. It ends once their
+// requests have, or with its grace time.
+//
 // Invariants: a tunnel leads to a target directly, never by way of a third VM. A connection that
 // could not be opened has carried no byte of a request.
 //
@@ -208,10 +211,37 @@
 		}
 		return err
 	}
-	wire.CopyTunnel(stream, conn, wire.TunnelHooks{AdmitRequest: func() bool { return g.backoffLeft(to) == 0 }})
+	first := true
+	wire.CopyTunnel(stream, conn, wire.TunnelHooks{AdmitRequest: func() bool {
+		admitted := g.backoffLeft(to) == 0 && (first || !g.Stopping())
+		first = false
+		return admitted
+	}})
 	return nil
 }
 
+// tunnelCheckInterval is the interval at which a VM that stops checks the tunnels that it carries.
+const tunnelCheckInterval = 20 * time.Millisecond
+
+// awaitTunnels waits until this VM, which stops, carries no tunnel any more, or ctx ends. Idle tunnels are closed by
+// the VMs that opened them.
+func (g *Gateway) awaitTunnels(ctx context.Context) {
+	carried := g.tunnels.carried.Load()
+	if carried == 0 {
+		return
+	}
+	g.log.Info("planned stop waits for tunnels of other VMs", "tunnels", carried)
+	ticker := time.NewTicker(tunnelCheckInterval)
+	defer ticker.Stop()
+	for g.tunnels.carried.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // backoffLeft returns how long this VM still backs off from a target, 0 if it does not.
 func (g *Gateway) backoffLeft(id relay.TargetID) time.Duration {
 	g.mu.Lock()
