--- a/internal/daemon/broken_heads_test.go
+++ b/internal/daemon/broken_heads_test.go
@@ -42,6 +42,7 @@
 	daemon.ReceiveRequests(g)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { serveVM(g, w, r) }))
 	t.Cleanup(server.Close)
+	t.Cleanup(func() { daemon.CloseIdle(g) })
 	return server, logs
 }
 
--- a/internal/daemon/export_test.go
+++ b/internal/daemon/export_test.go
@@ -379,3 +379,6 @@
 
 // SetLog sets the log of a gateway.
 func SetLog(g *Gateway, log logr.Logger) { g.log = log }
+
+// CloseIdle closes the idle connections of a gateway to targets, which nothing else closes without its upkeep.
+func CloseIdle(g *Gateway) { g.exchanger.CloseExpired(clock.Now().Add(time.Hour)) }
